Thin whole path: three processes, one manifest, calls answered

Three sources agree on a log with synced records (package replica decides, package source drives), the fleet's state spreads over a small view by deltas (packages view, spread), daemons and backend servers make themselves known (packages presence, announce), callers' requests go from any daemon to the one beside a backend server (package gateway).

--- /dev/null
+++ b/internal/process/daemon/control.go
@@ -0,0 +1,216 @@
+package daemon
+
+import (
+	"context"
+	"net/rpc"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/process/mesh"
+	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// The names of the control methods.
+const (
+	meshDeliver   = "Mesh.Deliver"
+	sourceDeliver = "Source.Deliver"
+	sourceSubmit  = "Source.Submit"
+	sourceHistory = "Source.History"
+	nodeStatus    = "Node.Status"
+)
+
+// Empty is the argument or reply of a method that has none.
+type Empty struct{}
+
+var errNotSource = errors.New("not a source")
+
+func registerControl(server *rpc.Server, d *Daemon) {
+	services := map[string]any{"Mesh": &meshService{d}, "Source": &sourceService{d}, "Node": &nodeService{d}}
+	for name, service := range services {
+		if err := server.RegisterName(name, service); err != nil {
+			panic(err)
+		}
+	}
+}
+
+type meshService struct{ d *Daemon }
+
+// Deliver takes in an envelope.
+func (s *meshService) Deliver(e mesh.Envelope, _ *Empty) error {
+	s.d.mesh.Deliver(e)
+	return nil
+}
+
+type sourceService struct{ d *Daemon }
+
+// Deliver takes in messages of another source.
+func (s *sourceService) Deliver(messages []replica.Message, _ *Empty) error {
+	if s.d.source == nil {
+		return errNotSource
+	}
+	s.d.source.Deliver(messages)
+	return nil
+}
+
+// Submit proposes a manifest.
+func (s *sourceService) Submit(m manifest.Manifest, answer *source.Answer) error {
+	if s.d.source == nil {
+		return errNotSource
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	var err error
+	*answer, err = s.d.source.Submit(ctx, &m)
+	return err
+}
+
+// History returns the accepted manifests.
+func (s *sourceService) History(_ Empty, history *[]source.Accepted) error {
+	if s.d.source == nil {
+		return errNotSource
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	var err error
+	*history, err = s.d.source.History(ctx)
+	return err
+}
+
+type nodeService struct{ d *Daemon }
+
+// Status returns the status of this daemon.
+func (s *nodeService) Status(_ Empty, status *operator.NodeStatus) error {
+	*status = s.d.NodeStatus()
+	return nil
+}
+
+func (d *Daemon) sendItems(ctx context.Context, addr string, items []mesh.Item) error {
+	err := d.pool.Call(ctx, addr, meshDeliver, mesh.Envelope{From: d.self, Items: items}, &Empty{})
+	if err != nil {
+		d.log.V(1).Info("envelope not delivered", "to", addr, "error", err.Error())
+	}
+	return err
+}
+
+func (d *Daemon) sendMessages(ctx context.Context, addr string, messages []replica.Message) error {
+	return d.pool.Call(ctx, addr, sourceDeliver, messages, &Empty{})
+}
+
+// transport joins the source to the other sources.
+type transport struct{ d *Daemon }
+
+// Send implements source.Transport.
+func (t transport) Send(to string, messages []replica.Message) {
+	if addr, ok := t.d.memberAddr(to); ok {
+		t.d.messages.Put(addr, messages...)
+	}
+}
+
+// Submit implements source.Transport.
+func (t transport) Submit(ctx context.Context, to string, m *manifest.Manifest) (source.Answer, error) {
+	addr, ok := t.d.memberAddr(to)
+	if !ok {
+		return source.Answer{}, errors.Newf("no source %s", to)
+	}
+	var answer source.Answer
+	err := t.d.pool.Call(ctx, addr, sourceSubmit, *m, &answer)
+	return answer, err
+}
+
+func (d *Daemon) memberAddr(node string) (string, bool) {
+	for _, m := range d.set.Source.Members {
+		if m.Node == node {
+			return m.Peer, true
+		}
+	}
+	return "", false
+}
+
+// Submit implements operator.Backend: here if this daemon is a source, else at
+// the first source that answers.
+func (d *Daemon) Submit(ctx context.Context, m *manifest.Manifest) (source.Answer, error) {
+	if d.source != nil {
+		return d.source.Submit(ctx, m)
+	}
+	answer := source.Answer{Code: result.NotSource, Detail: "no source answers"}
+	for _, member := range d.set.Source.Members {
+		err := d.pool.Call(ctx, member.Peer, sourceSubmit, *m, &answer)
+		if err == nil && answer.Code != result.NoQuorum {
+			return answer, nil
+		}
+	}
+	return answer, nil
+}
+
+// History implements operator.Backend.
+func (d *Daemon) History(ctx context.Context) ([]source.Accepted, error) {
+	if d.source != nil {
+		return d.source.History(ctx)
+	}
+	err := errors.New("no sources in the settings")
+	for _, member := range d.set.Source.Members {
+		var history []source.Accepted
+		if err = d.pool.Call(ctx, member.Peer, sourceHistory, Empty{}, &history); err == nil {
+			return history, nil
+		}
+	}
+	return nil, err
+}
+
+// NodeStatus implements operator.Backend.
+func (d *Daemon) NodeStatus() operator.NodeStatus {
+	status := operator.NodeStatus{
+		Node: d.set.Node, Domain: d.set.Domain, Ready: d.Ready(), Mesh: d.mesh.Status(),
+		ControlSent: d.traffic.Sent.Load(), ControlReceived: d.traffic.Received.Load(),
+	}
+	if d.source != nil {
+		s := d.source.Status()
+		status.Source = &s
+	}
+	return status
+}
+
+// fleetConcurrency bounds how many daemons are asked at a time.
+const fleetConcurrency = 32
+
+// Fleet implements operator.Backend by asking every known daemon.
+func (d *Daemon) Fleet(ctx context.Context) []operator.FleetNode {
+	records := d.mesh.Directory().Records
+	nodes := make([]operator.FleetNode, len(records))
+	var group errgroup.Group
+	group.SetLimit(fleetConcurrency)
+	for i, r := range records {
+		nodes[i] = operator.FleetNode{Node: r.Node.Name, Domain: r.Node.Domain, Servers: r.Servers}
+		group.Go(func() error {
+			d.askVersion(ctx, r.Node.Addr, &nodes[i])
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.SortFunc(nodes, func(a, b operator.FleetNode) int {
+		if a.Node < b.Node {
+			return -1
+		}
+		return 1
+	})
+	return nodes
+}
+
+func (d *Daemon) askVersion(ctx context.Context, addr string, into *operator.FleetNode) {
+	if into.Node == d.set.Node {
+		into.Version = d.mesh.Status().Version
+		return
+	}
+	var status operator.NodeStatus
+	if err := d.pool.Call(ctx, addr, nodeStatus, Empty{}, &status); err != nil {
+		into.Error = err.Error()
+		return
+	}
+	into.Version = status.Mesh.Version
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,270 @@
+// Package daemon assembles one daemon from its settings: the listeners, the
+// control side, the gateway, and the source where the settings make it one.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/rpc"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisygate/daisygate/internal/connection/announce"
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/connection/peer"
+	"github.com/daisygate/daisygate/internal/process/mesh"
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/process/spread"
+	"github.com/daisygate/daisygate/internal/process/view"
+	"github.com/daisygate/daisygate/internal/request/gateway"
+)
+
+// The timing of the control side.
+const (
+	tickInterval     = 100 * time.Millisecond
+	linkInterval     = 500 * time.Millisecond
+	linkSilence      = 2500 * time.Millisecond
+	digestInterval   = time.Second
+	presenceInterval = time.Second
+	suspectFor       = 1500 * time.Millisecond
+	forgetAfter      = 10 * time.Minute
+	beatInterval     = time.Second
+	staleAfter       = 5 * time.Second
+	activeLinks      = 5
+	deltaHistory     = 64
+
+	sourceTick           = 50 * time.Millisecond
+	sourceElectionTicks  = 10
+	sourceHeartbeatTicks = 2
+
+	submitTimeout = 10 * time.Second
+	outboxLimit   = 4096
+	// leaveDelay is how long a leaving daemon keeps answering "not run" while
+	// the fleet learns that it leaves.
+	leaveDelay = time.Second
+	// stopTimeout bounds the wait for requests in progress.
+	stopTimeout = 5 * time.Minute
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	set     settings.Settings
+	log     logr.Logger
+	traffic *peer.Traffic
+	pool    *peer.Pool
+
+	items    *peer.Outbox[mesh.Item]
+	messages *peer.Outbox[replica.Message]
+
+	mesh    *mesh.Mesh
+	gateway *gateway.Gateway
+	source  *source.Source
+	servers *announce.Server
+
+	listeners map[string]net.Listener
+	self      view.Node
+}
+
+// New opens the listeners and the data folder. Run serves.
+func New(set settings.Settings, log logr.Logger) (*Daemon, error) {
+	d := &Daemon{set: set, log: log.WithValues("node", set.Node), traffic: &peer.Traffic{}, listeners: map[string]net.Listener{}}
+	d.pool = peer.NewPool(d.traffic)
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.self = view.Node{Name: set.Node, Addr: d.Addr("peer"), Region: set.Region, Domain: set.Domain}
+	d.items = peer.NewOutbox(outboxLimit, d.sendItems)
+	d.messages = peer.NewOutbox(outboxLimit, d.sendMessages)
+	if err := d.build(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	addrs := map[string]string{
+		"caller": d.set.Listen.Caller, "announce": d.set.Listen.Announce,
+		"peer": d.set.Listen.Peer, "operator": d.set.Listen.Operator,
+	}
+	for name, addr := range addrs {
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			return errors.Wrapf(err, "listen.%s", name)
+		}
+		d.listeners[name] = listener
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+}
+
+// Addr returns the address of a listener: "caller", "announce", "peer" or
+// "operator".
+func (d *Daemon) Addr(listener string) string { return d.listeners[listener].Addr().String() }
+
+func (d *Daemon) build() error {
+	incarnation := uint64(time.Now().UnixMilli())
+	seed := xxhash.Sum64String(d.set.Node) ^ incarnation
+	control, err := mesh.New(mesh.Config{
+		View: view.Config{
+			Self: d.self, Seeds: d.seeds(), Active: activeLinks,
+			Silence: linkSilence, Interval: linkInterval, Seed: seed,
+		},
+		Spread:       spread.Config{DigestInterval: digestInterval, StaleAfter: staleAfter, History: deltaHistory},
+		Presence:     presence.Config{Self: d.self, Incarnation: incarnation, DigestInterval: presenceInterval, SuspectFor: suspectFor, ForgetAfter: forgetAfter},
+		TickInterval: tickInterval, Beat: d.leads, BeatInterval: beatInterval,
+	}, d.items, d.log.WithName("mesh"))
+	if err != nil {
+		return err
+	}
+	d.mesh = control
+	d.gateway = gateway.New(gateway.Config{
+		Self: d.set.Node, Domain: d.set.Domain, QueuePerSlot: d.set.Limits.QueuePerSlot,
+		Directory: d.mesh.Directory, Ready: d.Ready,
+	}, d.log.WithName("gateway"))
+	d.servers = announce.NewServer(func(servers []presence.Server) {
+		d.gateway.SetServers(servers)
+		d.mesh.SetServers(servers)
+	})
+	if !d.set.IsSource() {
+		return nil
+	}
+	d.source, err = source.Open(source.Config{
+		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "source"),
+		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed,
+	}, transport{d}, d.log.WithName("source"), d.mesh.Publish)
+	return err
+}
+
+// seeds leaves out this node's own address.
+func (d *Daemon) seeds() []string {
+	var seeds []string
+	for _, s := range d.set.Seeds {
+		if s != d.self.Addr {
+			seeds = append(seeds, s)
+		}
+	}
+	return seeds
+}
+
+func (d *Daemon) members() []string {
+	var names []string
+	for _, m := range d.set.Source.Members {
+		names = append(names, m.Node)
+	}
+	return names
+}
+
+func (d *Daemon) leads() (uint64, bool) {
+	if d.source == nil {
+		return 0, false
+	}
+	s := d.source.Status()
+	return s.Term, s.Role == replica.Leader.String()
+}
+
+// Ready reports whether a version confirmed by the leader is in force here.
+func (d *Daemon) Ready() bool {
+	s := d.mesh.Status()
+	return s.Confirmed && s.Version > 0
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { d.mesh.Run(groupCtx); return nil })
+	group.Go(func() error { d.servers.Run(groupCtx); return nil })
+	if d.source != nil {
+		group.Go(func() error { return d.source.Run(groupCtx) })
+	}
+	servers := d.httpServers()
+	for name, server := range servers {
+		group.Go(func() error { return ignoreClosed(server.Serve(d.listeners[name])) })
+	}
+	d.log.Info("serving", "caller", d.Addr("caller"), "announce", d.Addr("announce"), "peer", d.Addr("peer"), "operator", d.Addr("operator"))
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	d.stop(servers)
+	stop()
+	err := group.Wait()
+	d.items.Close()
+	d.messages.Close()
+	d.pool.Close()
+	return err
+}
+
+// stop leaves the fleet first, then waits for what is in progress.
+func (d *Daemon) stop(servers map[string]*http.Server) {
+	d.mesh.Leave()
+	time.Sleep(leaveDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, name := range []string{"caller", "announce", "operator", "peer"} {
+		if err := servers[name].Shutdown(ctx); err != nil {
+			d.log.Error(err, "stop listener", "listener", name)
+			_ = servers[name].Close()
+		}
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) httpServers() map[string]*http.Server {
+	control := rpc.NewServer()
+	registerControl(control, d)
+	handlers := map[string]http.Handler{
+		"caller":   http.HandlerFunc(d.gateway.ServeCaller),
+		"announce": d.servers.Handler(),
+		"peer":     peer.Handler(control, http.HandlerFunc(d.gateway.ServePeer), d.traffic),
+		"operator": operator.Handler(operator.Config{
+			Token: d.token(), ManifestBytes: d.set.Limits.ManifestBytes, SubmitTimeout: submitTimeout,
+		}, d),
+	}
+	servers := map[string]*http.Server{}
+	for name, handler := range handlers {
+		servers[name] = &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: d.set.Limits.HeaderTimeout,
+			IdleTimeout:       d.set.Limits.IdleTimeout,
+			MaxHeaderBytes:    d.set.Limits.HeaderBytes,
+		}
+	}
+	return servers
+}
+
+func (d *Daemon) token() string {
+	if d.set.Operator.TokenFile == "" {
+		return ""
+	}
+	raw, err := os.ReadFile(d.set.Operator.TokenFile)
+	if err != nil {
+		d.log.Error(err, "operator token")
+	}
+	return strings.TrimSpace(string(raw))
+}
--- /dev/null
+++ b/internal/request/gateway/gateway.go
@@ -0,0 +1,301 @@
+// Package gateway serves calls. ServeCaller takes a request of a caller, picks
+// a backend server and passes the request to the daemon beside it; ServePeer is
+// that daemon's side, which alone talks to the backend server and counts its
+// slots.
+//
+// Every answer says whether the request was run, was certainly not run, or may
+// have been run (package result).
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/directory"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
+)
+
+// Config is fixed for the life of a Gateway.
+type Config struct {
+	// Self and Domain are this daemon's name and failure domain.
+	Self   string
+	Domain string
+	// QueuePerSlot is the admission queue's length in multiples of the slots.
+	QueuePerSlot int
+	// Directory returns the newest directory.
+	Directory func() *directory.Directory
+	// Ready reports whether a confirmed version is in force.
+	Ready func() bool
+}
+
+// Gateway serves calls. It is safe for concurrent use.
+type Gateway struct {
+	cfg     Config
+	log     logr.Logger
+	peers   *http.Transport
+	servers *http.Transport
+	loads   *loads
+
+	mu    sync.Mutex
+	gates map[string]*admit.Gate
+}
+
+const (
+	backendDialTimeout = time.Second
+	maxIdlePerHost     = 256
+	retryAfterBusy     = time.Second
+)
+
+// New returns a Gateway.
+func New(cfg Config, log logr.Logger) *Gateway {
+	return &Gateway{
+		cfg: cfg, log: log, peers: newTransport(), servers: newTransport(),
+		loads: newLoads(), gates: map[string]*admit.Gate{},
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
+		MaxIdleConns:          0,
+		MaxIdleConnsPerHost:   maxIdlePerHost,
+		IdleConnTimeout:       time.Minute,
+		DisableCompression:    true,
+		ExpectContinueTimeout: time.Second,
+	}
+}
+
+// SetServers tells of the backend servers beside this daemon.
+func (g *Gateway) SetServers(servers []presence.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	present := map[string]bool{}
+	for _, s := range servers {
+		present[s.Addr] = true
+		gate := g.gates[s.Addr]
+		if gate == nil {
+			gate = admit.NewGate(s.Slots, s.Slots*g.cfg.QueuePerSlot)
+			g.gates[s.Addr] = gate
+		}
+		gate.Configure(s.Slots, s.State == presence.Draining)
+	}
+	for addr, gate := range g.gates {
+		if !present[addr] {
+			gate.Configure(0, true)
+			delete(g.gates, addr)
+		}
+	}
+}
+
+func (g *Gateway) gate(addr string) *admit.Gate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gates[addr]
+}
+
+// call is one request of a caller, while it lasts.
+type call struct {
+	route    *snapshot.Route
+	deadline time.Time
+	tried    map[string]bool
+	body     *trackedBody
+}
+
+// ServeCaller serves the caller listener.
+func (g *Gateway) ServeCaller(w http.ResponseWriter, r *http.Request) {
+	if !g.cfg.Ready() {
+		result.WriteHTTPRetry(w, result.Errorf(result.NotReady, "no confirmed version yet"), retryAfterBusy)
+		return
+	}
+	dir := g.cfg.Directory()
+	route := dir.Snapshot.Match(r.Method, r.Host, r.URL.Path)
+	if route == nil {
+		result.WriteHTTP(w, result.Errorf(result.NoRoute, "%s %s%s", r.Method, r.Host, r.URL.Path))
+		return
+	}
+	c := &call{
+		route: route, deadline: time.Now().Add(route.Timeout),
+		tried: map[string]bool{}, body: &trackedBody{ReadCloser: r.Body},
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	resp, refused := g.dispatch(ctx, dir, c, r)
+	if refused != nil {
+		result.WriteHTTPRetry(w, refused, retryAfterBusy)
+		return
+	}
+	g.copyAnswer(w, resp, result.OK)
+}
+
+// dispatch tries servers until one ran the request or nothing is left to try.
+func (g *Gateway) dispatch(ctx context.Context, dir *directory.Directory, c *call, r *http.Request) (*http.Response, *result.Error) {
+	refused := result.Errorf(result.NoBackendServer, "service %s", c.route.Target.Key)
+	for range c.route.Retries + 1 {
+		candidate := balance.Pick(balance.Input{
+			Candidates: dir.Candidates(c.route.Target.Key), Self: g.cfg.Self, Domain: g.cfg.Domain,
+			Tried: c.tried, Load: g.loads, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		})
+		if candidate == nil {
+			return nil, refused
+		}
+		c.tried[candidate.Server.Addr] = true
+		resp, err := g.attempt(ctx, candidate, c, r)
+		if err == nil {
+			return resp, nil
+		}
+		refused = err
+		if !g.mayRetry(c, err) || ctx.Err() != nil {
+			return nil, refused
+		}
+	}
+	return nil, refused
+}
+
+// mayRetry allows a retry of what certainly was not run, or may be repeated,
+// as long as its body was not begun.
+func (g *Gateway) mayRetry(c *call, err *result.Error) bool {
+	if c.body.begun() {
+		return false
+	}
+	return err.Code.Outcome() == result.NotRun || c.route.Repeatable
+}
+
+func (g *Gateway) attempt(ctx context.Context, to *directory.Candidate, c *call, r *http.Request) (*http.Response, *result.Error) {
+	if to.Node.Name == g.cfg.Self {
+		return g.serve(ctx, to.Server.Addr, c.route.Priority, c.deadline, r, c.body)
+	}
+	out := outgoing(ctx, to.Node.Addr, r, c.body)
+	out.Header.Set(headerServer, to.Server.Addr)
+	out.Header.Set(headerMesh, c.route.Target.Key.Mesh)
+	out.Header.Set(headerService, c.route.Target.Key.Name)
+	out.Header.Set(headerPriority, strconv.Itoa(c.route.Priority))
+	setTimeout(out.Header, time.Until(c.deadline))
+	resp, err := g.peers.RoundTrip(out)
+	if err != nil {
+		return nil, classify(ctx, err, result.DaemonRefused)
+	}
+	g.loads.note(to.Server.Addr, resp.Header.Get(headerLoad))
+	if code := resp.Header.Get(result.HeaderResult); code != "" && code != "0" {
+		return nil, readRefusal(resp, code)
+	}
+	return resp, nil
+}
+
+func readRefusal(resp *http.Response, text string) *result.Error {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
+	_ = resp.Body.Close()
+	code, err := strconv.Atoi(text)
+	if err != nil {
+		return result.Errorf(result.AnswerLost, "unreadable result %q", text)
+	}
+	c := result.Code(code)
+	return result.Errorf(c, "%s", c.Meaning())
+}
+
+// classify turns a transport error into what it says about the request: only a
+// failed dial is certain not to have run.
+func classify(ctx context.Context, err error, refused result.Code) *result.Error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return result.Errorf(refused, "%v", err)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.Errorf(result.DeadlineExceeded, "%v", err)
+	case ctx.Err() != nil:
+		return result.Errorf(result.CallerLeft, "%v", err)
+	}
+	return result.Errorf(result.AnswerLost, "%v", err)
+}
+
+func outgoing(ctx context.Context, addr string, r *http.Request, body *trackedBody) *http.Request {
+	out := r.Clone(ctx)
+	out.RequestURI = ""
+	out.URL.Scheme = "http"
+	out.URL.Host = addr
+	out.Header = cleanHeader(r.Header)
+	out.Body = nil
+	if r.ContentLength != 0 {
+		out.Body = body
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil
+	}
+	return out
+}
+
+// ServePeer serves calls passed on by other daemons.
+func (g *Gateway) ServePeer(w http.ResponseWriter, r *http.Request) {
+	timeout, ok := timeoutOf(r.Header)
+	server := r.Header.Get(headerServer)
+	if !ok || server == "" {
+		result.WriteHTTP(w, result.Errorf(result.BadRequest, "not a forwarded call"))
+		return
+	}
+	priority, err := strconv.Atoi(r.Header.Get(headerPriority))
+	if err != nil {
+		result.WriteHTTP(w, result.Errorf(result.BadRequest, "priority: %v", err))
+		return
+	}
+	deadline := time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	resp, refused := g.serve(ctx, server, priority, deadline, r, &trackedBody{ReadCloser: r.Body})
+	if gate := g.gate(server); gate != nil {
+		w.Header().Set(headerLoad, strconv.FormatFloat(gate.Load(), 'f', 3, 64))
+	}
+	if refused != nil {
+		result.WriteHTTPRetry(w, refused, retryAfterBusy)
+		return
+	}
+	g.copyAnswer(w, resp, result.OK)
+}
+
+// serve runs a request on a backend server beside this daemon. The slot is held
+// until the answer's body is closed.
+func (g *Gateway) serve(ctx context.Context, server string, priority int, deadline time.Time, r *http.Request, body *trackedBody) (*http.Response, *result.Error) {
+	gate := g.gate(server)
+	if gate == nil {
+		return nil, result.Errorf(result.Draining, "no backend server %s here", server)
+	}
+	if refused := gate.Enter(ctx, priority, deadline); refused != nil {
+		return nil, refused
+	}
+	out := outgoing(ctx, server, r, body)
+	setTimeout(out.Header, time.Until(deadline))
+	resp, err := g.servers.RoundTrip(out)
+	if err != nil {
+		gate.Leave()
+		return nil, classify(ctx, err, result.BackendRefused)
+	}
+	resp.Body = &slotBody{ReadCloser: resp.Body, leave: gate.Leave}
+	return resp, nil
+}
+
+// copyAnswer streams a backend server's answer. One that is cut on the way is
+// cut for the caller too, never ended as if it were whole.
+func (g *Gateway) copyAnswer(w http.ResponseWriter, resp *http.Response, code result.Code) {
+	defer func() { _ = resp.Body.Close() }()
+	header := w.Header()
+	for name, values := range cleanHeader(resp.Header) {
+		header[name] = values
+	}
+	result.SetHeaders(header, code)
+	w.WriteHeader(resp.StatusCode)
+	if err := stream(w, resp.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,183 @@
+// Package result defines the numbered result codes that every answer of
+// daisygate carries, and what each says about the request: whether it was run
+// on a backend server, was certainly not run, or may have been run.
+//
+// docs/RESULT-CODES.md is the table for people on call; a test holds the table
+// and this package equal. A code, once published, keeps its number and meaning.
+package result
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Code is a numbered result. The hundreds digit names the area: 0xx success,
+// 1xx intent (operators), 2xx calls (callers), 3xx daemons among themselves,
+// 4xx backend server announcements, 5xx the command line.
+type Code uint16
+
+// Outcome says what is known about the execution of a request.
+type Outcome uint8
+
+// The three outcomes a caller may be told.
+const (
+	// Unknown means the request may or may not have been run.
+	Unknown Outcome = iota
+	// NotRun means the request certainly did not run on any backend server.
+	NotRun
+	// Run means a backend server ran the request and its answer is complete.
+	Run
+)
+
+// String returns the wire form of the outcome.
+func (o Outcome) String() string {
+	switch o {
+	case NotRun:
+		return "not-run"
+	case Run:
+		return "run"
+	default:
+		return "unknown"
+	}
+}
+
+// ParseOutcome reads the wire form; anything unrecognised is Unknown, because
+// that claims the least.
+func ParseOutcome(s string) Outcome {
+	switch s {
+	case "not-run":
+		return NotRun
+	case "run":
+		return Run
+	default:
+		return Unknown
+	}
+}
+
+// The result codes.
+const (
+	OK Code = 0
+
+	Accepted        Code = 100
+	AlreadyAccepted Code = 101
+	ManifestInvalid Code = 110
+	VersionConflict Code = 111
+	VersionOld      Code = 112
+	RouteConflict   Code = 113
+	NoQuorum        Code = 120
+	CommitUnknown   Code = 121
+	StorageFailed   Code = 122
+	NotSource       Code = 123
+	Unauthorized    Code = 130
+	InputTooLarge   Code = 131
+
+	NoRoute          Code = 210
+	NoBackendServer  Code = 211
+	Overloaded       Code = 212
+	DeadlineTooShort Code = 213
+	Draining         Code = 214
+	Quarantined      Code = 215
+	NotReady         Code = 216
+	BackendRefused   Code = 217
+	DaemonRefused    Code = 218
+	BadRequest       Code = 219
+	AnswerLost       Code = 230
+	DeadlineExceeded Code = 231
+	CallerLeft       Code = 232
+	InProgress       Code = 233
+	OwnerLost        Code = 234
+
+	PeerBusy Code = 310
+
+	AnnounceInvalid Code = 410
+
+	UsageError  Code = 500
+	Unreachable Code = 501
+)
+
+type entry struct {
+	name    string
+	outcome Outcome
+	http    int
+	meaning string
+}
+
+var table = map[Code]entry{
+	OK:               {"OK", Run, http.StatusOK, "A backend server ran the request; the answer is its own."},
+	Accepted:         {"Accepted", Run, http.StatusOK, "The manifest was committed by a majority of sources."},
+	AlreadyAccepted:  {"AlreadyAccepted", Run, http.StatusOK, "The same version with the same content was accepted before; this is the first answer again."},
+	ManifestInvalid:  {"ManifestInvalid", NotRun, http.StatusUnprocessableEntity, "The manifest has faults; each is listed with line and column."},
+	VersionConflict:  {"VersionConflict", NotRun, http.StatusConflict, "This version number was accepted with other content; the winner is named."},
+	VersionOld:       {"VersionOld", NotRun, http.StatusConflict, "A higher version of this mesh was accepted already."},
+	RouteConflict:    {"RouteConflict", NotRun, http.StatusConflict, "Another mesh already has a route for the same host and path."},
+	NoQuorum:         {"NoQuorum", NotRun, http.StatusServiceUnavailable, "No majority of sources can be reached; nothing was accepted."},
+	CommitUnknown:    {"CommitUnknown", Unknown, http.StatusGatewayTimeout, "The manifest was handed to the sources but no commit was seen in time; send the same again."},
+	StorageFailed:    {"StorageFailed", NotRun, http.StatusInsufficientStorage, "The source cannot write to its data folder; it accepts nothing until that is mended."},
+	NotSource:        {"NotSource", NotRun, http.StatusMisdirectedRequest, "This daemon is no source and knows none that answers."},
+	Unauthorized:     {"Unauthorized", NotRun, http.StatusUnauthorized, "The operator token is missing or wrong."},
+	InputTooLarge:    {"InputTooLarge", NotRun, http.StatusRequestEntityTooLarge, "The input is larger than this listener's limit."},
+	NoRoute:          {"NoRoute", NotRun, http.StatusNotFound, "No route of the version in force matches the request."},
+	NoBackendServer:  {"NoBackendServer", NotRun, http.StatusServiceUnavailable, "No backend server of the service is present."},
+	Overloaded:       {"Overloaded", NotRun, http.StatusServiceUnavailable, "All slots and the queue are full."},
+	DeadlineTooShort: {"DeadlineTooShort", NotRun, http.StatusServiceUnavailable, "The request could not have been run within its deadline."},
+	Draining:         {"Draining", NotRun, http.StatusServiceUnavailable, "The backend server or the daemon is leaving and takes no new work."},
+	Quarantined:      {"Quarantined", NotRun, http.StatusServiceUnavailable, "This request was in progress at several crashes of backend servers and is refused for a while."},
+	NotReady:         {"NotReady", NotRun, http.StatusServiceUnavailable, "This daemon has no confirmed version in force yet."},
+	BackendRefused:   {"BackendRefused", NotRun, http.StatusServiceUnavailable, "The backend server's address refused the connection."},
+	DaemonRefused:    {"DaemonRefused", NotRun, http.StatusServiceUnavailable, "The daemon beside the backend server could not be reached."},
+	BadRequest:       {"BadRequest", NotRun, http.StatusBadRequest, "The request is malformed."},
+	AnswerLost:       {"AnswerLost", Unknown, http.StatusBadGateway, "The request was handed over and no whole answer came back; it may have run."},
+	DeadlineExceeded: {"DeadlineExceeded", Unknown, http.StatusGatewayTimeout, "The deadline passed while the request was with a backend server; it may have run."},
+	CallerLeft:       {"CallerLeft", Unknown, 499, "The caller went away while the request was with a backend server."},
+	InProgress:       {"InProgress", Unknown, http.StatusConflict, "The first request under this idempotency key still runs; ask again for its answer."},
+	OwnerLost:        {"OwnerLost", Unknown, http.StatusConflict, "The daemon that ran the first request under this idempotency key is lost; it is not run again."},
+	PeerBusy:         {"PeerBusy", NotRun, http.StatusTooManyRequests, "The daemon admits no more transfers now; come back later."},
+	AnnounceInvalid:  {"AnnounceInvalid", NotRun, http.StatusUnprocessableEntity, "The announcement has faults; each is listed."},
+	UsageError:       {"UsageError", NotRun, http.StatusBadRequest, "The command line or the settings have faults."},
+	Unreachable:      {"Unreachable", NotRun, http.StatusServiceUnavailable, "No daemon answered at the given address."},
+}
+
+// Codes returns every defined code with its name and meaning, in no order.
+func Codes() map[Code]string {
+	names := make(map[Code]string, len(table))
+	for code, e := range table {
+		names[code] = e.name
+	}
+	return names
+}
+
+// String returns number and name, such as "212 Overloaded".
+func (c Code) String() string {
+	if e, ok := table[c]; ok {
+		return fmt.Sprintf("%03d %s", uint16(c), e.name)
+	}
+	return fmt.Sprintf("%03d", uint16(c))
+}
+
+// Outcome says what the code tells about the execution of the request.
+func (c Code) Outcome() Outcome { return table[c].outcome }
+
+// HTTPStatus is the status under which the code is sent over HTTP.
+func (c Code) HTTPStatus() int {
+	if e, ok := table[c]; ok {
+		return e.http
+	}
+	return http.StatusInternalServerError
+}
+
+// Meaning is the one-sentence explanation printed in docs/RESULT-CODES.md.
+func (c Code) Meaning() string { return table[c].meaning }
+
+// Error is a result code with the detail that explains this occurrence.
+type Error struct {
+	Code   Code
+	Detail string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return e.Code.String() + ": " + e.Detail }
+
+// Errorf builds an *Error.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/internal/version/fleet/delta.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Change sets one resource, or removes it when Value is empty.
+type Change struct {
+	Key   Key    `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Delta leads from one version to a later one. From 0 makes it a snapshot:
+// it then holds every resource and applies to any older state.
+type Delta struct {
+	From uint64 `cbor:"1,keyasint"`
+	To   uint64 `cbor:"2,keyasint"`
+	// Hash is the hash of the state that must result.
+	Hash    uint64   `cbor:"3,keyasint"`
+	Changes []Change `cbor:"4,keyasint"`
+}
+
+// ErrGap is returned by Apply for a delta that starts from another version.
+var ErrGap = errors.New("delta starts from another version")
+
+// ErrHash is returned by Apply for a delta whose result has another hash.
+var ErrHash = errors.New("delta does not end in the announced hash")
+
+// Diff returns the delta that leads from one state to a later one.
+func Diff(from, to *State) *Delta {
+	d := &Delta{From: from.Version, To: to.Version, Hash: to.hash}
+	for _, k := range to.Keys() {
+		old, ok := from.resources[k]
+		if !ok || string(old) != string(to.resources[k]) {
+			d.Changes = append(d.Changes, Change{Key: k, Value: to.resources[k]})
+		}
+	}
+	for _, k := range from.Keys() {
+		if _, ok := to.resources[k]; !ok {
+			d.Changes = append(d.Changes, Change{Key: k})
+		}
+	}
+	return d
+}
+
+// Snapshot returns the delta that leads from nothing to s.
+func (s *State) Snapshot() *Delta { return Diff(Empty(), s) }
+
+// Apply returns the state after d, or ErrGap or ErrHash; s stays as it is.
+func (s *State) Apply(d *Delta) (*State, error) {
+	base := s
+	if d.From == 0 {
+		base = Empty()
+	}
+	if d.From != base.Version {
+		return nil, errors.Wrapf(ErrGap, "at %d, delta from %d to %d", s.Version, d.From, d.To)
+	}
+	next := &State{Version: d.To, resources: make(map[Key][]byte, len(base.resources)), hash: base.hash}
+	for k, v := range base.resources {
+		next.resources[k] = v
+	}
+	for _, c := range d.Changes {
+		if old, ok := next.resources[c.Key]; ok {
+			next.hash -= resourceHash(c.Key, old)
+			delete(next.resources, c.Key)
+		}
+		if len(c.Value) > 0 {
+			next.set(c.Key, c.Value)
+		}
+	}
+	if next.hash != d.Hash {
+		return nil, errors.Wrapf(ErrHash, "version %d", d.To)
+	}
+	return next, nil
+}
+
+// Encode returns the wire and disk form of d.
+func (d *Delta) Encode() ([]byte, error) { return encMode.Marshal(d) }
+
+// DecodeDelta reads the wire form.
+func DecodeDelta(raw []byte) (*Delta, error) {
+	var d Delta
+	if err := cbor.Unmarshal(raw, &d); err != nil {
+		return nil, errors.Wrap(err, "decode delta")
+	}
+	return &d, nil
+}
--- /dev/null
+++ b/internal/version/manifest/manifest.go
@@ -0,0 +1,82 @@
+// Package manifest reads the operators' manifest: the whole intent for one
+// mesh, in strict YAML. Parse is the only way in; a *Manifest that it returns
+// without an error is whole and free of dangling references.
+package manifest
+
+import (
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Manifest is the desired state of one mesh.
+type Manifest struct {
+	// Mesh names the mesh; services and routes are unique within it.
+	Mesh string `yaml:"mesh" cbor:"1,keyasint"`
+	// Version is the operators' own number; it only goes up.
+	Version uint64 `yaml:"version" cbor:"2,keyasint"`
+	// Hosts are the host names whose requests belong to this mesh; empty
+	// means every host.
+	Hosts []string `yaml:"hosts" cbor:"3,keyasint,omitempty"`
+	// Services are served by backend servers.
+	Services []Service `yaml:"services" cbor:"4,keyasint"`
+	// Routes say which service answers which requests.
+	Routes []Route `yaml:"routes" cbor:"5,keyasint"`
+}
+
+// Service is a set of interchangeable backend servers.
+type Service struct {
+	Name string `yaml:"name" cbor:"1,keyasint"`
+	// Allow lists the address prefixes whose backend servers may serve it.
+	Allow []string `yaml:"allow" cbor:"2,keyasint"`
+	// Slots is the most requests that run on one backend server at a time,
+	// whatever it announces; 0 leaves it to the announcement.
+	Slots int `yaml:"slots" cbor:"3,keyasint,omitempty"`
+	// Connections is the most connections to one backend server; 0 leaves it
+	// to the announcement.
+	Connections int `yaml:"connections" cbor:"4,keyasint,omitempty"`
+	// SlowStart is how long a new backend server takes to ramp up to its full
+	// share. Default 0s: at once.
+	SlowStart time.Duration `yaml:"slow_start" cbor:"5,keyasint,omitempty"`
+}
+
+// Route sends requests to a service.
+type Route struct {
+	Name string `yaml:"name" cbor:"1,keyasint"`
+	// Path is a path prefix on segment borders; the longest match wins.
+	Path string `yaml:"path" cbor:"2,keyasint"`
+	// Methods restricts the route; empty means every method.
+	Methods []string `yaml:"methods" cbor:"3,keyasint,omitempty"`
+	// Service answers the requests of this route.
+	Service string `yaml:"service" cbor:"4,keyasint"`
+	// Timeout bounds a request from its arrival to its last byte of header.
+	// Default 10s.
+	Timeout time.Duration `yaml:"timeout" cbor:"5,keyasint"`
+	// Repeatable marks requests that may run more than once (idempotent).
+	// Default: false; nothing is run twice unless the operator says so.
+	Repeatable bool `yaml:"repeatable" cbor:"6,keyasint,omitempty"`
+	// Retries is the most further attempts of one request. Default 2.
+	Retries int `yaml:"retries" cbor:"7,keyasint"`
+	// Priority orders waiting requests, 0 (first) to 9 (last). Default 5.
+	Priority int `yaml:"priority" cbor:"8,keyasint"`
+}
+
+// Defaults of a route.
+const (
+	DefaultTimeout  = 10 * time.Second
+	DefaultRetries  = 2
+	DefaultPriority = 5
+	// LowestPriority is the largest priority number.
+	LowestPriority = 9
+)
+
+// UnmarshalYAML fills in the documented defaults before the keys are read.
+func (r *Route) UnmarshalYAML(raw []byte) error {
+	type plain Route
+	p := plain{Timeout: DefaultTimeout, Retries: DefaultRetries, Priority: DefaultPriority}
+	if err := yaml.UnmarshalWithOptions(raw, &p, yaml.Strict()); err != nil {
+		return err
+	}
+	*r = Route(p)
+	return nil
+}
--- /dev/null
+++ b/test/e2e/cluster_test.go
@@ -0,0 +1,214 @@
+// Package e2e runs the real binary: daemons and backend servers, each its own
+// process on loopback.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/standin"
+)
+
+// patience bounds every wait for something that must happen; it is no measure.
+const patience = 60 * time.Second
+
+var binaries struct{ daisygate, backend string }
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "daisygate-e2e")
+	if err != nil {
+		panic(err)
+	}
+	binaries.daisygate = filepath.Join(dir, "daisygate")
+	binaries.backend = filepath.Join(dir, "backend")
+	for path, pkg := range map[string]string{binaries.daisygate: "../../cmd/daisygate", binaries.backend: "../../bench/backend"} {
+		if out, err := exec.Command("go", "build", "-o", path, pkg).CombinedOutput(); err != nil {
+			panic(fmt.Sprintf("%v\n%s", err, out))
+		}
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running process of the cluster.
+type process struct {
+	cmd *exec.Cmd
+	log *bytes.Buffer
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
+
+// node is the addresses of one daemon.
+type node struct {
+	name, domain                     string
+	caller, announce, peer, operator string
+	dir                              string
+	process                          *process
+}
+
+// cluster is a fleet of real processes.
+type cluster struct {
+	c        *qt.C
+	dir      string
+	nodes    []*node
+	backends []*backend
+}
+
+type backend struct {
+	addr    string
+	process *process
+}
+
+// freeAddrs asks the system for ports, all open at once so that none repeats.
+func freeAddrs(c *qt.C, n int) []string {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = l.Close() }()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs
+}
+
+func newCluster(c *qt.C, size int) *cluster {
+	cl := &cluster{c: c, dir: c.TempDir()}
+	addrs := freeAddrs(c, 4*size)
+	for i := range size {
+		cl.nodes = append(cl.nodes, &node{
+			name: fmt.Sprintf("n%d", i+1), domain: fmt.Sprintf("d%d", i%3+1),
+			caller: addrs[4*i], announce: addrs[4*i+1], peer: addrs[4*i+2], operator: addrs[4*i+3],
+			dir: filepath.Join(cl.dir, fmt.Sprintf("n%d", i+1)),
+		})
+	}
+	for _, n := range cl.nodes {
+		cl.writeSettings(n)
+		cl.start(n)
+	}
+	c.Cleanup(cl.stop)
+	return cl
+}
+
+func (cl *cluster) stop() {
+	for _, b := range cl.backends {
+		b.process.kill()
+	}
+	for _, n := range cl.nodes {
+		n.process.kill()
+		if cl.c.Failed() {
+			cl.c.Logf("log of %s:\n%s", n.name, n.process.log)
+		}
+	}
+}
+
+func (cl *cluster) settingsPath(n *node) string { return filepath.Join(cl.dir, n.name+".yaml") }
+
+func (cl *cluster) writeSettings(n *node) {
+	var members, seeds strings.Builder
+	for _, m := range cl.nodes[:3] {
+		fmt.Fprintf(&members, "    - {node: %s, peer: %q}\n", m.name, m.peer)
+		fmt.Fprintf(&seeds, "  - %q\n", m.peer)
+	}
+	text := fmt.Sprintf("node: %s\ndomain: %s\ndata_dir: %q\nlisten:\n  caller: %q\n  announce: %q\n  peer: %q\n  operator: %q\nseeds:\n%ssource:\n  members:\n%s",
+		n.name, n.domain, n.dir, n.caller, n.announce, n.peer, n.operator, seeds.String(), members.String())
+	cl.c.Assert(os.WriteFile(cl.settingsPath(n), []byte(text), 0o600), qt.IsNil)
+}
+
+func (cl *cluster) start(n *node) {
+	n.process = launch(cl.c, nil, binaries.daisygate, "serve", "--settings", cl.settingsPath(n))
+}
+
+func launch(c *qt.C, firstLine *string, path string, args ...string) *process {
+	cmd := exec.Command(path, args...)
+	p := &process{cmd: cmd, log: &bytes.Buffer{}}
+	cmd.Stderr = p.log
+	var out io.Reader
+	if firstLine != nil {
+		pipe, err := cmd.StdoutPipe()
+		c.Assert(err, qt.IsNil)
+		out = pipe
+	}
+	c.Assert(cmd.Start(), qt.IsNil)
+	if firstLine != nil {
+		line, err := bufio.NewReader(out).ReadString('\n')
+		c.Assert(err, qt.IsNil)
+		*firstLine = strings.TrimSpace(line)
+	}
+	return p
+}
+
+func (cl *cluster) addBackend(n *node, service, answer string) *backend {
+	b := &backend{}
+	b.process = launch(cl.c, &b.addr, binaries.backend, "--announce", n.announce,
+		"--mesh", "ahnenbach", "--service", service, "--answer", answer)
+	cl.backends = append(cl.backends, b)
+	return b
+}
+
+// run runs the command line and returns its output and exit code.
+func (cl *cluster) run(args ...string) (string, int) {
+	out, err := exec.Command(binaries.daisygate, args...).CombinedOutput()
+	if err == nil {
+		return string(out), 0
+	}
+	exit, ok := err.(*exec.ExitError)
+	cl.c.Assert(ok, qt.IsTrue, qt.Commentf("%v", err))
+	return string(out), exit.ExitCode()
+}
+
+func (cl *cluster) eventually(what string, f func() error) {
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			cl.c.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (cl *cluster) status(n *node) (operator.NodeStatus, error) {
+	var status operator.NodeStatus
+	resp, err := http.Get("http://" + n.operator + operator.StatusPath)
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return status, json.NewDecoder(resp.Body).Decode(&status)
+}
+
+func (b *backend) runs(c *qt.C) map[string]int {
+	resp, err := http.Get("http://" + b.addr + standin.RunsPath)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	runs := map[string]int{}
+	c.Assert(json.NewDecoder(resp.Body).Decode(&runs), qt.IsNil)
+	return runs
+}
+
+func (cl *cluster) manifest(name, text string) string {
+	path := filepath.Join(cl.dir, name)
+	cl.c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
