Move the gateway's driver out of the decisions

Cause: internal/request must hold decisions only (no clock, randomness or goroutine); the HTTP driver and the waiting gate lived there.

Change: package gateway, with the gate, now stands in internal/connection; package admit keeps the decisions. Behaviour is unchanged: TestWholePath passes.

--- a/internal/request/admit/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -1,40 +1,41 @@
-package admit
+package gateway
 
 import (
 	"context"
 	"sync"
 	"time"
 
+	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
-// Gate is a Core that goroutines wait at.
-type Gate struct {
+// gate is an admit.Core that goroutines wait at.
+type gate struct {
 	mu      sync.Mutex
-	core    *Core
+	core    *admit.Core
 	nextID  uint64
-	waiting map[uint64]chan Decision
+	waiting map[uint64]chan admit.Decision
 }
 
-// NewGate returns a Gate for one backend server.
-func NewGate(slots, queueMax int) *Gate {
-	return &Gate{core: New(slots, queueMax), waiting: map[uint64]chan Decision{}}
+// newGate returns a gate for one backend server.
+func newGate(slots, queueMax int) *gate {
+	return &gate{core: admit.New(slots, queueMax), waiting: map[uint64]chan admit.Decision{}}
 }
 
 // Enter waits for a slot. On a nil error the caller must call Leave.
-func (g *Gate) Enter(ctx context.Context, priority int, deadline time.Time) *result.Error {
+func (g *gate) Enter(ctx context.Context, priority int, deadline time.Time) *result.Error {
 	g.mu.Lock()
 	g.nextID++
 	id := g.nextID
-	reply := make(chan Decision, 1)
+	reply := make(chan admit.Decision, 1)
 	g.waiting[id] = reply
-	g.deliver(g.core.Arrive(time.Now(), Ticket{ID: id, Priority: priority, Deadline: deadline}))
+	g.deliver(g.core.Arrive(time.Now(), admit.Ticket{ID: id, Priority: priority, Deadline: deadline}))
 	g.mu.Unlock()
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case d := <-reply:
-		return d.refusal()
+		return refusal(d)
 	case <-ctx.Done():
 		return g.abandon(id, reply, result.CallerLeft)
 	case <-timer.C:
@@ -42,8 +43,8 @@
 	}
 }
 
-func (d Decision) refusal() *result.Error {
-	if d.Verdict == Start {
+func refusal(d admit.Decision) *result.Error {
+	if d.Verdict == admit.Start {
 		return nil
 	}
 	return result.Errorf(d.Code, "%s", d.Code.Meaning())
@@ -51,20 +52,20 @@
 
 // abandon takes a ticket out of the queue; one that got its slot meanwhile
 // gives it back.
-func (g *Gate) abandon(id uint64, reply chan Decision, code result.Code) *result.Error {
+func (g *gate) abandon(id uint64, reply chan admit.Decision, code result.Code) *result.Error {
 	g.mu.Lock()
 	waiting := g.core.Cancel(id)
 	delete(g.waiting, id)
 	g.mu.Unlock()
 	if !waiting {
-		if d := <-reply; d.Verdict == Start {
+		if d := <-reply; d.Verdict == admit.Start {
 			g.Leave()
 		}
 	}
 	return result.Errorf(code, "%s", code.Meaning())
 }
 
-func (g *Gate) deliver(decisions []Decision) {
+func (g *gate) deliver(decisions []admit.Decision) {
 	for _, d := range decisions {
 		if reply, ok := g.waiting[d.ID]; ok {
 			reply <- d
@@ -74,28 +75,28 @@
 }
 
 // Leave returns a slot.
-func (g *Gate) Leave() {
+func (g *gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.core.Finish(time.Now()))
 }
 
 // Load is running and waiting requests per slot.
-func (g *Gate) Load() float64 {
+func (g *gate) Load() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.core.Load()
 }
 
 // Running is the number of slots in use.
-func (g *Gate) Running() int {
+func (g *gate) Running() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.core.Running()
 }
 
 // Configure sets slots and whether the server drains.
-func (g *Gate) Configure(slots int, draining bool) {
+func (g *gate) Configure(slots int, draining bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.core.Resize(slots)
@@ -104,5 +105,5 @@
 		return
 	}
 	g.core.Resume()
-	g.deliver(g.core.fill(time.Now()))
+	g.deliver(g.core.Fill(time.Now()))
 }
--- a/internal/request/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -21,7 +21,6 @@
 	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
-	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/directory"
@@ -50,7 +49,7 @@
 	loads   *loads
 
 	mu    sync.Mutex
-	gates map[string]*admit.Gate
+	gates map[string]*gate
 }
 
 const (
@@ -63,7 +62,7 @@
 func New(cfg Config, log logr.Logger) *Gateway {
 	return &Gateway{
 		cfg: cfg, log: log, peers: newTransport(), servers: newTransport(),
-		loads: newLoads(), gates: map[string]*admit.Gate{},
+		loads: newLoads(), gates: map[string]*gate{},
 	}
 }
 
@@ -85,12 +84,12 @@
 	present := map[string]bool{}
 	for _, s := range servers {
 		present[s.Addr] = true
-		gate := g.gates[s.Addr]
-		if gate == nil {
-			gate = admit.NewGate(s.Slots, s.Slots*g.cfg.QueuePerSlot)
-			g.gates[s.Addr] = gate
+		entry := g.gates[s.Addr]
+		if entry == nil {
+			entry = newGate(s.Slots, s.Slots*g.cfg.QueuePerSlot)
+			g.gates[s.Addr] = entry
 		}
-		gate.Configure(s.Slots, s.State == presence.Draining)
+		entry.Configure(s.Slots, s.State == presence.Draining)
 	}
 	for addr, gate := range g.gates {
 		if !present[addr] {
@@ -100,7 +99,7 @@
 	}
 }
 
-func (g *Gateway) gate(addr string) *admit.Gate {
+func (g *Gateway) gateOf(addr string) *gate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.gates[addr]
@@ -254,7 +253,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	resp, refused := g.serve(ctx, server, priority, deadline, r, &trackedBody{ReadCloser: r.Body})
-	if gate := g.gate(server); gate != nil {
+	if gate := g.gateOf(server); gate != nil {
 		w.Header().Set(headerLoad, strconv.FormatFloat(gate.Load(), 'f', 3, 64))
 	}
 	if refused != nil {
@@ -267,7 +266,7 @@
 // serve runs a request on a backend server beside this daemon. The slot is held
 // until the answer's body is closed.
 func (g *Gateway) serve(ctx context.Context, server string, priority int, deadline time.Time, r *http.Request, body *trackedBody) (*http.Response, *result.Error) {
-	gate := g.gate(server)
+	gate := g.gateOf(server)
 	if gate == nil {
 		return nil, result.Errorf(result.Draining, "no backend server %s here", server)
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -27,7 +27,7 @@
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/process/spread"
 	"github.com/daisygate/daisygate/internal/process/view"
-	"github.com/daisygate/daisygate/internal/request/gateway"
+	"github.com/daisygate/daisygate/internal/connection/gateway"
 )
 
 // The timing of the control side.
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -98,7 +98,7 @@
 // Finish returns a slot and decides who gets it.
 func (c *Core) Finish(now time.Time) []Decision {
 	c.running--
-	return c.fill(now)
+	return c.Fill(now)
 }
 
 // Cancel takes a waiting ticket out and reports whether it was waiting.
@@ -125,7 +125,8 @@
 // Resume ends a drain.
 func (c *Core) Resume() { c.draining = false }
 
-func (c *Core) fill(now time.Time) []Decision {
+// Fill starts waiting tickets while slots are free.
+func (c *Core) Fill(now time.Time) []Decision {
 	var decisions []Decision
 	for len(c.queue) > 0 && c.running < c.slots {
 		t := c.queue[0]
