--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/daisygate/daisygate/internal/connection/announce"
+	"github.com/daisygate/daisygate/internal/connection/gateway"
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/connection/peer"
 	"github.com/daisygate/daisygate/internal/process/mesh"
@@ -27,7 +28,6 @@
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/process/spread"
 	"github.com/daisygate/daisygate/internal/process/view"
-	"github.com/daisygate/daisygate/internal/connection/gateway"
 )
 
 // The timing of the control side.
