Carry suspects of crashes in presence records, and since when a server takes work

Cause: requests that crash backend servers have to be known at every daemon, and slow start has to know since when a server takes work; neither was in a record. Ruled out: a message of their own for suspects (the record already spreads, repairs and expires); an age instead of a time (it would change with each copy). Conclusion: the interface stands; TestSuspectUnion passes.

--- a/internal/connection/announce/registry.go
+++ b/internal/connection/announce/registry.go
@@ -57,10 +57,22 @@
 		return false, err
 	}
 	old, known := r.leases[a.Address]
+	server.Since = since(now, old.server, server.State)
 	r.leases[a.Address] = lease{server: server, until: now.Add(time.Duration(seconds) * time.Second)}
 	return !known || old.server != server, nil
 }
 
+// since keeps the time at which a server began to take work over its renewals.
+func since(now time.Time, old presence.Server, state presence.ServerState) int64 {
+	switch {
+	case !state.TakesWork():
+		return 0
+	case old.State.TakesWork():
+		return old.Since
+	}
+	return now.UnixMilli()
+}
+
 func (a *Announcement) check() (presence.Server, int, *result.Error) {
 	states := map[string]presence.ServerState{
 		"": presence.Serving, "warming": presence.Warming,
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -140,6 +140,11 @@
 	m.ops <- func(time.Time) { m.doPresence(m.presence.SetServers(servers)) }
 }
 
+// SetSuspects replaces the suspects in this daemon's record.
+func (m *Mesh) SetSuspects(suspects []presence.Suspect) {
+	m.ops <- func(time.Time) { m.doPresence(m.presence.SetSuspects(suspects)) }
+}
+
 // Leave tells the fleet that this daemon is about to stop.
 func (m *Mesh) Leave() {
 	m.ops <- func(time.Time) { m.doPresence(m.presence.Leave()) }
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -27,6 +27,9 @@
 	Draining
 )
 
+// TakesWork reports whether a server in this state gets new requests.
+func (s ServerState) TakesWork() bool { return s == Warming || s == Serving }
+
 // Server is one backend server beside the record's owner.
 type Server struct {
 	Mesh    string
@@ -36,6 +39,10 @@
 	Slots       int
 	Connections int
 	State       ServerState
+	// Since is when the server began to take work, by the owner's clock, in Unix
+	// milliseconds: its first announcement as warming or serving after it was
+	// unknown or draining. 0 while it takes none.
+	Since int64
 }
 
 // Record is what a daemon says of itself.
@@ -48,6 +55,9 @@
 	// Leaving is set before a planned stop: no new work.
 	Leaving bool
 	Servers []Server
+	// Suspects are requests in progress at crashes beside the owner; at most
+	// MaxSuspects.
+	Suspects []Suspect
 }
 
 // newer reports whether r follows o.
@@ -156,6 +166,13 @@
 	return c.renew()
 }
 
+// SetSuspects replaces the suspects of this daemon; of more than MaxSuspects
+// those that expire first are left out.
+func (c *Core) SetSuspects(suspects []Suspect) []Action {
+	c.self.Suspects = boundSuspects(suspects)
+	return c.renew()
+}
+
 // Leave marks this daemon as leaving.
 func (c *Core) Leave() []Action {
 	c.self.Leaving = true
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"math"
 	"net/netip"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
@@ -24,12 +25,17 @@
 	// Records are the records the directory was built from.
 	Records    []presence.Record
 	candidates map[snapshot.ServiceKey][]*Candidate
+	suspects   map[uint64]presence.Suspect
 }
 
 // Build makes the directory.
 func Build(snap *snapshot.Snapshot, records []presence.Record) *Directory {
-	d := &Directory{Snapshot: snap, Records: records, candidates: map[snapshot.ServiceKey][]*Candidate{}}
+	d := &Directory{
+		Snapshot: snap, Records: records,
+		candidates: map[snapshot.ServiceKey][]*Candidate{}, suspects: map[uint64]presence.Suspect{},
+	}
 	for _, r := range records {
+		d.addSuspects(r.Suspects)
 		if r.Leaving {
 			continue
 		}
@@ -40,8 +46,26 @@
 	return d
 }
 
+func (d *Directory) addSuspects(suspects []presence.Suspect) {
+	for _, s := range suspects {
+		known := d.suspects[s.Fingerprint]
+		crashes := min(int(known.Crashes)+int(s.Crashes), math.MaxUint8)
+		d.suspects[s.Fingerprint] = presence.Suspect{
+			Fingerprint: s.Fingerprint, Crashes: uint8(crashes), Until: max(known.Until, s.Until),
+		}
+	}
+}
+
+// Suspect returns what the whole fleet knows of a request: the crashes that all
+// daemons saw, added up, and the latest end. The caller compares Until with its
+// clock.
+func (d *Directory) Suspect(fingerprint uint64) (presence.Suspect, bool) {
+	s, known := d.suspects[fingerprint]
+	return s, known
+}
+
 func (d *Directory) add(node view.Node, server presence.Server) {
-	if server.State != presence.Serving && server.State != presence.Warming {
+	if !server.State.TakesWork() {
 		return
 	}
 	key := snapshot.ServiceKey{Mesh: server.Mesh, Name: server.Service}
--- /dev/null
+++ b/internal/version/directory/suspect_test.go
@@ -0,0 +1,36 @@
+package directory_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/version/directory"
+	"github.com/daisygate/daisygate/internal/version/fleet"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
+)
+
+// TestSuspectUnion adds up what two daemons tell of one request.
+func TestSuspectUnion(t *testing.T) {
+	c := qt.New(t)
+	snap, err := snapshot.Compile(fleet.Empty())
+	c.Assert(err, qt.IsNil)
+	a, b := presence.New(presence.Config{}), presence.New(presence.Config{})
+	a.SetSuspects([]presence.Suspect{{Fingerprint: 7, Crashes: 1, Until: 10}})
+	b.SetSuspects([]presence.Suspect{{Fingerprint: 7, Crashes: 1, Until: 30}, {Fingerprint: 8, Crashes: 1, Until: 5}})
+	d := directory.Build(snap, append(a.Records(), b.Records()...))
+	got, known := d.Suspect(7)
+	c.Assert(known, qt.IsTrue)
+	c.Assert(got, qt.Equals, presence.Suspect{Fingerprint: 7, Crashes: 2, Until: 30})
+	_, known = d.Suspect(9)
+	c.Assert(known, qt.IsFalse)
+
+	many := make([]presence.Suspect, presence.MaxSuspects+8)
+	for i := range many {
+		many[i] = presence.Suspect{Fingerprint: uint64(i), Until: int64(i)}
+	}
+	a.SetSuspects(many)
+	c.Assert(a.Records()[0].Suspects, qt.HasLen, presence.MaxSuspects)
+	c.Assert(a.Records()[0].Suspects[0].Fingerprint, qt.Equals, uint64(8))
+}
