Offer an observer and a tracer at the gateway

Cause: metrics and traces need to know what becomes of a call, and the gateway told nobody. Ruled out: wrapping the handlers and the response writer from outside, because that sees neither the route nor single attempts. Change: gateway.Config takes an Observer (Attempt, Refused, Done) and a Tracer (a span for each hop: caller, forward, peer, backend); nil stands for neither. Conclusion: no change of behaviour; go test -race ./internal/... ./test/e2e ok.

--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -38,6 +38,9 @@
 	Directory func() *directory.Directory
 	// Ready reports whether a confirmed version is in force.
 	Ready func() bool
+	// Observer and Tracer are told what becomes of calls; nil tells nobody.
+	Observer Observer
+	Tracer   Tracer
 }
 
 // Gateway serves calls. It is safe for concurrent use.
@@ -60,6 +63,12 @@
 
 // New returns a Gateway.
 func New(cfg Config, log logr.Logger) *Gateway {
+	if cfg.Observer == nil {
+		cfg.Observer = ignore{}
+	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = ignore{}
+	}
 	return &Gateway{
 		cfg: cfg, log: log, peers: newTransport(), servers: newTransport(),
 		loads: newLoads(), gates: map[string]*gate{},
@@ -115,16 +124,21 @@
 
 // ServeCaller serves the caller listener.
 func (g *Gateway) ServeCaller(w http.ResponseWriter, r *http.Request) {
+	r, seen := g.watch(r)
+	defer seen.end()
 	if !g.cfg.Ready() {
+		seen.done.Code = result.NotReady
 		result.WriteHTTPRetry(w, result.Errorf(result.NotReady, "no confirmed version yet"), retryAfterBusy)
 		return
 	}
 	dir := g.cfg.Directory()
 	route := dir.Snapshot.Match(r.Method, r.Host, r.URL.Path)
 	if route == nil {
+		seen.done.Code = result.NoRoute
 		result.WriteHTTP(w, result.Errorf(result.NoRoute, "%s %s%s", r.Method, r.Host, r.URL.Path))
 		return
 	}
+	seen.route(route.Mesh, route.Name)
 	c := &call{
 		route: route, deadline: time.Now().Add(route.Timeout),
 		tried: map[string]bool{}, body: &trackedBody{ReadCloser: r.Body},
@@ -133,16 +147,18 @@
 	defer cancel()
 	resp, refused := g.dispatch(ctx, dir, c, r)
 	if refused != nil {
+		seen.done.Code = refused.Code
 		result.WriteHTTPRetry(w, refused, retryAfterBusy)
 		return
 	}
 	g.copyAnswer(w, resp, result.OK)
+	seen.done.Code = result.OK
 }
 
 // dispatch tries servers until one ran the request or nothing is left to try.
 func (g *Gateway) dispatch(ctx context.Context, dir *directory.Directory, c *call, r *http.Request) (*http.Response, *result.Error) {
 	refused := result.Errorf(result.NoBackendServer, "service %s", c.route.Target.Key)
-	for range c.route.Retries + 1 {
+	for number := range c.route.Retries + 1 {
 		candidate := balance.Pick(balance.Input{
 			Candidates: dir.Candidates(c.route.Target.Key), Self: g.cfg.Self, Domain: g.cfg.Domain,
 			Tried: c.tried, Load: g.loads, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -151,7 +167,12 @@
 			return nil, refused
 		}
 		c.tried[candidate.Server.Addr] = true
+		start := time.Now()
 		resp, err := g.attempt(ctx, candidate, c, r)
+		g.cfg.Observer.Attempt(Attempt{
+			Mesh: c.route.Mesh, Route: c.route.Name, Node: candidate.Node.Name, Server: candidate.Server.Addr,
+			Number: number, Code: codeOf(err), Duration: time.Since(start),
+		})
 		if err == nil {
 			return resp, nil
 		}
@@ -172,7 +193,7 @@
 	return err.Code.Outcome() == result.NotRun || c.route.Repeatable
 }
 
-func (g *Gateway) attempt(ctx context.Context, to *directory.Candidate, c *call, r *http.Request) (*http.Response, *result.Error) {
+func (g *Gateway) attempt(ctx context.Context, to *directory.Candidate, c *call, r *http.Request) (_ *http.Response, failed *result.Error) {
 	if to.Node.Name == g.cfg.Self {
 		return g.serve(ctx, to.Server.Addr, c.route.Priority, c.deadline, r, c.body)
 	}
@@ -182,6 +203,9 @@
 	out.Header.Set(headerService, c.route.Target.Key.Name)
 	out.Header.Set(headerPriority, strconv.Itoa(c.route.Priority))
 	setTimeout(out.Header, time.Until(c.deadline))
+	span := g.cfg.Tracer.Send(ctx, HopForward, out.Header)
+	span.Set(SpanNode, to.Node.Name)
+	defer func() { span.End(codeOf(failed)) }()
 	resp, err := g.peers.RoundTrip(out)
 	if err != nil {
 		return nil, classify(ctx, err, result.DaemonRefused)
@@ -250,6 +274,9 @@
 		return
 	}
 	deadline := time.Now().Add(timeout)
+	r, span := g.cfg.Tracer.Arrive(r, HopPeer)
+	code := result.AnswerLost
+	defer func() { span.End(code) }()
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	resp, refused := g.serve(ctx, server, priority, deadline, r, &trackedBody{ReadCloser: r.Body})
@@ -257,10 +284,12 @@
 		w.Header().Set(headerLoad, strconv.FormatFloat(gate.Load(), 'f', 3, 64))
 	}
 	if refused != nil {
+		code = refused.Code
 		result.WriteHTTPRetry(w, refused, retryAfterBusy)
 		return
 	}
 	g.copyAnswer(w, resp, result.OK)
+	code = result.OK
 }
 
 // serve runs a request on a backend server beside this daemon. The slot is held
@@ -270,16 +299,23 @@
 	if gate == nil {
 		return nil, result.Errorf(result.Draining, "no backend server %s here", server)
 	}
+	entered := time.Now()
 	if refused := gate.Enter(ctx, priority, deadline); refused != nil {
+		g.cfg.Observer.Refused(Refused{Server: server, Code: refused.Code, Waited: time.Since(entered)})
 		return nil, refused
 	}
 	out := outgoing(ctx, server, r, body)
 	setTimeout(out.Header, time.Until(deadline))
+	span := g.cfg.Tracer.Send(ctx, HopBackend, out.Header)
+	span.Set(SpanServer, server)
 	resp, err := g.servers.RoundTrip(out)
 	if err != nil {
 		gate.Leave()
-		return nil, classify(ctx, err, result.BackendRefused)
+		refused := classify(ctx, err, result.BackendRefused)
+		span.End(refused.Code)
+		return nil, refused
 	}
+	span.End(result.OK)
 	resp.Body = &slotBody{ReadCloser: resp.Body, leave: gate.Leave}
 	return resp, nil
 }
