Extract the driver of a replicated group into package quorum

Cause: the at-most-once claims need a second replicated table on the same sources; the driver was welded to manifests. Change: quorum.Node (synchronous) and quorum.Group (real time) join replica, a Storage, a Transport and a StateMachine[R]; the manifests are one state machine on it.

--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/process/mesh"
+	"github.com/daisygate/daisygate/internal/process/quorum"
 	"github.com/daisygate/daisygate/internal/process/replica"
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/result"
@@ -20,6 +21,7 @@
 const (
 	meshDeliver   = "Mesh.Deliver"
 	sourceDeliver = "Source.Deliver"
+	sourcePropose = "Source.Propose"
 	sourceSubmit  = "Source.Submit"
 	sourceHistory = "Source.History"
 	nodeStatus    = "Node.Status"
@@ -58,6 +60,17 @@
 	return nil
 }
 
+// Propose commits a command that another source passed on.
+func (s *sourceService) Propose(data []byte, reply *quorum.Reply) error {
+	if s.d.source == nil {
+		return errNotSource
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	*reply = s.d.source.Serve(ctx, data)
+	return nil
+}
+
 // Submit proposes a manifest.
 func (s *sourceService) Submit(m manifest.Manifest, answer *source.Answer) error {
 	if s.d.source == nil {
@@ -105,22 +118,22 @@
 // transport joins the source to the other sources.
 type transport struct{ d *Daemon }
 
-// Send implements source.Transport.
+// Send implements quorum.Transport.
 func (t transport) Send(to string, messages []replica.Message) {
 	if addr, ok := t.d.memberAddr(to); ok {
 		t.d.messages.Put(addr, messages...)
 	}
 }
 
-// Submit implements source.Transport.
-func (t transport) Submit(ctx context.Context, to string, m *manifest.Manifest) (source.Answer, error) {
+// Propose implements quorum.Transport.
+func (t transport) Propose(ctx context.Context, to string, data []byte) (quorum.Reply, error) {
 	addr, ok := t.d.memberAddr(to)
 	if !ok {
-		return source.Answer{}, errors.Newf("no source %s", to)
+		return quorum.Reply{}, errors.Newf("no source %s", to)
 	}
-	var answer source.Answer
-	err := t.d.pool.Call(ctx, addr, sourceSubmit, *m, &answer)
-	return answer, err
+	var reply quorum.Reply
+	err := t.d.pool.Call(ctx, addr, sourcePropose, data, &reply)
+	return reply, err
 }
 
 func (d *Daemon) memberAddr(node string) (string, bool) {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/daisygate/daisygate/internal/connection/peer"
 	"github.com/daisygate/daisygate/internal/process/mesh"
 	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/quorum"
 	"github.com/daisygate/daisygate/internal/process/replica"
 	"github.com/daisygate/daisygate/internal/process/settings"
 	"github.com/daisygate/daisygate/internal/process/source"
@@ -146,7 +147,7 @@
 	if !d.set.IsSource() {
 		return nil
 	}
-	d.source, err = source.Open(source.Config{
+	d.source, err = source.Open(quorum.Config{
 		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "source"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed,
 	}, transport{d}, d.log.WithName("source"), d.mesh.Publish)
@@ -176,8 +177,7 @@
 	if d.source == nil {
 		return 0, false
 	}
-	s := d.source.Status()
-	return s.Term, s.Role == replica.Leader.String()
+	return d.source.Leads()
 }
 
 // Ready reports whether a version confirmed by the leader is in force here.
--- /dev/null
+++ b/internal/process/quorum/quorum.go
@@ -0,0 +1,79 @@
+// Package quorum runs one replicated group: it joins the decisions of package
+// replica to a disk, a transport to the group's other members and a state
+// machine. A process may run several groups, each with its own data folder and
+// transport.
+//
+// Node is the synchronous half, without goroutines or clocks; Group drives a
+// Node under real time.
+package quorum
+
+import (
+	"context"
+
+	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// StateMachine is what the committed commands build, the same on each member.
+// Its methods are called from one goroutine and must not read a clock: what
+// they return depends on the commands alone. R is the answer to one command;
+// it crosses the wire as CBOR.
+type StateMachine[R any] interface {
+	// Apply carries out one committed command.
+	Apply(index, term uint64, data []byte) R
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state by what Snapshot encoded.
+	Restore(data []byte) error
+}
+
+// Transport reaches the other members of one group.
+type Transport interface {
+	// Send delivers messages in the background; it may lose them.
+	Send(to string, messages []replica.Message)
+	// Propose passes a command to the member that leads, which answers with
+	// Group.Serve. An error means that it is unknown whether it arrived.
+	Propose(ctx context.Context, to string, data []byte) (Reply, error)
+}
+
+// Storage keeps what must survive a crash. An error of Save is final.
+type Storage interface {
+	// Save makes HardState, Snapshot and Entries of r durable.
+	Save(r replica.Ready) error
+	// Syncs counts the syncs since the storage was opened.
+	Syncs() uint64
+	// Size is the number of bytes on disk.
+	Size() int64
+	// Close gives the files up.
+	Close() error
+}
+
+// Reply is how a proposal ended, for the wire.
+type Reply struct {
+	// Code is OK with a Result, or why there is none.
+	Code   result.Code
+	Detail string
+	// Result is the state machine's answer in CBOR.
+	Result []byte
+}
+
+// Status is what a member tells of its group.
+type Status struct {
+	Role   string `json:"role"`
+	Term   uint64 `json:"term"`
+	Lead   string `json:"lead"`
+	Commit uint64 `json:"commit"`
+	// Syncs counts the disk syncs since the start.
+	Syncs uint64 `json:"syncs"`
+	// LogBytes is the size of the log on disk.
+	LogBytes int64 `json:"log_bytes"`
+	// Failure is why this member accepts nothing, or "".
+	Failure string `json:"failure,omitempty"`
+}
+
+// errLeadLost answers proposals that another leader may have replaced.
+var errLeadLost = result.Errorf(result.CommitUnknown, "the leader changed before the commit was seen")
+
+func noQuorum(detail string) error { return result.Errorf(result.NoQuorum, "%s", detail) }
+
+func storageFailed(detail string) error { return result.Errorf(result.StorageFailed, "%s", detail) }
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/fleet"
@@ -47,9 +48,14 @@
 type machine struct {
 	state   *fleet.State
 	history []Accepted
+	log     logr.Logger
+	// onState is called with each new state.
+	onState func(*fleet.State)
 }
 
-func newMachine() *machine { return &machine{state: fleet.Empty()} }
+func newMachine(log logr.Logger, onState func(*fleet.State)) *machine {
+	return &machine{state: fleet.Empty(), log: log, onState: onState}
+}
 
 // machineImage is the encoded form of a machine, for snapshots.
 type machineImage struct {
@@ -57,7 +63,8 @@
 	History []Accepted `cbor:"2,keyasint"`
 }
 
-func (m *machine) encode() ([]byte, error) {
+// Snapshot implements quorum.StateMachine.
+func (m *machine) Snapshot() ([]byte, error) {
 	delta, err := m.state.Snapshot().Encode()
 	if err != nil {
 		return nil, err
@@ -65,20 +72,38 @@
 	return cbor.Marshal(machineImage{Delta: delta, History: m.history})
 }
 
-func decodeMachine(raw []byte) (*machine, error) {
+// Restore implements quorum.StateMachine.
+func (m *machine) Restore(raw []byte) error {
 	var image machineImage
 	if err := cbor.Unmarshal(raw, &image); err != nil {
-		return nil, errors.Wrap(err, "decode snapshot")
+		return errors.Wrap(err, "decode snapshot")
 	}
 	delta, err := fleet.DecodeDelta(image.Delta)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	state, err := fleet.Empty().Apply(delta)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	m.state = state
+	m.history = image.History
+	m.onState(state)
+	return nil
+}
+
+// Apply implements quorum.StateMachine.
+func (m *machine) Apply(_, _ uint64, data []byte) Answer {
+	var c Command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Answer{Code: result.ManifestInvalid, Detail: err.Error()}
+	}
+	answer := m.apply(&c)
+	if answer.Code == result.Accepted {
+		m.log.Info("accepted", "mesh", c.Manifest.Mesh, "version", c.Manifest.Version, "fleet", answer.Fleet)
+		m.onState(m.state)
 	}
-	return &machine{state: state, history: image.History}, nil
+	return answer
 }
 
 // apply decides one command. Refusals change nothing.
