Give the gateway places for claims and suspects

Cause: at-most-once claims and the refusal of harmful requests have to act in the middle of a call, and the gateway had no place for them. Ruled out: wrapping the handlers from outside; a wrapper sees neither the dispatch nor the end of the run on the backend server. Change: two optional interfaces in gateway.Config. Claims is asked before a request with an Idempotency-Key is dispatched and told how it ended; Suspects screens on both sides and is told of begin and end of each run. A claimed request goes on when its caller leaves.

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,34 +27,57 @@
 
 func (b *trackedBody) begun() bool { return b.read.Load() }
 
-// slotBody gives the slot back when the answer's body is closed.
+// slotBody gives the slot back when the answer's body is closed, and tells how
+// the run ended.
 type slotBody struct {
 	io.ReadCloser
-	leave func()
+	ctx   context.Context
+	end   error
+	leave func(Fate)
 	once  sync.Once
 }
 
+// Read implements io.Reader.
+func (b *slotBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.end = err
+	}
+	return n, err
+}
+
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(b.leave)
+	b.once.Do(func() { b.leave(b.fate()) })
 	return err
 }
 
+func (b *slotBody) fate() Fate {
+	switch {
+	case b.end == io.EOF:
+		return Finished
+	case b.end == nil || b.ctx.Err() != nil:
+		return Cancelled
+	}
+	return Crashed
+}
+
 const streamBuffer = 32 << 10
 
 var buffers = sync.Pool{New: func() any { return new([streamBuffer]byte) }}
 
 // stream copies src to w and flushes after each read, so that a slow answer is
-// passed on as it comes.
-func stream(w http.ResponseWriter, src io.Reader) error {
+// passed on as it comes. With kept, a caller that left does not end it.
+func stream(w http.ResponseWriter, src io.Reader, kept *capture) error {
 	buffer := buffers.Get().(*[streamBuffer]byte)
 	defer buffers.Put(buffer)
 	controller := http.NewResponseController(w)
 	for {
 		n, err := src.Read(buffer[:])
 		if n > 0 {
-			if _, werr := w.Write(buffer[:n]); werr != nil {
+			kept.add(buffer[:n])
+			if _, werr := w.Write(buffer[:n]); werr != nil && kept == nil {
 				return werr
 			}
 		}
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -41,6 +41,9 @@
 	// Observer and Tracer are told what becomes of calls; nil tells nobody.
 	Observer Observer
 	Tracer   Tracer
+	// Claims and Suspects are optional.
+	Claims   Claims
+	Suspects Suspects
 }
 
 // Gateway serves calls. It is safe for concurrent use.
@@ -143,18 +146,54 @@
 		route: route, deadline: time.Now().Add(route.Timeout),
 		tried: map[string]bool{}, body: &trackedBody{ReadCloser: r.Body},
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	hooked := &Request{Mesh: route.Mesh, Service: route.Service, Repeatable: route.Repeatable, HTTP: r}
+	if s := g.screen(hooked); s.Refusal != nil {
+		seen.done.Code = s.Refusal.Code
+		result.WriteHTTPRetry(w, s.Refusal, s.RetryAfter)
+		return
+	}
+	claimed, proceed := g.claim(r.Context(), w, hooked)
+	if !proceed {
+		seen.done.Code = result.InProgress
+		return
+	}
+	parent := r.Context()
+	if claimed {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, cancel := context.WithDeadline(parent, c.deadline)
 	defer cancel()
 	resp, refused := g.dispatch(ctx, dir, c, r)
 	if refused != nil {
+		if claimed {
+			g.cfg.Claims.Settle(hooked, Settlement{Code: refused.Code})
+		}
 		seen.done.Code = refused.Code
 		result.WriteHTTPRetry(w, refused, retryAfterBusy)
 		return
 	}
-	g.copyAnswer(w, resp, result.OK)
+	if !claimed {
+		g.copyAnswer(w, resp, nil)
+		seen.done.Code = result.OK
+		return
+	}
+	g.copyClaimed(w, resp, hooked)
 	seen.done.Code = result.OK
 }
 
+// copyClaimed streams an answer and keeps a copy of it. A caller that left does
+// not stop the reading.
+func (g *Gateway) copyClaimed(w http.ResponseWriter, resp *http.Response, r *Request) {
+	kept := &capture{}
+	settlement := Settlement{Code: result.AnswerLost}
+	defer func() { g.cfg.Claims.Settle(r, settlement) }()
+	g.copyAnswer(w, resp, kept)
+	settlement.Code = result.OK
+	if !kept.over {
+		settlement.Answer = &KeptAnswer{Status: resp.StatusCode, Header: cleanHeader(resp.Header), Body: kept.body}
+	}
+}
+
 // dispatch tries servers until one ran the request or nothing is left to try.
 func (g *Gateway) dispatch(ctx context.Context, dir *directory.Directory, c *call, r *http.Request) (*http.Response, *result.Error) {
 	refused := result.Errorf(result.NoBackendServer, "service %s", c.route.Target.Key)
@@ -195,7 +234,7 @@
 
 func (g *Gateway) attempt(ctx context.Context, to *directory.Candidate, c *call, r *http.Request) (_ *http.Response, failed *result.Error) {
 	if to.Node.Name == g.cfg.Self {
-		return g.serve(ctx, to.Server.Addr, c.route.Priority, c.deadline, r, c.body)
+		return g.serve(ctx, to.Server.Addr, c.route.Priority, c.deadline, &Request{Mesh: c.route.Mesh, Service: c.route.Service, HTTP: r}, c.body)
 	}
 	out := outgoing(ctx, to.Node.Addr, r, c.body)
 	out.Header.Set(headerServer, to.Server.Addr)
@@ -279,7 +318,8 @@
 	defer func() { span.End(code) }()
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	resp, refused := g.serve(ctx, server, priority, deadline, r, &trackedBody{ReadCloser: r.Body})
+	hooked := &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), HTTP: r}
+	resp, refused := g.serve(ctx, server, priority, deadline, hooked, &trackedBody{ReadCloser: r.Body})
 	if gate := g.gateOf(server); gate != nil {
 		w.Header().Set(headerLoad, strconv.FormatFloat(gate.Load(), 'f', 3, 64))
 	}
@@ -288,49 +328,64 @@
 		result.WriteHTTPRetry(w, refused, retryAfterBusy)
 		return
 	}
-	g.copyAnswer(w, resp, result.OK)
+	g.copyAnswer(w, resp, nil)
 	code = result.OK
 }
 
 // serve runs a request on a backend server beside this daemon. The slot is held
 // until the answer's body is closed.
-func (g *Gateway) serve(ctx context.Context, server string, priority int, deadline time.Time, r *http.Request, body *trackedBody) (*http.Response, *result.Error) {
+func (g *Gateway) serve(ctx context.Context, server string, priority int, deadline time.Time, r *Request, body *trackedBody) (*http.Response, *result.Error) {
 	gate := g.gateOf(server)
 	if gate == nil {
 		return nil, result.Errorf(result.Draining, "no backend server %s here", server)
 	}
+	if s := g.screen(r); s.Refusal != nil {
+		return nil, s.Refusal
+	}
 	entered := time.Now()
 	if refused := gate.Enter(ctx, priority, deadline); refused != nil {
 		g.cfg.Observer.Refused(Refused{Server: server, Code: refused.Code, Waited: time.Since(entered)})
 		return nil, refused
 	}
-	out := outgoing(ctx, server, r, body)
+	out := outgoing(ctx, server, r.HTTP, body)
 	setTimeout(out.Header, time.Until(deadline))
 	span := g.cfg.Tracer.Send(ctx, HopBackend, out.Header)
 	span.Set(SpanServer, server)
+	run := g.begin(server, r)
 	resp, err := g.servers.RoundTrip(out)
 	if err != nil {
-		gate.Leave()
 		refused := classify(ctx, err, result.BackendRefused)
+		gate.Leave()
 		span.End(refused.Code)
+		run.End(fateOf(refused.Code))
 		return nil, refused
 	}
 	span.End(result.OK)
-	resp.Body = &slotBody{ReadCloser: resp.Body, leave: gate.Leave}
+	resp.Body = &slotBody{ReadCloser: resp.Body, ctx: ctx, leave: func(f Fate) { gate.Leave(); run.End(f) }}
 	return resp, nil
 }
 
+func fateOf(c result.Code) Fate {
+	switch c {
+	case result.BackendRefused:
+		return Unsent
+	case result.CallerLeft, result.DeadlineExceeded:
+		return Cancelled
+	}
+	return Crashed
+}
+
 // copyAnswer streams a backend server's answer. One that is cut on the way is
 // cut for the caller too, never ended as if it were whole.
-func (g *Gateway) copyAnswer(w http.ResponseWriter, resp *http.Response, code result.Code) {
+func (g *Gateway) copyAnswer(w http.ResponseWriter, resp *http.Response, kept *capture) {
 	defer func() { _ = resp.Body.Close() }()
 	header := w.Header()
 	for name, values := range cleanHeader(resp.Header) {
 		header[name] = values
 	}
-	result.SetHeaders(header, code)
+	result.SetHeaders(header, result.OK)
 	w.WriteHeader(resp.StatusCode)
-	if err := stream(w, resp.Body); err != nil {
+	if err := stream(w, resp.Body, kept); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
