--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"os"
+	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,116 +16,206 @@
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
-const waitInterval = 50 * time.Millisecond
+const (
+	// resendInterval is the time between two submissions of one manifest.
+	resendInterval = 500 * time.Millisecond
+	// pollFirst and pollMost bound the time between two looks at the fleet; it
+	// doubles from one to the other.
+	pollFirst = 50 * time.Millisecond
+	pollMost  = time.Second
+	// laggardsNamed bounds the daemons named in an error.
+	laggardsNamed = 5
+)
+
+// applied is what apply prints.
+type applied struct {
+	source.Answer
+	Mesh    string `json:"mesh"`
+	Version uint64 `json:"version"`
+	// InForce and Daemons count daemons, with --wait.
+	InForce int `json:"in_force,omitempty"`
+	Daemons int `json:"daemons,omitempty"`
+	// Seconds passed from the submission until it was in force everywhere.
+	Seconds float64 `json:"seconds,omitempty"`
+}
 
-func newValidate() *cobra.Command {
+func newApply() *cobra.Command {
 	var path string
+	var to target
+	var out output
+	var wait time.Duration
 	cmd := &cobra.Command{
-		Use:   "validate",
-		Short: "Check a manifest offline",
-		Args:  cobra.NoArgs,
+		Use:   "apply -f MANIFEST",
+		Short: "Submit a manifest",
+		Long: `Submits a manifest through any daemon and prints the answer of the sources.
+
+Sending the same manifest again is always safe: it is accepted once, and a
+resend gets the first answer. Another manifest under the same version number is
+refused, and the one that was accepted first is named.
+
+With --wait, the manifest is sent again by itself while the answer is lost or no
+majority of sources can be reached, and the command ends when every daemon that
+is known has the version in force.`,
+		Example: "  daisygate apply -f examples/ahnenbach.yaml --wait 30s",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			m, _, err := readManifest(path)
+			if err := out.check(); err != nil {
+				return err
+			}
+			m, raw, err := readManifest(path)
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "ok: mesh %s version %d, %d services, %d routes\n", m.Mesh, m.Version, len(m.Services), len(m.Routes))
-			return nil
+			client, err := to.client()
+			if err != nil {
+				return err
+			}
+			a := &applier{client: client, manifest: m, raw: raw, wait: wait, progress: newProgress(cmd.ErrOrStderr())}
+			return a.run(cmd.Context(), cmd.OutOrStdout(), &out)
 		},
 	}
-	cmd.Flags().StringVarP(&path, "file", "f", "", "manifest (YAML)")
-	_ = cmd.MarkFlagRequired("file")
+	fileFlag(cmd, &path)
+	cmd.Flags().DurationVar(&wait, "wait", 0, "how long to wait until it is in force on every daemon, such as 30s; 0s does not wait")
+	to.flags(cmd)
+	out.flags(cmd)
 	return cmd
 }
 
-func readManifest(path string) (*manifest.Manifest, []byte, error) {
-	raw, err := os.ReadFile(path)
+// applier takes one manifest to the sources and waits for it.
+type applier struct {
+	client   *operator.Client
+	manifest *manifest.Manifest
+	raw      []byte
+	wait     time.Duration
+	progress *progress
+}
+
+func (a *applier) run(ctx context.Context, w io.Writer, out *output) error {
+	begin := time.Now()
+	if a.wait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, a.wait)
+		defer cancel()
+	}
+	answer, err := a.submit(ctx)
+	a.progress.end()
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "read manifest")
+		return explain(err, answer, a.manifest)
 	}
-	m, err := manifest.Parse(raw)
+	done := applied{Answer: answer, Mesh: a.manifest.Mesh, Version: a.manifest.Version}
+	if out.format == formatText {
+		fmt.Fprintf(w, "%s: mesh %s version %d is in fleet version %d\n", answer.Code, done.Mesh, done.Version, answer.Fleet)
+	}
+	if a.wait <= 0 {
+		return out.print(w, done, func(io.Writer) {})
+	}
+	nodes, err := a.awaitInForce(ctx, answer.Fleet)
+	a.progress.end()
 	if err != nil {
-		return nil, nil, result.Errorf(result.ManifestInvalid, "%s\n%v", path, err)
+		return err
 	}
-	return m, raw, nil
+	done.InForce, done.Daemons, done.Seconds = len(nodes), len(nodes), time.Since(begin).Seconds()
+	return out.print(w, done, func(w io.Writer) {
+		fmt.Fprintf(w, "in force on all %d daemons after %s\n", done.Daemons, time.Since(begin).Round(time.Millisecond))
+	})
 }
 
-func newApply() *cobra.Command {
-	var path string
-	var to target
-	var wait time.Duration
-	cmd := &cobra.Command{
-		Use:   "apply",
-		Short: "Submit a manifest",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return apply(cmd, path, &to, wait)
-		},
+// submit sends the manifest once, or until its time is over when it may wait.
+func (a *applier) submit(ctx context.Context) (source.Answer, error) {
+	for {
+		answer, err := a.client.Submit(ctx, a.raw)
+		if err == nil || a.wait <= 0 || !resendable(err) {
+			return answer, err
+		}
+		a.progress.show("not accepted yet, sending the same again: %v", err)
+		select {
+		case <-ctx.Done():
+			return answer, err
+		case <-time.After(resendInterval):
+		}
 	}
-	cmd.Flags().StringVarP(&path, "file", "f", "", "manifest (YAML)")
-	cmd.Flags().DurationVar(&wait, "wait", 0, "wait so long for it to be in force on every daemon")
-	to.flags(cmd)
-	_ = cmd.MarkFlagRequired("file")
-	return cmd
 }
 
-func apply(cmd *cobra.Command, path string, to *target, wait time.Duration) error {
-	_, raw, err := readManifest(path)
-	if err != nil {
-		return err
+// resendable are the failures that time may mend.
+func resendable(err error) bool {
+	var coded *result.Error
+	if !errors.As(err, &coded) {
+		return false
 	}
-	client, err := to.client()
-	if err != nil {
-		return err
+	switch coded.Code {
+	case result.CommitUnknown, result.NoQuorum, result.NotSource, result.TooManyRequests, result.Unreachable:
+		return true
 	}
-	ctx := context.Background()
-	answer, err := client.Submit(ctx, raw)
-	if err != nil {
+	return false
+}
+
+// explain adds to a failure what its reader should know or do.
+func explain(err error, answer source.Answer, m *manifest.Manifest) error {
+	var coded *result.Error
+	if !errors.As(err, &coded) {
 		return err
 	}
-	if answer.Code != result.Accepted && answer.Code != result.AlreadyAccepted {
-		return result.Errorf(answer.Code, "%s", refusalText(answer))
-	}
-	fmt.Fprintf(cmd.OutOrStdout(), "%s: fleet version %d\n", answer.Code, answer.Fleet)
-	if wait <= 0 {
-		return nil
+	text := strings.TrimSpace(coded.Code.Meaning() + " " + coded.Detail)
+	switch {
+	case coded.Code == result.CommitUnknown:
+		return result.Errorf(coded.Code, "%s\nSending the same manifest again is safe: mesh %s version %d is accepted at most once.", coded.Detail, m.Mesh, m.Version)
+	case answer.Winner != nil:
+		return result.Errorf(coded.Code, "%s\nThe winner: %s", text, winnerText(answer.Winner))
+	case coded.Code == result.Unreachable:
+		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	return waitInForce(ctx, cmd, client, answer.Fleet)
+	return result.Errorf(coded.Code, "%s", text)
 }
 
-func refusalText(a source.Answer) string {
-	if a.Winner == nil {
-		return a.Code.Meaning() + " " + a.Detail
-	}
-	return fmt.Sprintf("%s Accepted: mesh %s version %d, content %016x, at %s",
-		a.Code.Meaning(), a.Winner.Mesh, a.Winner.Version, a.Winner.Content, a.Winner.Time.Format(time.RFC3339))
+func winnerText(w *source.Accepted) string {
+	return fmt.Sprintf("mesh %s version %d, content %016x, fleet version %d, accepted at %s",
+		w.Mesh, w.Version, w.Content, w.Fleet, w.Time.Format(time.RFC3339))
 }
 
-// waitInForce asks until every daemon has the version, showing how many do.
-func waitInForce(ctx context.Context, cmd *cobra.Command, client *operator.Client, version uint64) error {
-	begin := time.Now()
+// awaitInForce looks at the fleet until every daemon has the version.
+func (a *applier) awaitInForce(ctx context.Context, version uint64) ([]operator.FleetNode, error) {
+	interval := pollFirst
+	var nodes []operator.FleetNode
 	for {
-		nodes, err := client.Fleet(ctx)
-		if err != nil {
-			return err
+		seen, err := a.client.Fleet(ctx)
+		if err == nil {
+			nodes = seen
+		} else if !resendable(err) {
+			return nil, err
 		}
-		there := 0
-		for _, n := range nodes {
-			if n.Version >= version {
-				there++
-			}
-		}
-		fmt.Fprintf(cmd.ErrOrStderr(), "in force on %d of %d daemons\n", there, len(nodes))
-		if there == len(nodes) {
-			fmt.Fprintf(cmd.OutOrStdout(), "in force on all %d daemons after %s\n", there, time.Since(begin).Round(time.Millisecond))
-			return nil
+		lagging := behind(nodes, version)
+		a.progress.show("in force on %d of %d daemons", len(nodes)-len(lagging), len(nodes))
+		if err == nil && len(nodes) > 0 && len(lagging) == 0 {
+			return nodes, nil
 		}
 		select {
 		case <-ctx.Done():
-			return result.Errorf(result.CommitUnknown, "accepted, but in force on only %d of %d daemons in time", there, len(nodes))
-		case <-time.After(waitInterval):
+			return nil, notInForce(nodes, lagging, version)
+		case <-time.After(interval):
+		}
+		interval = min(2*interval, pollMost)
+	}
+}
+
+// behind are the daemons that do not have the version in force.
+func behind(nodes []operator.FleetNode, version uint64) []operator.FleetNode {
+	var list []operator.FleetNode
+	for _, n := range nodes {
+		if n.Version < version {
+			list = append(list, n)
 		}
 	}
+	return list
+}
+
+func notInForce(nodes, lagging []operator.FleetNode, version uint64) error {
+	var reasons []string
+	for _, n := range lagging[:min(len(lagging), laggardsNamed)] {
+		reasons = append(reasons, fmt.Sprintf("\n  %s (%s): %s", n.Node, n.Domain, lagReason(n, version)))
+	}
+	if more := len(lagging) - len(reasons); more > 0 {
+		reasons = append(reasons, fmt.Sprintf("\n  and %d more", more))
+	}
+	return result.Errorf(result.NotInForce, "accepted as fleet version %d, in force on %d of %d daemons so far; not on%s",
+		version, len(nodes)-len(lagging), len(nodes), strings.Join(reasons, ""))
 }
--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,342 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+
+	"github.com/daisygate/daisygate/examples"
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/process/dev"
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/process/telemetry"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/diff"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+const (
+	// devPatience bounds each wait for the mesh to come up or follow.
+	devPatience = time.Minute
+	// devPoll is the time between two tries of a request.
+	devPoll = 20 * time.Millisecond
+)
+
+// devOptions are the flags of dev.
+type devOptions struct {
+	demo    bool
+	verbose bool
+	path    string
+	dataDir string
+	nodes   int
+	port    int
+}
+
+func newDev() *cobra.Command {
+	var opt devOptions
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a whole mesh on loopback in this process, to try it",
+		Long: `Starts daemons (each of them a source) and stand-in backend servers in this
+process, applies a manifest, prints the addresses and a few commands to try, and
+serves until it is interrupted.
+
+With --demo it shows one request answered and one change taking force, and ends.`,
+		Example: "  daisygate dev --demo\n  daisygate dev --data-dir /tmp/daisygate",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opt.nodes < 1 || opt.nodes > 99 {
+				return usage("--nodes: want 1 to 99, got %d", opt.nodes)
+			}
+			return runDev(cmd.Context(), &opt, cmd.OutOrStdout(), cmd.ErrOrStderr())
+		},
+	}
+	f := cmd.Flags()
+	f.BoolVar(&opt.demo, "demo", false, "show one request answered and one change taking force, then end")
+	f.BoolVarP(&opt.verbose, "verbose", "v", false, "print the daemons' logs to stderr")
+	f.StringVarP(&opt.path, "file", "f", "", "manifest (YAML) to apply; empty is the built-in example")
+	f.StringVar(&opt.dataDir, "data-dir", "", "data folder to keep; empty is a temporary one")
+	f.IntVar(&opt.nodes, "nodes", dev.DefaultNodes, "number of daemons, 1 to 99; the first 5 are sources")
+	f.IntVar(&opt.port, "port", 7400, "operator port of the first daemon; 0, or a port in use, lets the system choose")
+	return cmd
+}
+
+// devMesh is a mesh of dev and what was applied to it.
+type devMesh struct {
+	mesh     *dev.Mesh
+	client   *operator.Client
+	progress *progress
+	out      io.Writer
+	manifest *manifest.Manifest
+}
+
+func runDev(ctx context.Context, opt *devOptions, w, errOut io.Writer) (err error) {
+	m, err := opt.manifest()
+	if err != nil {
+		return err
+	}
+	mesh, err := opt.start(m)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, mesh.Stop()) }()
+	d := &devMesh{
+		mesh: mesh, out: w, manifest: m, progress: newProgress(errOut),
+		client: &operator.Client{Addr: mesh.Nodes[0].Operator, HTTP: &http.Client{Timeout: requestTimeout}},
+	}
+	d.printAddresses()
+	if err := d.begin(ctx); err != nil {
+		return err
+	}
+	if opt.demo {
+		return d.demo(ctx)
+	}
+	d.printHints()
+	<-ctx.Done()
+	fmt.Fprintln(w, "\nstopping")
+	return nil
+}
+
+func (o *devOptions) manifest() (*manifest.Manifest, error) {
+	if o.path == "" {
+		return manifest.Parse(examples.Ahnenbach)
+	}
+	m, _, err := readManifest(o.path)
+	return m, err
+}
+
+// start runs the mesh, with a backend server of each service beside every
+// daemon but one, so that some calls cross two daemons.
+func (o *devOptions) start(m *manifest.Manifest) (*dev.Mesh, error) {
+	cfg := dev.Config{Nodes: o.nodes, DataDir: o.dataDir, Log: logr.Discard()}
+	for i, service := range m.Services {
+		for node := range max(o.nodes-1, 1) {
+			cfg.Servers = append(cfg.Servers, dev.Server{Node: (i + node) % o.nodes, Mesh: m.Mesh, Service: service.Name})
+		}
+	}
+	if o.verbose {
+		log, err := telemetry.NewLog(settings.Log{Format: "text"})
+		if err != nil {
+			return nil, err
+		}
+		cfg.Log = log
+	}
+	if o.port == 0 || o.demo {
+		return dev.Start(cfg)
+	}
+	cfg.Operator = "127.0.0.1:" + strconv.Itoa(o.port)
+	mesh, err := dev.Start(cfg)
+	if errors.Is(err, dev.ErrPortInUse) {
+		cfg.Operator = ""
+		return dev.Start(cfg)
+	}
+	return mesh, err
+}
+
+// begin applies the manifest, or keeps what a kept data folder brought back.
+func (d *devMesh) begin(ctx context.Context) error {
+	current, err := d.current(ctx)
+	if err != nil {
+		return err
+	}
+	if current != nil && current.Version >= d.manifest.Version {
+		d.manifest = current
+		fmt.Fprintf(d.out, "\nmesh %s version %d is in force, as the data folder has it\n", current.Mesh, current.Version)
+	} else if err := d.apply(ctx); err != nil {
+		return err
+	}
+	return d.awaitReady(ctx)
+}
+
+// current is the manifest in force, or nil; it waits for a leader first.
+func (d *devMesh) current(ctx context.Context) (*manifest.Manifest, error) {
+	var current *manifest.Manifest
+	err := d.eventually(ctx, "a leader of the sources", func() error {
+		status, err := d.client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if status.Source == nil || status.Source.Lead == "" {
+			return errors.New("none is elected")
+		}
+		if status.Source.Version > status.Mesh.Version {
+			return errors.New("its version is not in force yet")
+		}
+		if current, err = fetch(ctx, d.client, d.manifest.Mesh); err != nil {
+			return err
+		}
+		return nil
+	})
+	if err != nil || current.Version == 0 {
+		return nil, err
+	}
+	return current, nil
+}
+
+func (d *devMesh) apply(ctx context.Context) error {
+	raw, err := yaml.Marshal(d.manifest)
+	if err != nil {
+		return errors.Wrap(err, "encode manifest")
+	}
+	fmt.Fprintf(d.out, "\nThe manifest of mesh %s, version %d:\n", d.manifest.Mesh, d.manifest.Version)
+	a := &applier{client: d.client, manifest: d.manifest, raw: raw, wait: devPatience, progress: d.progress}
+	return a.run(ctx, d.out, &output{format: formatText})
+}
+
+// awaitReady waits until every route answers at every daemon.
+func (d *devMesh) awaitReady(ctx context.Context) error {
+	for _, n := range d.mesh.Nodes {
+		for i := range d.manifest.Routes {
+			r := &d.manifest.Routes[i]
+			err := d.eventually(ctx, "an answer to "+r.Path, func() error {
+				_, err := d.request(ctx, n, r)
+				return err
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *devMesh) eventually(ctx context.Context, what string, f func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, devPatience)
+	defer cancel()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "waited for %s", what)
+		case <-time.After(devPoll):
+		}
+	}
+}
+
+func method(r *manifest.Route) string {
+	if len(r.Methods) == 0 {
+		return http.MethodGet
+	}
+	return r.Methods[0]
+}
+
+// request calls a route at a daemon as a caller does.
+func (d *devMesh) request(ctx context.Context, n dev.Node, r *manifest.Route) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, method(r), "http://"+n.Caller+r.Path, nil)
+	if err != nil {
+		return "", errors.Wrap(err, "build request")
+	}
+	if len(d.manifest.Hosts) > 0 {
+		req.Host = d.manifest.Hosts[0]
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	if resp.Header.Get(result.HeaderOutcome) != result.Run.String() {
+		return "", errors.Newf("%s: %s", resp.Status, strings.TrimSpace(string(body)))
+	}
+	return string(body), nil
+}
+
+func (d *devMesh) curl(n dev.Node, r *manifest.Route) string {
+	var options strings.Builder
+	if m := method(r); m != http.MethodGet {
+		options.WriteString("-X " + m + " ")
+	}
+	if len(d.manifest.Hosts) > 0 {
+		options.WriteString("-H 'Host: " + d.manifest.Hosts[0] + "' ")
+	}
+	return fmt.Sprintf("curl %shttp://%s%s", options.String(), n.Caller, r.Path)
+}
+
+func (d *devMesh) printAddresses() {
+	fmt.Fprintf(d.out, "a mesh of %d daemons and %d stand-in backend servers on loopback, in this process (%d)\n",
+		len(d.mesh.Nodes), len(d.mesh.Servers), os.Getpid())
+	var rows []string
+	for _, n := range d.mesh.Nodes {
+		rows = append(rows, strings.Join([]string{n.Name, n.Domain, n.Caller, n.Operator, n.Announce}, "\t"))
+	}
+	table(d.out, "DAEMON\tDOMAIN\tCALLERS\tOPERATORS\tANNOUNCEMENTS", rows)
+}
+
+func (d *devMesh) printHints() {
+	fmt.Fprintln(d.out, "\nTry:")
+	for i := range d.manifest.Routes {
+		fmt.Fprintln(d.out, "  "+d.curl(d.mesh.Nodes[i%len(d.mesh.Nodes)], &d.manifest.Routes[i]))
+	}
+	addr := d.mesh.Nodes[0].Operator
+	for _, command := range []string{"status", "history", "drain --node n1 --undo"} {
+		fmt.Fprintf(d.out, "  daisygate %s --operator %s\n", command, addr)
+	}
+	fmt.Fprintln(d.out, "\nInterrupt (Ctrl-C) ends it.")
+}
+
+// demo shows a request, a change, and the request again.
+func (d *devMesh) demo(ctx context.Context) error {
+	entry, route := d.mesh.Nodes[len(d.mesh.Nodes)-1], &d.manifest.Routes[0]
+	if err := d.show(ctx, "A request to daemon "+entry.Name, entry, route); err != nil {
+		return err
+	}
+	before := d.manifest
+	next, err := moved(before)
+	if err != nil {
+		return err
+	}
+	d.manifest = next
+	fmt.Fprintln(d.out, "\nA change:")
+	for _, c := range diff.Compare(before, next) {
+		fmt.Fprintln(d.out, "  "+c.String())
+	}
+	if err := d.apply(ctx); err != nil {
+		return err
+	}
+	return d.show(ctx, "The same request after the change", entry, &next.Routes[0])
+}
+
+func (d *devMesh) show(ctx context.Context, title string, n dev.Node, r *manifest.Route) error {
+	answer, err := d.request(ctx, n, r)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(d.out, "\n%s:\n  $ %s\n  %s\n", title, d.curl(n, r), strings.TrimSpace(answer))
+	return nil
+}
+
+// moved is the next version of m, with its first route at another service.
+func moved(m *manifest.Manifest) (*manifest.Manifest, error) {
+	raw, err := yaml.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode manifest")
+	}
+	next, err := manifest.Parse(raw)
+	if err != nil {
+		return nil, errors.Wrap(err, "copy manifest")
+	}
+	next.Version++
+	for _, s := range next.Services {
+		if s.Name != next.Routes[0].Service {
+			next.Routes[0].Service = s.Name
+			return next, nil
+		}
+	}
+	return nil, usage("--demo needs a manifest with two services")
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -1,72 +1,88 @@
 // Package cli is the command line: thin cobra commands over the packages that
-// do the work. Exit codes follow the areas of the result codes.
+// do the work.
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strings"
+	"os/signal"
+	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
-// Version is the release this binary was built from.
-var Version = "0.1.0-dev"
-
-// The exit codes.
 const (
-	ExitOK          = 0
-	ExitRefused     = 1
-	ExitUsage       = 2
-	ExitUnknown     = 3
-	ExitUnreachable = 4
+	// requestTimeout bounds one request to the operator API; a daemon answers
+	// a submission within 10 s.
+	requestTimeout = 30 * time.Second
+	defaultAddr    = "127.0.0.1:7400"
 )
 
-const clientTimeout = 30 * time.Second
-
-// Main runs the command line and returns the exit code.
+// Main runs the command line until it is done or a signal stops it, and
+// returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, args, out, errOut)
+}
+
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	root := newRoot()
+	began := noteBegin(root)
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.Execute()
+	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return ExitOK
 	}
+	if !*began {
+		err = usage("%v; see daisygate help", err)
+	}
 	fmt.Fprintln(errOut, "daisygate:", err)
 	return exitCode(err)
 }
 
-func exitCode(err error) int {
-	var coded *result.Error
-	if !errors.As(err, &coded) {
-		return ExitUsage
-	}
-	switch {
-	case coded.Code == result.Unreachable:
-		return ExitUnreachable
-	case coded.Code.Outcome() == result.Unknown:
-		return ExitUnknown
+// noteBegin tells whether a command began: what fails before is a fault of the
+// command line.
+func noteBegin(root *cobra.Command) *bool {
+	began := false
+	for _, c := range root.Commands() {
+		begin := c.RunE
+		c.RunE = func(cmd *cobra.Command, args []string) error {
+			began = true
+			return begin(cmd, args)
+		}
 	}
-	return ExitRefused
+	return &began
 }
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "daisygate",
-		Short:         "Distributes a service mesh's configuration and carries its calls",
+		Use:   "daisygate",
+		Short: "Distributes a service mesh's configuration and carries its calls",
+		Long: `daisygate distributes the configuration of a service mesh and carries its calls.
+
+Operators hand in a manifest, the whole intent for one mesh. A majority of the
+sources accepts it, every daemon puts it in force, and any daemon takes a
+caller's request to a backend server that can serve it.
+
+Try it: daisygate dev --demo
+
+` + exitCodesHelp(),
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newValidate(), newApply(), newStatus(), newVersion())
+	root.AddCommand(
+		newServe(), newValidate(), newApply(), newStatus(), newHistory(),
+		newDiff(), newDrain(), newDev(), newVersion(),
+	)
 	return root
 }
 
@@ -77,28 +93,19 @@
 }
 
 func (t *target) flags(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&t.addr, "operator", "127.0.0.1:7400", "operator address of a daemon, ip:port")
-	cmd.Flags().StringVar(&t.tokenFile, "token-file", "", "file with the operator token")
+	cmd.Flags().StringVar(&t.addr, "operator", defaultAddr, "operator address of any daemon, ip:port")
+	cmd.Flags().StringVar(&t.tokenFile, "token-file", "", "file that holds the operator token; not needed on loopback if the daemon has none")
 }
 
 func (t *target) client() (*operator.Client, error) {
-	c := &operator.Client{Addr: t.addr, HTTP: &http.Client{Timeout: clientTimeout}}
-	if t.tokenFile == "" {
-		return c, nil
-	}
-	raw, err := os.ReadFile(t.tokenFile)
+	token, err := operator.ReadToken(t.tokenFile)
 	if err != nil {
-		return nil, errors.Wrap(err, "token file")
+		return nil, err
 	}
-	c.Token = strings.TrimSpace(string(raw))
-	return c, nil
+	return &operator.Client{Addr: t.addr, Token: token, HTTP: &http.Client{Timeout: requestTimeout}}, nil
 }
 
-func newVersion() *cobra.Command {
-	return &cobra.Command{
-		Use:   "version",
-		Short: "Print the version of this binary",
-		Args:  cobra.NoArgs,
-		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "daisygate", Version) },
-	}
+// usage is a fault of the command line, with what would be right.
+func usage(format string, args ...any) error {
+	return result.Errorf(result.UsageError, format, args...)
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,36 +2,36 @@
 
 import (
 	"context"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"github.com/daisygate/daisygate/internal/process/daemon"
 	"github.com/daisygate/daisygate/internal/process/settings"
 	"github.com/daisygate/daisygate/internal/process/telemetry"
+	"github.com/daisygate/daisygate/internal/result"
 )
 
 func newServe() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
-		Use:   "serve",
+		Use:   "serve --settings FILE",
 		Short: "Run the daemon of one instance",
-		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), path) },
+		Long: `Runs the daemon of one instance until it is interrupted or terminated. Then it
+leaves the fleet, finishes the requests in progress, and ends.`,
+		Example: "  daisygate serve --settings /etc/daisygate/node.yaml",
+		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), path) },
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file (YAML)")
 	_ = cmd.MarkFlagRequired("settings")
+	_ = cmd.MarkFlagFilename("settings", "yaml", "yml")
 	return cmd
 }
 
 func serve(ctx context.Context, path string) error {
-	if ctx == nil {
-		ctx = context.Background()
-	}
 	set, err := settings.Load(path)
 	if err != nil {
-		return err
+		return result.Errorf(result.UsageError, "%s\n%v", path, err)
 	}
 	log, err := telemetry.NewLog(set.Log)
 	if err != nil {
@@ -41,7 +41,5 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	return d.Run(ctx)
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -2,48 +2,135 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"text/tabwriter"
+	"strings"
 
 	"github.com/spf13/cobra"
 
 	"github.com/daisygate/daisygate/internal/connection/operator"
 )
 
+// statusReport is what status prints.
+type statusReport struct {
+	// Daemon is the daemon that was asked.
+	Daemon operator.NodeStatus `json:"daemon"`
+	// Version is the highest fleet version in force on any daemon.
+	Version uint64 `json:"version"`
+	// InForce is the number of daemons that have it, of all Daemons.
+	InForce int                  `json:"in_force"`
+	Daemons int                  `json:"daemons"`
+	Fleet   []operator.FleetNode `json:"fleet"`
+}
+
 func newStatus() *cobra.Command {
 	var to target
-	var format string
+	var out output
+	var lagging bool
 	cmd := &cobra.Command{
 		Use:   "status",
-		Short: "Show what is in force where",
-		Args:  cobra.NoArgs,
+		Short: "Show what is in force where, who lags and why",
+		Long: `Shows the sources (role, term, commit, failure), and for each daemon the version
+in force, its links, its backend servers, and why it lags if it does.`,
+		Example: "  daisygate status --operator 127.0.0.1:7400\n  daisygate status --lagging -o json",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := out.check(); err != nil {
+				return err
+			}
 			client, err := to.client()
 			if err != nil {
 				return err
 			}
-			nodes, err := client.Fleet(context.Background())
+			report, err := readStatus(cmd.Context(), client)
 			if err != nil {
 				return err
 			}
-			if format == "json" {
-				return json.NewEncoder(cmd.OutOrStdout()).Encode(nodes)
+			if lagging {
+				report.Fleet = behind(report.Fleet, report.Version)
 			}
-			return printFleet(cmd.OutOrStdout(), nodes)
+			return out.print(cmd.OutOrStdout(), report, report.print)
 		},
 	}
 	to.flags(cmd)
-	cmd.Flags().StringVarP(&format, "output", "o", "text", "text or json")
+	out.flags(cmd)
+	cmd.Flags().BoolVar(&lagging, "lagging", false, "list only the daemons that do not have the newest version in force")
 	return cmd
 }
 
-func printFleet(out io.Writer, nodes []operator.FleetNode) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "NODE\tDOMAIN\tVERSION\tSERVERS\tERROR")
+func readStatus(ctx context.Context, client *operator.Client) (*statusReport, error) {
+	status, err := client.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	nodes, err := client.Fleet(ctx)
+	if err != nil {
+		return nil, err
+	}
+	report := &statusReport{Daemon: status, Daemons: len(nodes), Fleet: nodes}
 	for _, n := range nodes {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", n.Node, n.Domain, n.Version, len(n.Servers), n.Error)
+		report.Version = max(report.Version, n.Version)
+	}
+	report.InForce = len(nodes) - len(behind(nodes, report.Version))
+	return report, nil
+}
+
+func (r *statusReport) print(w io.Writer) {
+	fmt.Fprintf(w, "fleet version %d in force on %d of %d daemons, as daemon %s sees it\n", r.Version, r.InForce, r.Daemons, r.Daemon.Node)
+	var sources, daemons []string
+	for _, n := range r.Fleet {
+		if s := n.Source; s != nil {
+			sources = append(sources, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s",
+				n.Node, n.Domain, s.Role, s.Term, s.Commit, s.Version, sourceState(n)))
+		}
+		daemons = append(daemons, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%s",
+			n.Node, n.Domain, n.Version, n.Links, len(n.Servers), nodeState(n, r.Version)))
+	}
+	if len(sources) > 0 {
+		fmt.Fprintln(w)
+		table(w, "SOURCE\tDOMAIN\tROLE\tTERM\tCOMMIT\tVERSION\tSTATE", sources)
+	}
+	if len(daemons) > 0 {
+		fmt.Fprintln(w)
+		table(w, "DAEMON\tDOMAIN\tVERSION\tLINKS\tSERVERS\tSTATE", daemons)
+	}
+}
+
+func sourceState(n operator.FleetNode) string {
+	if n.Source.Failure != "" {
+		return "accepts nothing: " + n.Source.Failure
+	}
+	return "ok"
+}
+
+// nodeState is "in force", or why not, and what else is wrong with it.
+func nodeState(n operator.FleetNode, version uint64) string {
+	var parts []string
+	if n.Version < version || n.Error != "" {
+		parts = append(parts, lagReason(n, version))
+	} else {
+		parts = append(parts, "in force")
+	}
+	if n.Stale && n.Version >= version {
+		parts = append(parts, "stale: misses the leader's heartbeat")
+	}
+	for _, s := range n.Servers {
+		if s.State != "serving" {
+			parts = append(parts, fmt.Sprintf("%s at %s is %s", s.Service, s.Address, s.State))
+		}
+	}
+	return strings.Join(parts, "; ")
+}
+
+// lagReason says why a daemon does not have the version.
+func lagReason(n operator.FleetNode, version uint64) string {
+	switch {
+	case n.Error != "":
+		return "does not answer: " + n.Error
+	case n.Links == 0:
+		return fmt.Sprintf("%d behind, has no link to another daemon", version-n.Version)
+	case n.Stale:
+		return fmt.Sprintf("%d behind, misses the leader's heartbeat", version-n.Version)
 	}
-	return w.Flush()
+	return fmt.Sprintf("%d behind, catching up", version-n.Version)
 }
--- /dev/null
+++ b/internal/connection/operator/handler.go
@@ -0,0 +1,196 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// The admission of one daemon's operator API. Operators and their pipelines
+// are few; what is above this is a loop gone wild.
+const (
+	// requestsPerSecond and requestBurst bound requests of any kind.
+	requestsPerSecond = 50
+	requestBurst      = 100
+	// submitsAtOnce bounds manifests held in memory at a time.
+	submitsAtOnce = 8
+	// drainBytes is the largest body of a drain request.
+	drainBytes = 4 << 10
+	retryAfter = time.Second
+)
+
+// Config is fixed for the life of the API.
+type Config struct {
+	// Token is the bearer token; empty lets loopback addresses in without one.
+	Token string
+	// ManifestBytes is the largest manifest taken.
+	ManifestBytes int64
+	// SubmitTimeout bounds the wait for a commit.
+	SubmitTimeout time.Duration
+}
+
+type api struct {
+	cfg     Config
+	backend Backend
+	limiter *rate.Limiter
+	submits chan struct{}
+}
+
+// Handler returns the routes of the operator listener.
+func Handler(cfg Config, backend Backend) http.Handler {
+	a := &api{
+		cfg: cfg, backend: backend,
+		limiter: rate.NewLimiter(requestsPerSecond, requestBurst),
+		submits: make(chan struct{}, submitsAtOnce),
+	}
+	router := mux.NewRouter()
+	router.HandleFunc(ManifestsPath, a.submit).Methods(http.MethodPost)
+	router.HandleFunc(ManifestsPath+"/{mesh}", a.inForce).Methods(http.MethodGet)
+	router.HandleFunc(StatusPath, a.status).Methods(http.MethodGet)
+	router.HandleFunc(FleetPath, a.fleet).Methods(http.MethodGet)
+	router.HandleFunc(HistoryPath, a.history).Methods(http.MethodGet)
+	router.HandleFunc(DrainPath, a.drain).Methods(http.MethodPost)
+	router.HandleFunc(DrainPath, a.drainStatus).Methods(http.MethodGet)
+	router.NotFoundHandler = refuseAll(result.UnknownResource)
+	router.MethodNotAllowedHandler = refuseAll(result.WrongMethod)
+	return a.admit(router)
+}
+
+func refuseAll(code result.Code) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		result.WriteHTTP(w, result.Errorf(code, "%s %s", r.Method, r.URL.Path))
+	})
+}
+
+// admit lets in what has the token and comes no faster than the limit. The
+// token goes first: who has none cannot use up the operators' share.
+func (a *api) admit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !a.allowed(r) {
+			result.WriteHTTP(w, result.Errorf(result.Unauthorized, "want the header Authorization: Bearer, with the content of the daemon's operator.token_file"))
+			return
+		}
+		if !a.limiter.Allow() {
+			result.WriteHTTPRetry(w, result.Errorf(result.TooManyRequests, "at most %d requests a second", requestsPerSecond), retryAfter)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// allowed compares digests in constant time, so that neither the content nor
+// the length of the token shows in the time taken.
+func (a *api) allowed(r *http.Request) bool {
+	if a.cfg.Token == "" {
+		from, err := netip.ParseAddrPort(r.RemoteAddr)
+		return err == nil && from.Addr().IsLoopback()
+	}
+	given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	want := sha256.Sum256([]byte(a.cfg.Token))
+	got := sha256.Sum256([]byte(given))
+	return subtle.ConstantTimeCompare(want[:], got[:]) == 1
+}
+
+func (a *api) submit(w http.ResponseWriter, r *http.Request) {
+	select {
+	case a.submits <- struct{}{}:
+		defer func() { <-a.submits }()
+	default:
+		result.WriteHTTPRetry(w, result.Errorf(result.TooManyRequests, "at most %d manifests at a time", submitsAtOnce), retryAfter)
+		return
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.cfg.ManifestBytes))
+	if err != nil {
+		result.WriteHTTP(w, unreadable(err))
+		return
+	}
+	m, err := manifest.Parse(raw)
+	if err != nil {
+		result.WriteHTTP(w, result.Errorf(result.ManifestInvalid, "%v", err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), a.cfg.SubmitTimeout)
+	defer cancel()
+	answer, err := a.backend.Submit(ctx, m)
+	if err != nil {
+		answer = source.Answer{Code: result.CommitUnknown, Detail: err.Error()}
+	}
+	writeJSON(w, answer.Code, answer)
+}
+
+func unreadable(err error) *result.Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return result.Errorf(result.InputTooLarge, "at most %d bytes are taken", tooLarge.Limit)
+	}
+	return result.Errorf(result.BadRequest, "body: %v", err)
+}
+
+func (a *api) inForce(w http.ResponseWriter, r *http.Request) {
+	m, refused := a.backend.InForce(r.Context(), mux.Vars(r)["mesh"])
+	answer(w, m, refused)
+}
+
+func (a *api) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, result.Answered, a.backend.NodeStatus())
+}
+
+func (a *api) fleet(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, result.Answered, a.backend.Fleet(r.Context()))
+}
+
+func (a *api) history(w http.ResponseWriter, r *http.Request) {
+	history, err := a.backend.History(r.Context())
+	if err != nil {
+		result.WriteHTTP(w, result.Errorf(result.NotSource, "%v", err))
+		return
+	}
+	writeJSON(w, result.Answered, history)
+}
+
+func (a *api) drain(w http.ResponseWriter, r *http.Request) {
+	var order DrainRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, drainBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&order); err != nil {
+		result.WriteHTTP(w, unreadable(err))
+		return
+	}
+	status, refused := a.backend.Drain(r.Context(), order)
+	answer(w, status, refused)
+}
+
+func (a *api) drainStatus(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	status, refused := a.backend.DrainStatus(r.Context(), DrainRequest{Node: query.Get("node"), Server: query.Get("server")})
+	answer(w, status, refused)
+}
+
+func answer(w http.ResponseWriter, v any, refused *result.Error) {
+	if refused != nil {
+		result.WriteHTTP(w, refused)
+		return
+	}
+	writeJSON(w, result.Answered, v)
+}
+
+func writeJSON(w http.ResponseWriter, code result.Code, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	result.SetHeaders(w.Header(), code)
+	w.WriteHeader(code.HTTPStatus())
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -1,23 +1,13 @@
-// Package operator is the operators' HTTP API and its client: manifests in,
-// status and history out.
+// Package operator is the operators' HTTP API and its client: manifests in;
+// status, history, the manifest in force and drains out.
+//
+// Every answer carries a numbered result code (package result), successes too.
 package operator
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/json"
-	"io"
-	"net/http"
-	"net/netip"
-	"strings"
-	"time"
-
-	"github.com/cockroachdb/errors"
-	"github.com/gorilla/mux"
 
 	"github.com/daisygate/daisygate/internal/process/mesh"
-	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/manifest"
@@ -29,6 +19,7 @@
 	StatusPath    = "/v1/status"
 	FleetPath     = "/v1/fleet"
 	HistoryPath   = "/v1/history"
+	DrainPath     = "/v1/drain"
 )
 
 // NodeStatus is what one daemon tells of itself.
@@ -45,163 +36,85 @@
 
 // FleetNode is one daemon as seen in the fleet.
 type FleetNode struct {
-	Node    string            `json:"node"`
-	Domain  string            `json:"domain"`
-	Version uint64            `json:"version"`
-	Servers []presence.Server `json:"servers,omitempty"`
+	Node    string `json:"node"`
+	Domain  string `json:"domain"`
+	Version uint64 `json:"version"`
+	Ready   bool   `json:"ready"`
+	// Stale is set when the daemon misses the leader's heartbeat.
+	Stale bool `json:"stale"`
+	// Links is the number of live links to other daemons.
+	Links   int           `json:"links"`
+	Servers []FleetServer `json:"servers,omitempty"`
+	// Source is set on a source.
+	Source *source.Status `json:"source,omitempty"`
 	// Error is why the daemon gave no version, or "".
 	Error string `json:"error,omitempty"`
 }
 
-// Backend is what the API is built on: the daemon.
+// FleetServer is one backend server as its daemon announces it.
+type FleetServer struct {
+	Mesh        string `json:"mesh"`
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// State is "joining", "warming", "serving" or "draining".
+	State string `json:"state"`
+}
+
+// InForce is the manifest of one mesh that the answering daemon has in force.
+type InForce struct {
+	Mesh string `json:"mesh"`
+	// Version is the operators' number.
+	Version uint64 `json:"version"`
+	// Fleet is the fleet version that brought the manifest.
+	Fleet uint64 `json:"fleet"`
+	// Node is the daemon that answered.
+	Node string `json:"node"`
+	// Manifest is the manifest as YAML, with its defaults filled in.
+	Manifest string `json:"manifest"`
+}
+
+// DrainRequest names what is to be drained: the backend server at Server, or
+// all beside the daemon Node; both empty mean the answering daemon.
+type DrainRequest struct {
+	Node   string `json:"node,omitempty"`
+	Server string `json:"server,omitempty"`
+	// Undo ends the drain.
+	Undo bool `json:"undo,omitempty"`
+}
+
+// DrainStatus tells how far the drain of one daemon has come.
+type DrainStatus struct {
+	Node string `json:"node"`
+	// Draining is set when the whole daemon is drained.
+	Draining bool `json:"draining"`
+	// Idle is set when nothing that was asked for still runs.
+	Idle bool `json:"idle"`
+	// Running counts the requests in progress on Servers.
+	Running int           `json:"running"`
+	Servers []DrainServer `json:"servers,omitempty"`
+}
+
+// DrainServer is one backend server in a DrainStatus.
+type DrainServer struct {
+	Address  string `json:"address"`
+	Mesh     string `json:"mesh"`
+	Service  string `json:"service"`
+	Draining bool   `json:"draining"`
+	Running  int    `json:"running"`
+}
+
+// Backend is what the API is built on: the daemon. The errors are refusals
+// that the operator is told as they are.
 type Backend interface {
 	Submit(ctx context.Context, m *manifest.Manifest) (source.Answer, error)
 	NodeStatus() NodeStatus
 	Fleet(ctx context.Context) []FleetNode
 	History(ctx context.Context) ([]source.Accepted, error)
-}
-
-// Config is fixed for the life of the API.
-type Config struct {
-	// Token is the bearer token; empty lets loopback addresses in without one.
-	Token string
-	// ManifestBytes is the largest manifest taken.
-	ManifestBytes int64
-	// SubmitTimeout bounds the wait for a commit.
-	SubmitTimeout time.Duration
-}
-
-type api struct {
-	cfg     Config
-	backend Backend
-}
-
-// Handler returns the routes of the operator listener.
-func Handler(cfg Config, backend Backend) http.Handler {
-	a := &api{cfg: cfg, backend: backend}
-	router := mux.NewRouter()
-	router.HandleFunc(ManifestsPath, a.submit).Methods(http.MethodPost)
-	router.HandleFunc(StatusPath, a.status).Methods(http.MethodGet)
-	router.HandleFunc(FleetPath, a.fleet).Methods(http.MethodGet)
-	router.HandleFunc(HistoryPath, a.history).Methods(http.MethodGet)
-	return a.authorize(router)
-}
-
-func (a *api) authorize(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !a.allowed(r) {
-			result.WriteHTTP(w, result.Errorf(result.Unauthorized, "want Authorization: Bearer"))
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-func (a *api) allowed(r *http.Request) bool {
-	if a.cfg.Token == "" {
-		from, err := netip.ParseAddrPort(r.RemoteAddr)
-		return err == nil && from.Addr().IsLoopback()
-	}
-	given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	want := sha256.Sum256([]byte(a.cfg.Token))
-	got := sha256.Sum256([]byte(given))
-	return subtle.ConstantTimeCompare(want[:], got[:]) == 1
-}
-
-func (a *api) submit(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.cfg.ManifestBytes))
-	if err != nil {
-		result.WriteHTTP(w, result.Errorf(result.InputTooLarge, "manifest: %v", err))
-		return
-	}
-	m, err := manifest.Parse(raw)
-	if err != nil {
-		result.WriteHTTP(w, result.Errorf(result.ManifestInvalid, "%v", err))
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), a.cfg.SubmitTimeout)
-	defer cancel()
-	answer, err := a.backend.Submit(ctx, m)
-	if err != nil {
-		answer = source.Answer{Code: result.CommitUnknown, Detail: err.Error()}
-	}
-	result.SetHeaders(w.Header(), answer.Code)
-	writeJSON(w, answer.Code.HTTPStatus(), answer)
-}
-
-func (a *api) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.backend.NodeStatus())
-}
-
-func (a *api) fleet(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, http.StatusOK, a.backend.Fleet(r.Context()))
-}
-
-func (a *api) history(w http.ResponseWriter, r *http.Request) {
-	history, err := a.backend.History(r.Context())
-	if err != nil {
-		result.WriteHTTP(w, result.Errorf(result.NotSource, "%v", err))
-		return
-	}
-	writeJSON(w, http.StatusOK, history)
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
-}
-
-// Client calls the API of one daemon.
-type Client struct {
-	// Addr is the operator address, "ip:port".
-	Addr  string
-	Token string
-	HTTP  *http.Client
-}
-
-// Submit sends a manifest. The answer is valid when err is nil, whatever its
-// code.
-func (c *Client) Submit(ctx context.Context, raw []byte) (source.Answer, error) {
-	var answer source.Answer
-	err := c.do(ctx, http.MethodPost, ManifestsPath, strings.NewReader(string(raw)), &answer)
-	return answer, err
-}
-
-// Status asks for the daemon's own status.
-func (c *Client) Status(ctx context.Context) (NodeStatus, error) {
-	var status NodeStatus
-	return status, c.do(ctx, http.MethodGet, StatusPath, nil, &status)
-}
-
-// Fleet asks for the versions in force everywhere.
-func (c *Client) Fleet(ctx context.Context) ([]FleetNode, error) {
-	var nodes []FleetNode
-	return nodes, c.do(ctx, http.MethodGet, FleetPath, nil, &nodes)
-}
-
-// History asks for the accepted manifests.
-func (c *Client) History(ctx context.Context) ([]source.Accepted, error) {
-	var history []source.Accepted
-	return history, c.do(ctx, http.MethodGet, HistoryPath, nil, &history)
-}
-
-func (c *Client) do(ctx context.Context, method, path string, body io.Reader, into any) error {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, body)
-	if err != nil {
-		return errors.Wrap(err, "build request")
-	}
-	if c.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Token)
-	}
-	resp, err := c.HTTP.Do(req)
-	if err != nil {
-		return result.Errorf(result.Unreachable, "%v", err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return result.Errorf(result.Unreachable, "answer cut: %v", err)
-	}
-	return errors.Wrap(json.Unmarshal(raw, into), "decode answer")
+	InForce(ctx context.Context, mesh string) (InForce, *result.Error)
+	// Drain begins or undoes a drain.
+	Drain(ctx context.Context, r DrainRequest) (DrainStatus, *result.Error)
+	// DrainStatus tells of the drain that r names, and changes nothing.
+	DrainStatus(ctx context.Context, r DrainRequest) (DrainStatus, *result.Error)
 }
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"net/rpc"
-	"slices"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/process/mesh"
@@ -188,42 +186,3 @@
 	}
 	return status
 }
-
-// fleetConcurrency bounds how many daemons are asked at a time.
-const fleetConcurrency = 32
-
-// Fleet implements operator.Backend by asking every known daemon.
-func (d *Daemon) Fleet(ctx context.Context) []operator.FleetNode {
-	records := d.mesh.Directory().Records
-	nodes := make([]operator.FleetNode, len(records))
-	var group errgroup.Group
-	group.SetLimit(fleetConcurrency)
-	for i, r := range records {
-		nodes[i] = operator.FleetNode{Node: r.Node.Name, Domain: r.Node.Domain, Servers: r.Servers}
-		group.Go(func() error {
-			d.askVersion(ctx, r.Node.Addr, &nodes[i])
-			return nil
-		})
-	}
-	_ = group.Wait()
-	slices.SortFunc(nodes, func(a, b operator.FleetNode) int {
-		if a.Node < b.Node {
-			return -1
-		}
-		return 1
-	})
-	return nodes
-}
-
-func (d *Daemon) askVersion(ctx context.Context, addr string, into *operator.FleetNode) {
-	if into.Node == d.set.Node {
-		into.Version = d.mesh.Status().Version
-		return
-	}
-	var status operator.NodeStatus
-	if err := d.pool.Call(ctx, addr, nodeStatus, Empty{}, &status); err != nil {
-		into.Error = err.Error()
-		return
-	}
-	into.Version = status.Mesh.Version
-}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -4,12 +4,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/rpc"
-	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,13 +72,27 @@
 	source  *source.Source
 	servers *announce.Server
 
+	drains *drains
+	// token is the operators' bearer token, or "".
+	token string
+
 	listeners map[string]net.Listener
 	self      view.Node
 }
 
 // New opens the listeners and the data folder. Run serves.
-func New(set settings.Settings, log logr.Logger) (*Daemon, error) {
-	d := &Daemon{set: set, log: log.WithValues("node", set.Node), traffic: &peer.Traffic{}, listeners: map[string]net.Listener{}}
+func New(set settings.Settings, log logr.Logger) (*Daemon, error) { return NewOn(set, log, nil) }
+
+// NewOn is New on listeners that are open already, by name; those missing are
+// opened as the settings say. The daemon owns them from here on.
+func NewOn(set settings.Settings, log logr.Logger, open map[string]net.Listener) (*Daemon, error) {
+	d := &Daemon{set: set, log: log.WithValues("node", set.Node), traffic: &peer.Traffic{}, listeners: map[string]net.Listener{}, drains: newDrains()}
+	maps.Copy(d.listeners, open)
+	var err error
+	if d.token, err = operator.ListenerToken(set.Listen.Operator, set.Operator.TokenFile); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
 	d.pool = peer.NewPool(d.traffic)
 	if err := d.listen(); err != nil {
 		d.closeListeners()
@@ -101,6 +114,9 @@
 		"peer": d.set.Listen.Peer, "operator": d.set.Listen.Operator,
 	}
 	for name, addr := range addrs {
+		if d.listeners[name] != nil {
+			continue
+		}
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
 			return errors.Wrapf(err, "listen.%s", name)
@@ -140,10 +156,7 @@
 		Self: d.set.Node, Domain: d.set.Domain, QueuePerSlot: d.set.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready,
 	}, d.log.WithName("gateway"))
-	d.servers = announce.NewServer(func(servers []presence.Server) {
-		d.gateway.SetServers(servers)
-		d.mesh.SetServers(servers)
-	})
+	d.servers = announce.NewServer(d.setServers)
 	if !d.set.IsSource() {
 		return nil
 	}
@@ -243,7 +256,7 @@
 		"announce": d.servers.Handler(),
 		"peer":     peer.Handler(control, http.HandlerFunc(d.gateway.ServePeer), d.traffic),
 		"operator": operator.Handler(operator.Config{
-			Token: d.token(), ManifestBytes: d.set.Limits.ManifestBytes, SubmitTimeout: submitTimeout,
+			Token: d.token, ManifestBytes: d.set.Limits.ManifestBytes, SubmitTimeout: submitTimeout,
 		}, d),
 	}
 	servers := map[string]*http.Server{}
@@ -257,14 +270,3 @@
 	}
 	return servers
 }
-
-func (d *Daemon) token() string {
-	if d.set.Operator.TokenFile == "" {
-		return ""
-	}
-	raw, err := os.ReadFile(d.set.Operator.TokenFile)
-	if err != nil {
-		d.log.Error(err, "operator token")
-	}
-	return strings.TrimSpace(string(raw))
-}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -60,6 +60,7 @@
 
 	Accepted        Code = 100
 	AlreadyAccepted Code = 101
+	Answered        Code = 102
 	ManifestInvalid Code = 110
 	VersionConflict Code = 111
 	VersionOld      Code = 112
@@ -70,6 +71,11 @@
 	NotSource       Code = 123
 	Unauthorized    Code = 130
 	InputTooLarge   Code = 131
+	UnknownResource Code = 132
+	WrongMethod     Code = 133
+	TooManyRequests Code = 134
+	VersionNotHeld  Code = 135
+	NodeUnreachable Code = 136
 
 	NoRoute          Code = 210
 	NoBackendServer  Code = 211
@@ -93,6 +99,8 @@
 
 	UsageError  Code = 500
 	Unreachable Code = 501
+	NotInForce  Code = 502
+	NotIdle     Code = 503
 )
 
 type entry struct {
@@ -106,6 +114,7 @@
 	OK:               {"OK", Run, http.StatusOK, "A backend server ran the request; the answer is its own."},
 	Accepted:         {"Accepted", Run, http.StatusOK, "The manifest was committed by a majority of sources."},
 	AlreadyAccepted:  {"AlreadyAccepted", Run, http.StatusOK, "The same version with the same content was accepted before; this is the first answer again."},
+	Answered:         {"Answered", Run, http.StatusOK, "The operator API answered the question or carried out the order."},
 	ManifestInvalid:  {"ManifestInvalid", NotRun, http.StatusUnprocessableEntity, "The manifest has faults; each is listed with line and column."},
 	VersionConflict:  {"VersionConflict", NotRun, http.StatusConflict, "This version number was accepted with other content; the winner is named."},
 	VersionOld:       {"VersionOld", NotRun, http.StatusConflict, "A higher version of this mesh was accepted already."},
@@ -116,6 +125,11 @@
 	NotSource:        {"NotSource", NotRun, http.StatusMisdirectedRequest, "This daemon is no source and knows none that answers."},
 	Unauthorized:     {"Unauthorized", NotRun, http.StatusUnauthorized, "The operator token is missing or wrong."},
 	InputTooLarge:    {"InputTooLarge", NotRun, http.StatusRequestEntityTooLarge, "The input is larger than this listener's limit."},
+	UnknownResource:  {"UnknownResource", NotRun, http.StatusNotFound, "The operator API knows no such path, mesh, daemon or backend server."},
+	WrongMethod:      {"WrongMethod", NotRun, http.StatusMethodNotAllowed, "The operator API does not take this method at this path."},
+	TooManyRequests:  {"TooManyRequests", NotRun, http.StatusTooManyRequests, "The operator API of this daemon admits no more requests now; come back later."},
+	VersionNotHeld:   {"VersionNotHeld", NotRun, http.StatusNotFound, "The content of this accepted version is no longer held; only the version in force is."},
+	NodeUnreachable:  {"NodeUnreachable", Unknown, http.StatusBadGateway, "The daemon that was named did not answer; the order may have been carried out and is safe to repeat."},
 	NoRoute:          {"NoRoute", NotRun, http.StatusNotFound, "No route of the version in force matches the request."},
 	NoBackendServer:  {"NoBackendServer", NotRun, http.StatusServiceUnavailable, "No backend server of the service is present."},
 	Overloaded:       {"Overloaded", NotRun, http.StatusServiceUnavailable, "All slots and the queue are full."},
@@ -135,6 +149,8 @@
 	AnnounceInvalid:  {"AnnounceInvalid", NotRun, http.StatusUnprocessableEntity, "The announcement has faults; each is listed."},
 	UsageError:       {"UsageError", NotRun, http.StatusBadRequest, "The command line or the settings have faults."},
 	Unreachable:      {"Unreachable", NotRun, http.StatusServiceUnavailable, "No daemon answered at the given address."},
+	NotInForce:       {"NotInForce", Run, http.StatusGatewayTimeout, "The manifest was accepted, but was not in force on every daemon in the time given."},
+	NotIdle:          {"NotIdle", Run, http.StatusGatewayTimeout, "The drain was begun and takes no new work, but requests were still in progress after the time given."},
 }
 
 // Codes returns every defined code with its name and meaning, in no order.
