Bound the view, repair presence by a digest tree, probe the unlinked

Cause: known candidates, links under a join storm and digests grew with the fleet (each differing digest sent every stamp, about 40 B for each daemon); a tombstone existed only where it was dropped; a daemon whose neighbours were all beyond a partition was never found; a full directory was built at each change. Ruled out: HyParView's shuffles (presence names every daemon anyway); links listed in records (each restart would spread some 25 records); periodic renewal of every record (670 B/s for each daemon at 10,000 with 5 minutes). Change: view with 5 to 7 links spread over failure domains, 8 candidates in each scope, referrals, displacing of links, come back in; presence with stamps that have a Life, a 16-ary digest tree, paged catch-up, tombstones that answer old copies, SWIM probes of random daemons, takeover of own older records and report of a second daemon with one name; package membership joins both, and runs alike in mesh and in the in-memory driver of its tests; directory.Builder takes one change at a time; what one event sends goes in one envelope. TestSuspectUnion gave both daemons the same empty name; they have names now, for the union is by owner.

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -166,6 +166,16 @@
 	return &countedConn{Conn: conn, traffic: p.traffic}, nil
 }
 
+// Reachable reports whether anyone listens at addr.
+func Reachable(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (p *Pool) drop(addr string, client *rpc.Client) {
 	p.mu.Lock()
 	if p.clients[addr] == client {
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -102,9 +102,10 @@
 }
 
 func (d *Daemon) sendItems(ctx context.Context, addr string, items []mesh.Item) error {
-	err := d.pool.Call(ctx, addr, meshDeliver, mesh.Envelope{From: d.self, Items: items}, &Empty{})
+	err := d.pool.Call(ctx, addr, meshDeliver, mesh.Envelope{From: d.self.Name, Items: items}, &Empty{})
 	if err != nil {
 		d.log.V(1).Info("envelope not delivered", "to", addr, "error", err.Error())
+		d.mesh.Unreachable(addr)
 	}
 	return err
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -33,15 +33,17 @@
 // The timing of the control side.
 const (
 	tickInterval     = 100 * time.Millisecond
-	linkInterval     = 500 * time.Millisecond
+	linkInterval     = time.Second
 	linkSilence      = 2500 * time.Millisecond
 	digestInterval   = time.Second
 	presenceInterval = time.Second
 	suspectFor       = 1500 * time.Millisecond
-	forgetAfter      = 10 * time.Minute
+	forgetAfter      = 2 * time.Hour
+	probeInterval    = 10 * time.Second
 	beatInterval     = time.Second
 	staleAfter       = 5 * time.Second
 	activeLinks      = 5
+	maxLinks         = 7
 	deltaHistory     = 64
 
 	sourceTick           = 50 * time.Millisecond
@@ -141,11 +143,15 @@
 	seed := xxhash.Sum64String(d.set.Node) ^ incarnation
 	control, err := mesh.New(mesh.Config{
 		View: view.Config{
-			Self: d.self, Seeds: d.seeds(), Active: activeLinks,
+			Self: d.self, Seeds: d.seeds(), Active: activeLinks, Max: maxLinks,
 			Silence: linkSilence, Interval: linkInterval, Seed: seed,
 		},
-		Spread:       spread.Config{DigestInterval: digestInterval, StaleAfter: staleAfter, History: deltaHistory},
-		Presence:     presence.Config{Self: d.self, Incarnation: incarnation, DigestInterval: presenceInterval, SuspectFor: suspectFor, ForgetAfter: forgetAfter},
+		Spread: spread.Config{DigestInterval: digestInterval, StaleAfter: staleAfter, History: deltaHistory},
+		Presence: presence.Config{
+			Self: d.self, Incarnation: incarnation, DigestInterval: presenceInterval, SuspectFor: suspectFor,
+			ForgetAfter: forgetAfter, ProbeInterval: probeInterval, Seed: seed,
+		},
+		Probe:        peer.Reachable,
 		TickInterval: tickInterval, Beat: d.leads, BeatInterval: beatInterval,
 	}, d.items, d.log.WithName("mesh"))
 	if err != nil {
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -1,11 +1,10 @@
 // Package mesh runs the control side of one daemon: one goroutine owns the
-// decisions of packages view, spread and presence, feeds them with messages and
+// decisions of packages membership and spread, feeds them with messages and
 // time, and publishes what they arrive at as immutable values.
 package mesh
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +27,8 @@
 
 // Envelope is what one daemon sends to another in one call.
 type Envelope struct {
-	From  view.Node
+	// From is the name of the sender.
+	From  string
 	Items []Item
 }
 
@@ -37,6 +37,9 @@
 	Put(addr string, items ...Item)
 }
 
+// Prober asks whether a peer address can be reached.
+type Prober func(addr string) bool
+
 // Config is fixed for the life of a Mesh.
 type Config struct {
 	View     view.Config
@@ -44,6 +47,8 @@
 	Presence presence.Config
 	// TickInterval is the time between ticks of all three.
 	TickInterval time.Duration
+	// Probe is called in a goroutine of its own.
+	Probe Prober
 	// Beat returns the term and whether this node leads the sources; the
 	// heartbeat is sent each BeatInterval while it does.
 	Beat         func() (term uint64, leads bool)
@@ -59,6 +64,9 @@
 	Confirmed bool             `json:"confirmed"`
 	Links     []view.Node      `json:"links"`
 	Nodes     int              `json:"nodes"`
+	// Conflict is the address of another live daemon that has this one's name,
+	// "unknown" when it could not be told; empty when there was none.
+	Conflict string `json:"conflict,omitempty"`
 }
 
 // Mesh is the running control side.
@@ -67,11 +75,9 @@
 	log    logr.Logger
 	sender Sender
 
-	view     *view.Core
+	members  *members
 	spread   *spread.Core
-	presence *presence.Core
 	current  *snapshot.Snapshot
-	addrs    map[string]string
 	lastBeat time.Time
 	changed  bool
 
@@ -88,9 +94,8 @@
 	}
 	m := &Mesh{
 		cfg: cfg, log: log, sender: sender,
-		view: view.New(cfg.View), spread: spread.New(cfg.Spread, fleet.Empty()),
-		presence: presence.New(cfg.Presence), current: empty,
-		addrs: map[string]string{}, ops: make(chan func(time.Time), 256),
+		members: newMembers(cfg, empty), spread: spread.New(cfg.Spread, fleet.Empty()),
+		current: empty, ops: make(chan func(time.Time), 256),
 	}
 	m.publish(time.Now())
 	return m, nil
@@ -112,16 +117,24 @@
 			return
 		case now := <-ticker.C:
 			m.tick(now)
+			m.after(now)
 		case op := <-m.ops:
-			op(time.Now())
-		}
-		if m.changed {
-			m.changed = false
-			m.publish(time.Now())
+			now := time.Now()
+			op(now)
+			m.after(now)
 		}
 	}
 }
 
+// after sends and publishes what an event has led to.
+func (m *Mesh) after(now time.Time) {
+	m.flush(now)
+	if m.members.due(now) || m.changed {
+		m.changed = false
+		m.publish(now)
+	}
+}
+
 // Deliver takes in an envelope; it drops it when overrun.
 func (m *Mesh) Deliver(e Envelope) {
 	select {
@@ -135,25 +148,9 @@
 	m.ops <- func(time.Time) { m.doSpread(m.spread.Publish(state)) }
 }
 
-// SetServers replaces the backend servers beside this daemon.
-func (m *Mesh) SetServers(servers []presence.Server) {
-	m.ops <- func(time.Time) { m.doPresence(m.presence.SetServers(servers)) }
-}
-
-// SetSuspects replaces the suspects in this daemon's record.
-func (m *Mesh) SetSuspects(suspects []presence.Suspect) {
-	m.ops <- func(time.Time) { m.doPresence(m.presence.SetSuspects(suspects)) }
-}
-
-// Leave tells the fleet that this daemon is about to stop.
-func (m *Mesh) Leave() {
-	m.ops <- func(time.Time) { m.doPresence(m.presence.Leave()) }
-}
-
 func (m *Mesh) tick(now time.Time) {
-	m.doView(now, m.view.Tick(now))
+	m.doMembers(now, m.members.core.Tick(now))
 	m.doSpread(m.spread.Tick(now))
-	m.doPresence(m.presence.Tick(now))
 	if term, leads := m.cfg.Beat(); leads && now.Sub(m.lastBeat) >= m.cfg.BeatInterval {
 		m.lastBeat = now
 		m.doSpread(m.spread.Beat(now, term))
@@ -162,36 +159,16 @@
 }
 
 func (m *Mesh) receive(now time.Time, e Envelope) {
-	m.view.Heard(now, e.From)
+	m.members.core.Heard(now, e.From)
 	for _, item := range e.Items {
 		if item.View != nil {
-			m.doView(now, m.view.Receive(now, e.From, *item.View))
+			m.doMembers(now, m.members.core.ReceiveView(now, e.From, *item.View))
 		}
 		if item.Spread != nil {
-			m.doSpread(m.spread.Receive(now, e.From.Name, *item.Spread))
+			m.doSpread(m.spread.Receive(now, e.From, *item.Spread))
 		}
 		if item.Presence != nil {
-			m.doPresence(m.presence.Receive(now, e.From.Name, *item.Presence))
-		}
-	}
-	m.publishStatus(now)
-}
-
-func (m *Mesh) doView(now time.Time, actions []view.Action) {
-	for _, a := range actions {
-		switch {
-		case a.Send != nil:
-			m.sender.Put(a.Send.To.Addr, Item{View: &a.Send.Message})
-		case a.Up != nil:
-			m.log.V(1).Info("link up", "node", a.Up.Name)
-			m.addrs[a.Up.Name] = a.Up.Addr
-			m.doSpread(m.spread.LinkUp(a.Up.Name))
-			m.doPresence(m.presence.LinkUp(a.Up.Name))
-		case a.Down != nil:
-			m.log.V(1).Info("link down", "node", a.Down.Node.Name, "failed", a.Down.Failed)
-			m.spread.LinkDown(a.Down.Node.Name)
-			m.doPresence(m.presence.LinkDown(now, a.Down.Node.Name, a.Down.Failed))
-			delete(m.addrs, a.Down.Node.Name)
+			m.doMembers(now, m.members.core.ReceivePresence(now, e.From, *item.Presence))
 		}
 	}
 }
@@ -222,44 +199,24 @@
 	m.log.Info("version in force", "version", state.Version)
 }
 
-func (m *Mesh) doPresence(actions []presence.Action) {
-	for _, a := range actions {
-		if a.Send != nil {
-			m.put(a.Send.To, Item{Presence: &a.Send.Message})
-		}
-		if a.Changed {
-			m.changed = true
-		}
-	}
-}
-
+// put queues an item for a linked daemon until the event is over.
 func (m *Mesh) put(node string, item Item) {
-	if addr, ok := m.addrs[node]; ok {
-		m.sender.Put(addr, item)
+	if to, linked := m.members.core.Link(node); linked {
+		m.members.out[to] = append(m.members.out[to], item)
 	}
 }
 
 func (m *Mesh) publish(now time.Time) {
-	records := m.presence.Records()
-	for _, r := range records {
-		m.view.Learn(r.Node)
-	}
-	m.directory.Store(directory.Build(m.current, records))
+	m.directory.Store(m.members.publish(now, m.current))
 	m.publishStatus(now)
 }
 
 func (m *Mesh) publishStatus(now time.Time) {
 	beat, _ := m.spread.Heartbeat()
-	m.status.Store(&Status{
+	s := Status{
 		Version: m.current.Version, Hash: m.current.Hash, Heartbeat: beat,
 		Stale: m.spread.Stale(now), Confirmed: m.spread.Confirmed(),
-		Links: slices.Clone(m.view.Links()), Nodes: len(m.directoryRecords()),
-	})
-}
-
-func (m *Mesh) directoryRecords() []presence.Record {
-	if d := m.directory.Load(); d != nil {
-		return d.Records
 	}
-	return nil
+	m.memberStatus(&s)
+	m.status.Store(&s)
 }
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -1,168 +1,109 @@
 // Package presence keeps the soft state of the fleet: which daemons there are
 // and which backend servers stand beside each. Every record has one owner, its
-// daemon, who alone raises Incarnation and Seq; the newer record wins.
+// daemon, who alone raises Incarnation, Seq and Life; the newer record wins.
 //
-// A daemon that fell silent is suspected by a neighbour; it refutes with a
-// newer record, or its record is dropped after a delay.
+// A daemon that fell silent is suspected by its neighbours, or by whoever
+// probes it in vain; it refutes by raising Life, or its record is dropped after
+// a delay, as in Das, Gupta and Motivala, "SWIM: scalable weakly-consistent
+// infection-style process group membership protocol" (2002). News goes over
+// every link once; a digest tree finds what was missed.
 //
 // The package does no I/O: messages and time come in, actions go out.
 package presence
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/process/view"
 )
 
-// ServerState is the phase of a backend server's life.
-type ServerState uint8
-
-// The states of a backend server, in the order of its life.
-const (
-	Joining ServerState = iota
-	Warming
-	Serving
-	Draining
-)
-
-// TakesWork reports whether a server in this state gets new requests.
-func (s ServerState) TakesWork() bool { return s == Warming || s == Serving }
-
-// Server is one backend server beside the record's owner.
-type Server struct {
-	Mesh    string
-	Service string
-	// Addr is the address of the backend server, "ip:port".
-	Addr        string
-	Slots       int
-	Connections int
-	State       ServerState
-	// Since is when the server began to take work, by the owner's clock, in Unix
-	// milliseconds: its first announcement as warming or serving after it was
-	// unknown or draining. 0 while it takes none.
-	Since int64
-}
-
-// Record is what a daemon says of itself.
-type Record struct {
-	Node view.Node
-	// Incarnation is the start time of the owner's process in Unix
-	// milliseconds; Seq counts its records.
-	Incarnation uint64
-	Seq         uint64
-	// Leaving is set before a planned stop: no new work.
-	Leaving bool
-	Servers []Server
-	// Suspects are requests in progress at crashes beside the owner; at most
-	// MaxSuspects.
-	Suspects []Suspect
-}
-
-// newer reports whether r follows o.
-func (r *Record) newer(o *Record) bool {
-	return r.Incarnation > o.Incarnation || (r.Incarnation == o.Incarnation && r.Seq > o.Seq)
-}
-
-// Stamp names one state of a record.
-type Stamp struct {
-	Name        string
-	Incarnation uint64
-	Seq         uint64
-}
-
-// MessageType tells what a Message is.
-type MessageType uint8
-
-// The message types.
-const (
-	// MsgRecords brings records.
-	MsgRecords MessageType = iota + 1
-	// MsgDigest brings a hash over all stamps.
-	MsgDigest
-	// MsgStamps brings every stamp, after a digest that differed.
-	MsgStamps
-	// MsgSuspect says that a node fell silent.
-	MsgSuspect
-)
-
-// Message is what presences exchange.
-type Message struct {
-	Type    MessageType
-	Records []Record
-	Digest  uint64
-	Stamps  []Stamp
-	Suspect Stamp
-}
-
-// Action is what the driver must do; exactly one field is set.
-type Action struct {
-	Send *Send
-	// Changed tells that the table changed.
-	Changed bool
-}
-
-// Send delivers a message to a linked node.
-type Send struct {
-	To      string
-	Message Message
-}
-
-// Config is fixed for the life of a Core.
-type Config struct {
-	Self view.Node
-	// Incarnation of this process.
-	Incarnation uint64
-	// DigestInterval is the time between digests to one random link.
-	DigestInterval time.Duration
-	// SuspectFor is how long a suspect has to refute.
-	SuspectFor time.Duration
-	// ForgetAfter is how long a dropped record's stamp is kept, so that an old
-	// copy does not come back.
-	ForgetAfter time.Duration
-}
-
-type entry struct {
-	record Record
-	// suspected is when the suspicion began; zero when there is none.
-	suspected time.Time
-	// gone is when the record was dropped; zero while it counts.
-	gone time.Time
-}
-
 // Core holds the table. It is not safe for concurrent use.
+//
+// Invariants: the stamp of an entry never falls; a dropped record counts again
+// only with a newer stamp, or, at a daemon that was cut off itself, when another
+// daemon says that it is alive.
 type Core struct {
 	cfg   Config
+	id    ID
+	rand  *rand.Rand
 	self  Record
-	table map[string]*entry
+	table *table
 	links map[string]bool
-	next  time.Time
-	turn  int
+
+	// suspects are the entries with suspected set.
+	suspects map[ID]bool
+	next     time.Time
+	pull     pull
+	probing  probing
+	takeover takeover
+	// forgetNext is when tombstones are looked through next.
+	forgetNext time.Time
 }
 
 // New returns a Core that knows only itself.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg, table: map[string]*entry{}, links: map[string]bool{}}
+	c := &Core{
+		cfg: cfg, id: IDOf(cfg.Self.Name), rand: rand.New(rand.NewPCG(cfg.Seed, 3)),
+		table: newTable(), links: map[string]bool{}, suspects: map[ID]bool{},
+	}
 	c.self = Record{Node: cfg.Self, Incarnation: cfg.Incarnation, Seq: 1}
-	c.table[cfg.Self.Name] = &entry{record: c.self}
+	c.storeSelf()
 	return c
 }
 
 // Records returns the records that count, in order of name.
 func (c *Core) Records() []Record {
-	var records []Record
-	for _, name := range slices.Sorted(maps.Keys(c.table)) {
-		if e := c.table[name]; e.gone.IsZero() {
-			records = append(records, e.record)
-		}
+	records := make([]Record, 0, len(c.table.alive))
+	for _, r := range c.table.alive {
+		records = append(records, *r)
 	}
+	slices.SortFunc(records, func(a, b Record) int { return compare(a.Node.Name, b.Node.Name) })
 	return records
 }
 
-// SetServers replaces the backend servers beside this daemon.
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// All returns the records that count, in no order. They must not be changed;
+// the slice belongs to the caller.
+func (c *Core) All() []*Record { return slices.Clone(c.table.alive) }
+
+// Len is the number of records that count.
+func (c *Core) Len() int { return len(c.table.alive) }
+
+// Node returns the daemon named, while its record counts.
+func (c *Core) Node(name string) (view.Node, bool) {
+	if e := c.table.entries[IDOf(name)]; e != nil && e.state == alive {
+		return e.record.Node, true
+	}
+	return view.Node{}, false
+}
+
+// Pick returns a random daemon of a scope as seen from this one.
+func (c *Core) Pick(s view.Scope) (view.Node, bool) {
+	e := c.table.pickWhere(c.rand, func(r *Record) bool {
+		return r.Node.Name != c.cfg.Self.Name && c.cfg.Self.ScopeOf(r.Node) == s
+	})
+	if e == nil {
+		return view.Node{}, false
+	}
+	return e.record.Node, true
+}
+
+// SetServers replaces the backend servers beside this daemon; of more than
+// MaxServers the last are left out.
 func (c *Core) SetServers(servers []Server) []Action {
-	c.self.Servers = servers
+	c.self.Servers = slices.Clone(servers[:min(len(servers), MaxServers)])
 	return c.renew()
 }
 
@@ -179,16 +120,24 @@
 	return c.renew()
 }
 
+// renew spreads a new content of the own record.
 func (c *Core) renew() []Action {
 	c.self.Seq++
-	c.table[c.cfg.Self.Name].record = c.self
-	actions := []Action{{Changed: true}}
-	return append(actions, c.broadcast(Message{Type: MsgRecords, Records: []Record{c.self}}, "")...)
+	c.self.Life = 0
+	change := c.storeSelf()
+	news := Message{Type: MsgRecords, Records: []Record{c.self}}
+	return append([]Action{{Change: change}}, c.broadcast(news, "")...)
 }
 
+func (c *Core) storeSelf() *Change {
+	r := c.self
+	return c.table.set(&r, r.stamp())
+}
+
+// broadcast sends m on every link but one.
 func (c *Core) broadcast(m Message, except string) []Action {
 	var actions []Action
-	for _, name := range slices.Sorted(maps.Keys(c.links)) {
+	for _, name := range c.linkNames() {
 		if name != except {
 			actions = append(actions, c.send(name, m))
 		}
@@ -196,162 +145,128 @@
 	return actions
 }
 
+func (c *Core) linkNames() []string { return slices.Sorted(maps.Keys(c.links)) }
+
 func (c *Core) send(to string, m Message) Action {
 	return Action{Send: &Send{To: to, Message: m}}
 }
 
 // LinkUp adds a link and begins a comparison.
-func (c *Core) LinkUp(node string) []Action {
+func (c *Core) LinkUp(now time.Time, node string) []Action {
+	if len(c.links) == 0 {
+		c.clearSuspicions()
+	}
 	c.links[node] = true
-	return []Action{c.send(node, Message{Type: MsgDigest, Digest: c.digest()})}
+	c.forgive(now)
+	var actions []Action
+	if !c.pull.done {
+		actions = append(actions, c.send(node, Message{Type: MsgRecords, Records: []Record{c.self}}))
+	}
+	if pull := c.startPull(now); pull != nil {
+		return append(actions, pull...)
+	}
+	return append(actions, c.sendDigest(node))
 }
 
 // LinkDown removes a link; failed begins a suspicion.
 func (c *Core) LinkDown(now time.Time, node string, failed bool) []Action {
 	delete(c.links, node)
-	e := c.table[node]
-	if !failed || e == nil || !e.gone.IsZero() {
-		return nil
-	}
-	return c.suspect(now, Stamp{Name: node, Incarnation: e.record.Incarnation, Seq: e.record.Seq}, "")
-}
-
-func (c *Core) suspect(now time.Time, s Stamp, from string) []Action {
-	if s.Name == c.cfg.Self.Name {
-		if s.Incarnation == c.self.Incarnation && s.Seq >= c.self.Seq {
-			c.self.Seq = s.Seq
-			return c.renew()
-		}
-		return nil
-	}
-	e := c.table[s.Name]
-	if e == nil || !e.gone.IsZero() || !e.suspected.IsZero() {
-		return nil
+	var actions []Action
+	if c.pull.from == node {
+		c.pull.from = ""
+		actions = c.startPull(now)
 	}
-	if e.record.Incarnation != s.Incarnation || e.record.Seq != s.Seq {
-		return nil
+	e := c.table.entries[IDOf(node)]
+	if !failed || e == nil || e.state != alive {
+		return actions
 	}
-	e.suspected = now
-	return c.broadcast(Message{Type: MsgSuspect, Suspect: s}, from)
+	c.probing.hunt(e.record.Node.Domain)
+	return append(actions, c.suspect(now, e.stamp, "")...)
 }
 
 // Receive takes in a message of a linked node.
 func (c *Core) Receive(now time.Time, from string, m Message) []Action {
 	switch m.Type {
 	case MsgRecords:
-		return c.receiveRecords(now, from, m.Records)
+		return c.receiveRecords(now, from, m)
+	case MsgRefute:
+		return c.receiveRefutes(now, from, m.Stamps)
+	case MsgSuspect:
+		return c.receiveClaims(now, from, m.Claims)
 	case MsgDigest:
-		if m.Digest != c.digest() {
-			return []Action{c.send(from, Message{Type: MsgStamps, Stamps: c.stamps()})}
-		}
+		return c.receiveDigests(from, m.Digest)
 	case MsgStamps:
-		return c.receiveStamps(from, m.Stamps)
-	case MsgSuspect:
-		return c.suspect(now, m.Suspect, from)
+		return c.receiveStamps(now, from, m)
+	case MsgPull:
+		return c.receivePull(now, from, m.From)
+	case MsgWant:
+		return c.receiveWant(from, m.Want)
 	}
 	return nil
 }
 
-func (c *Core) receiveRecords(now time.Time, from string, records []Record) []Action {
+// repairNews is the most repaired records that are passed on: a few are likely
+// news to the neighbours too, many are this daemon's own catching up.
+const repairNews = 8
+
+func (c *Core) receiveRecords(now time.Time, from string, m Message) []Action {
 	var fresh []Record
-	for _, r := range records {
-		if c.merge(r) {
-			fresh = append(fresh, r)
+	var actions []Action
+	for i := range m.Records {
+		r := &m.Records[i]
+		change, reply := c.merge(now, from, r)
+		if change != nil {
+			actions = append(actions, Action{Change: change})
+			fresh = append(fresh, *r)
 		}
+		actions = append(actions, reply...)
+	}
+	if m.Repair && (len(fresh) > repairNews || !c.pull.done) {
+		return actions
 	}
 	if len(fresh) == 0 {
-		return nil
+		return actions
 	}
-	actions := []Action{{Changed: true}}
 	return append(actions, c.broadcast(Message{Type: MsgRecords, Records: fresh}, from)...)
 }
 
-func (c *Core) merge(r Record) bool {
-	if r.Node.Name == c.cfg.Self.Name {
-		return false
-	}
-	e := c.table[r.Node.Name]
-	if e != nil && !r.newer(&e.record) {
-		return false
-	}
-	c.table[r.Node.Name] = &entry{record: r}
-	return true
-}
-
-// receiveStamps answers with what the other side lacks, and asks for the rest
-// by sending the own stamps back once.
-func (c *Core) receiveStamps(from string, stamps []Stamp) []Action {
-	theirs := map[string]Stamp{}
-	for _, s := range stamps {
-		theirs[s.Name] = s
-	}
-	var newer []Record
-	behind := false
-	for _, r := range c.Records() {
-		s, ok := theirs[r.Node.Name]
-		if !ok || r.newer(&Record{Incarnation: s.Incarnation, Seq: s.Seq}) {
-			newer = append(newer, r)
-		}
+// merge takes a record in if it is newer; else the sender may need to learn
+// what is known here.
+func (c *Core) merge(now time.Time, from string, r *Record) (*Change, []Action) {
+	s := r.stamp()
+	if s.ID == c.id {
+		return nil, c.sawSelf(now, s, &r.Node)
 	}
-	for _, s := range stamps {
-		e := c.table[s.Name]
-		if e == nil || (&Record{Incarnation: s.Incarnation, Seq: s.Seq}).newer(&e.record) {
-			behind = true
-		}
+	e := c.table.entries[s.ID]
+	if e == nil || s.newer(e.stamp) || (e.state == dormant && s == e.stamp) {
+		r.compact()
+		delete(c.suspects, s.ID)
+		return c.table.set(r, s), nil
 	}
-	var actions []Action
-	if len(newer) > 0 {
-		actions = append(actions, c.send(from, Message{Type: MsgRecords, Records: newer}))
+	if e.state == gone {
+		return nil, []Action{c.send(from, Message{Type: MsgSuspect, Claims: []Claim{c.claim(now, e)}})}
 	}
-	if behind {
-		actions = append(actions, c.send(from, Message{Type: MsgStamps, Stamps: c.stamps()}))
-	}
-	return actions
+	return nil, nil
 }
 
-func (c *Core) stamps() []Stamp {
-	var stamps []Stamp
-	for _, r := range c.Records() {
-		stamps = append(stamps, Stamp{Name: r.Node.Name, Incarnation: r.Incarnation, Seq: r.Seq})
-	}
-	return stamps
+func (c *Core) claim(now time.Time, e *entry) Claim {
+	age := max(int64(now.Sub(e.since)/time.Second), 1)
+	return Claim{Stamp: e.stamp, Age: uint32(age)}
 }
 
-// digest is an order-free hash over all stamps.
-func (c *Core) digest() uint64 {
-	var sum uint64
-	for _, s := range c.stamps() {
-		sum += s.hash()
-	}
-	return sum
-}
-
-// Tick drops suspects whose time is over and sends a digest when it is due.
+// Tick drops suspects whose time is over, and sends digests, pulls and probes
+// when they are due.
 func (c *Core) Tick(now time.Time) []Action {
 	actions := c.expire(now)
-	if now.Before(c.next) || len(c.links) == 0 {
+	if len(c.links) == 0 {
 		return actions
 	}
-	c.next = now.Add(c.cfg.DigestInterval)
-	names := slices.Sorted(maps.Keys(c.links))
-	c.turn++
-	to := names[c.turn%len(names)]
-	return append(actions, c.send(to, Message{Type: MsgDigest, Digest: c.digest()}))
-}
-
-func (c *Core) expire(now time.Time) []Action {
-	changed := false
-	for name, e := range c.table {
-		if e.gone.IsZero() && !e.suspected.IsZero() && now.Sub(e.suspected) > c.cfg.SuspectFor {
-			e.gone = now
-			changed = true
-		}
-		if !e.gone.IsZero() && now.Sub(e.gone) > c.cfg.ForgetAfter {
-			delete(c.table, name)
-		}
-	}
-	if changed {
-		return []Action{{Changed: true}}
+	actions = append(actions, c.probe(now)...)
+	actions = append(actions, c.retryPull(now)...)
+	if now.Before(c.next) || !c.pull.done {
+		return actions
 	}
-	return nil
+	c.next = now.Add(c.cfg.DigestInterval)
+	names := c.linkNames()
+	return append(actions, c.sendDigest(names[c.rand.IntN(len(names))]))
 }
--- a/internal/process/view/view.go
+++ b/internal/process/view/view.go
@@ -1,5 +1,11 @@
-// Package view decides which few other daemons this one keeps live links to:
-// a small symmetric partial view of the fleet, spread over failure domains.
+// Package view decides which few other daemons this one keeps live links to: a
+// small symmetric partial view of the fleet with a bounded number of links and
+// a bounded number of candidates for more, after Leitão, Pereira and Rodrigues,
+// "HyParView: a membership protocol for reliable gossip-based broadcast"
+// (2007). The links are spread over failure domains, so that a region that is
+// cut off stays connected inside itself. Candidates come from referrals and
+// from the presence table, which names every daemon anyway, in place of
+// HyParView's shuffles.
 //
 // The package does no I/O: messages and time come in, actions go out.
 package view
@@ -10,93 +16,52 @@
 	"time"
 )
 
-// Node is how daemons name one another.
-type Node struct {
-	Name string
-	// Addr is the address of the peer listener.
-	Addr   string
-	Region string
-	Domain string
-}
-
-// MessageType tells what a Message is.
-type MessageType uint8
-
-// The message types.
-const (
-	// MsgJoin asks for a link; the answer is MsgAccept.
-	MsgJoin MessageType = iota + 1
-	// MsgAccept confirms a link and brings some further nodes.
-	MsgAccept
-	// MsgLeave ends a link.
-	MsgLeave
-	// MsgAlive keeps a link alive when nothing else was sent.
-	MsgAlive
-)
-
-// Message is what views exchange.
-type Message struct {
-	Type  MessageType
-	Known []Node
-}
-
-// Action is what the driver must do; exactly one field is set.
-type Action struct {
-	// Send delivers Message to a node.
-	Send *Send
-	// Up tells that a link is now live.
-	Up *Node
-	// Down tells that a link has ended; Failed when the other side fell silent.
-	Down *Down
-}
-
-// Send delivers a message.
-type Send struct {
-	To      Node
-	Message Message
-}
-
-// Down is the end of a link.
-type Down struct {
-	Node   Node
-	Failed bool
-}
-
-// Config is fixed for the life of a Core.
-type Config struct {
-	Self  Node
-	Seeds []string
-	// Active is the number of links to aim for.
-	Active int
-	// Silence is how long a link may be silent before it counts as failed.
-	Silence time.Duration
-	// Interval is the time between keep-alives.
-	Interval time.Duration
-	Seed     uint64
+type link struct {
+	node Node
+	// heard and sent are the times of the last message in each direction.
+	heard, sent time.Time
 }
 
-type link struct {
-	node  Node
-	heard time.Time
+// attempt is a join that waits for its answer. At most one is under way.
+type attempt struct {
+	// name is empty when a seed is asked.
+	name, addr string
+	until      time.Time
 }
 
 // Core holds the view. It is not safe for concurrent use.
+//
+// Invariant: len(links) is at most cfg.Max.
 type Core struct {
-	cfg   Config
-	rand  *rand.Rand
-	links map[string]*link
-	// known are candidates for new links.
-	known map[string]Node
-	next  time.Time
+	cfg        Config
+	want       [scopes]int
+	rand       *rand.Rand
+	links      map[string]*link
+	candidates candidates
+	attempt    *attempt
+
+	// restless asks for one link more than wanted.
+	restless bool
+	// fleet is the number of daemons known.
+	fleet int
+	// seedNext is when a seed is asked next; seedFailures counts vain attempts.
+	seedNext     time.Time
+	seedFailures int
+	// displaceNext is when a full view may displace a link again.
+	displaceNext time.Time
+	// refused counts the refusals since refusedSince.
+	refused      int
+	refusedSince time.Time
 }
 
 // New returns a Core without links.
 func New(cfg Config) *Core {
+	r := rand.New(rand.NewPCG(cfg.Seed, 2))
+	near := (cfg.Active - 1) / 2
 	return &Core{
-		cfg:   cfg,
-		rand:  rand.New(rand.NewPCG(cfg.Seed, 2)),
-		links: map[string]*link{},
-		known: map[string]Node{},
+		cfg: cfg, rand: r, links: map[string]*link{}, fleet: 1,
+		want:       [scopes]int{SameDomain: near, SameRegion: cfg.Active - 1 - near, OtherRegion: 1},
+		candidates: candidates{self: cfg.Self, rand: r},
 	}
 }
 
@@ -106,133 +71,236 @@
 	for _, l := range c.links {
 		nodes = append(nodes, l.node)
 	}
-	slices.SortFunc(nodes, func(a, b Node) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(nodes, compareNames)
 	return nodes
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
+// Linked reports whether there is a link to the node named.
+func (c *Core) Linked(name string) bool { return c.links[name] != nil }
 
 // Learn adds candidates for links.
 func (c *Core) Learn(nodes ...Node) {
 	for _, n := range nodes {
-		if n.Name != c.cfg.Self.Name {
-			c.known[n.Name] = n
-		}
+		c.candidates.learn(n)
 	}
 }
 
-// Forget removes a candidate that is known to be gone.
-func (c *Core) Forget(name string) { delete(c.known, name) }
+// Lacks reports whether a scope has room for more candidates.
+func (c *Core) Lacks(s Scope) bool { return len(c.candidates.scopes[s]) < scopeCandidates }
+
+// SetFleet tells how many daemons are known; seeds are asked less often in a
+// large fleet.
+func (c *Core) SetFleet(n int) { c.fleet = max(n, 1) }
+
+// Seek looks for a link to another node, in the place of one that is there if
+// need be: the present ones do not bring what they should.
+func (c *Core) Seek() {
+	c.restless = true
+	c.seedNext = time.Time{}
+}
 
 // Heard notes that a node said something, whatever it was.
-func (c *Core) Heard(now time.Time, from Node) {
-	if l, ok := c.links[from.Name]; ok {
+func (c *Core) Heard(now time.Time, name string) {
+	if l := c.links[name]; l != nil {
 		l.heard = now
 	}
 }
 
-// Receive takes in a message.
-func (c *Core) Receive(now time.Time, from Node, m Message) []Action {
-	c.Learn(from)
-	c.Learn(m.Known...)
+// Sent notes that something was sent to a node; it spares a keep-alive.
+func (c *Core) Sent(now time.Time, name string) {
+	if l := c.links[name]; l != nil {
+		l.sent = now
+	}
+}
+
+// Unreachable notes that nothing could be delivered to an address. A join that
+// waits for it ends now; a link is left to its time of silence.
+func (c *Core) Unreachable(now time.Time, addr string) []Action {
+	if c.attempt == nil || c.attempt.addr != addr {
+		return nil
+	}
+	c.attemptFailed(now)
+	return c.seek(now)
+}
+
+// Stray answers a node that takes this one for a link.
+func (c *Core) Stray(from Node) []Action {
+	return []Action{c.send(from, Message{Type: MsgLeave})}
+}
+
+// Receive takes in a message. MsgAlive needs no answer of its own.
+func (c *Core) Receive(now time.Time, from string, m Message) []Action {
 	switch m.Type {
 	case MsgJoin:
-		return append(c.up(now, from), c.send(from, Message{Type: MsgAccept, Known: c.sample(from.Name)}))
+		if m.Node != nil {
+			return c.receiveJoin(now, *m.Node, m.Urgent)
+		}
 	case MsgAccept:
-		return c.up(now, from)
+		if m.Node != nil {
+			return c.receiveAccept(now, *m.Node, m.Known)
+		}
+	case MsgRefuse:
+		if m.Node != nil {
+			return c.receiveRefuse(now, *m.Node, m)
+		}
 	case MsgLeave:
-		return c.down(from.Name, false)
+		c.Learn(m.Known...)
+		c.candidates.postpone(now, from, minBackoff)
+		return append(c.down(from, false), c.seek(now)...)
 	}
 	return nil
 }
 
+func (c *Core) receiveJoin(now time.Time, from Node, urgent bool) []Action {
+	if from.Name == c.cfg.Self.Name {
+		if from.Addr == c.cfg.Self.Addr {
+			return nil
+		}
+		return []Action{{Conflict: &from}, c.refuse(now, from)}
+	}
+	var actions []Action
+	if old := c.links[from.Name]; old != nil {
+		if old.node.Addr != from.Addr && now.Sub(old.heard) < c.cfg.Silence {
+			return []Action{{Conflict: &from}, c.refuse(now, from)}
+		}
+		actions = c.down(from.Name, false)
+	}
+	if len(c.links) >= c.cfg.Max {
+		if !urgent || now.Before(c.displaceNext) {
+			return append(actions, c.refuse(now, from))
+		}
+		c.displaceNext = now.Add(c.cfg.Interval)
+		actions = append(actions, c.displace(from)...)
+	}
+	accept := c.send(from, Message{Type: MsgAccept, Node: &c.cfg.Self, Known: c.sample(from.Name)})
+	return append(append(actions, accept), c.up(now, from)...)
+}
+
+func (c *Core) receiveAccept(now time.Time, from Node, known []Node) []Action {
+	c.Learn(known...)
+	c.answered(from)
+	if from.Name == c.cfg.Self.Name {
+		return nil
+	}
+	if l := c.links[from.Name]; l != nil {
+		l.heard = now
+		return nil
+	}
+	var actions []Action
+	if len(c.links) >= c.cfg.Max {
+		actions = c.displace(from)
+	}
+	return append(append(actions, c.up(now, from)...), c.seek(now)...)
+}
+
+func (c *Core) receiveRefuse(now time.Time, from Node, m Message) []Action {
+	if from.Name == c.cfg.Self.Name && from.Addr != c.cfg.Self.Addr {
+		return []Action{{Conflict: &from}}
+	}
+	c.answered(from)
+	c.Learn(from)
+	c.Learn(m.Known...)
+	c.candidates.postpone(now, from.Name, m.After)
+	if len(c.links) == 0 {
+		c.seedNext = now.Add(m.After/2 + jitter(c.rand, m.After))
+	}
+	return c.seek(now)
+}
+
+// answered ends the attempt that a message of from answers.
+func (c *Core) answered(from Node) {
+	if a := c.attempt; a != nil && (a.name == from.Name || a.addr == from.Addr) {
+		if a.name == "" {
+			c.seedFailures = 0
+		}
+		c.attempt = nil
+	}
+}
+
+const (
+	// refusalCost is the time that each refusal within the last second adds to
+	// "come back in".
+	refusalCost  = 20 * time.Millisecond
+	refusalReset = time.Second
+)
+
+func (c *Core) refuse(now time.Time, to Node) Action {
+	if now.Sub(c.refusedSince) > refusalReset {
+		c.refusedSince, c.refused = now, 0
+	}
+	c.refused++
+	known := c.sample(to.Name)
+	c.Learn(to)
+	after := min(minBackoff+time.Duration(c.refused)*refusalCost, maxBackoff)
+	return c.send(to, Message{Type: MsgRefuse, Node: &c.cfg.Self, Known: known, After: after})
+}
+
 func (c *Core) send(to Node, m Message) Action {
 	return Action{Send: &Send{To: to, Message: m}}
 }
 
-const sampleSize = 8
+// sampleSize is the number of nodes that a referral names.
+const sampleSize = 6
 
+// sample draws from links and candidates alike.
 func (c *Core) sample(except string) []Node {
-	var nodes []Node
-	for _, n := range c.known {
-		if n.Name != except {
-			nodes = append(nodes, n)
+	nodes := c.Links()
+	for _, scope := range c.candidates.scopes {
+		for _, cand := range scope {
+			if c.links[cand.node.Name] == nil && cand.failures == 0 {
+				nodes = append(nodes, cand.node)
+			}
 		}
 	}
-	slices.SortFunc(nodes, func(a, b Node) int { return compare(a.Name, b.Name) })
+	nodes = slices.DeleteFunc(nodes, func(n Node) bool { return n.Name == except })
 	c.rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	return nodes[:min(len(nodes), sampleSize)]
 }
 
 func (c *Core) up(now time.Time, n Node) []Action {
-	if l, ok := c.links[n.Name]; ok {
-		l.heard = now
-		return nil
-	}
-	c.links[n.Name] = &link{node: n, heard: now}
+	c.Learn(n)
+	c.links[n.Name] = &link{node: n, heard: now, sent: now}
 	return []Action{{Up: &n}}
 }
 
 func (c *Core) down(name string, failed bool) []Action {
-	l, ok := c.links[name]
-	if !ok {
+	l := c.links[name]
+	if l == nil {
 		return nil
 	}
 	delete(c.links, name)
 	return []Action{{Down: &Down{Node: l.node, Failed: failed}}}
 }
 
-// Tick ends silent links, looks for new ones and keeps the others alive.
-func (c *Core) Tick(now time.Time) []Action {
-	if now.Before(c.next) {
-		return nil
-	}
-	c.next = now.Add(c.cfg.Interval)
-	var actions []Action
-	for _, n := range c.Links() {
-		if now.Sub(c.links[n.Name].heard) > c.cfg.Silence {
-			actions = append(actions, c.down(n.Name, true)...)
-			continue
+// displace ends one link of the scope that has most to spare, to make room for
+// a node.
+func (c *Core) displace(by Node) []Action {
+	counts := c.counts()
+	counts[c.cfg.Self.ScopeOf(by)]++
+	spare := SameDomain
+	for s := range scopes {
+		if counts[s]-c.want[s] > counts[spare]-c.want[spare] {
+			spare = s
 		}
-		actions = append(actions, c.send(n, Message{Type: MsgAlive}))
-	}
-	return append(actions, c.seek()...)
-}
-
-// seek asks for one more link while there are too few.
-func (c *Core) seek() []Action {
-	if len(c.links) >= c.cfg.Active {
-		return nil
 	}
-	var candidates []Node
-	for _, n := range c.sample("") {
-		if _, linked := c.links[n.Name]; !linked {
-			candidates = append(candidates, n)
+	var victims []Node
+	for _, n := range c.Links() {
+		if c.cfg.Self.ScopeOf(n) == spare {
+			victims = append(victims, n)
 		}
 	}
-	if len(candidates) > 0 {
-		return []Action{c.send(candidates[0], Message{Type: MsgJoin})}
+	if len(victims) == 0 {
+		victims = c.Links()
 	}
-	if len(c.links) > 0 || len(c.cfg.Seeds) == 0 {
-		return nil
-	}
-	seed := c.cfg.Seeds[c.rand.IntN(len(c.cfg.Seeds))]
-	return []Action{c.send(Node{Addr: seed}, Message{Type: MsgJoin})}
+	victim := victims[c.rand.IntN(len(victims))]
+	leave := Message{Type: MsgLeave, Known: []Node{by}}
+	return append(c.down(victim.Name, false), c.send(victim, leave))
 }
 
-// Leave ends every link before a planned stop.
-func (c *Core) Leave() []Action {
-	var actions []Action
-	for _, n := range c.Links() {
-		actions = append(actions, c.send(n, Message{Type: MsgLeave}))
+func (c *Core) counts() [scopes]int {
+	var counts [scopes]int
+	for _, l := range c.links {
+		counts[c.cfg.Self.ScopeOf(l.node)]++
 	}
-	return actions
+	return counts
 }
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -4,9 +4,6 @@
 package directory
 
 import (
-	"math"
-	"net/netip"
-
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/process/view"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
@@ -22,38 +19,19 @@
 // Directory is who serves what, at one version and one state of presence.
 type Directory struct {
 	Snapshot *snapshot.Snapshot
-	// Records are the records the directory was built from.
-	Records    []presence.Record
+	// Records are the records that count, in no order; they must not be changed.
+	Records    []*presence.Record
 	candidates map[snapshot.ServiceKey][]*Candidate
 	suspects   map[uint64]presence.Suspect
 }
 
-// Build makes the directory.
+// Build makes the directory of a version and records.
 func Build(snap *snapshot.Snapshot, records []presence.Record) *Directory {
-	d := &Directory{
-		Snapshot: snap, Records: records,
-		candidates: map[snapshot.ServiceKey][]*Candidate{}, suspects: map[uint64]presence.Suspect{},
-	}
-	for _, r := range records {
-		d.addSuspects(r.Suspects)
-		if r.Leaving {
-			continue
-		}
-		for _, server := range r.Servers {
-			d.add(r.Node, server)
-		}
-	}
-	return d
-}
-
-func (d *Directory) addSuspects(suspects []presence.Suspect) {
-	for _, s := range suspects {
-		known := d.suspects[s.Fingerprint]
-		crashes := min(int(known.Crashes)+int(s.Crashes), math.MaxUint8)
-		d.suspects[s.Fingerprint] = presence.Suspect{
-			Fingerprint: s.Fingerprint, Crashes: uint8(crashes), Until: max(known.Until, s.Until),
-		}
+	pointers := make([]*presence.Record, len(records))
+	for i := range records {
+		pointers[i] = &records[i]
 	}
+	return NewBuilder(snap, pointers).Build(pointers)
 }
 
 // Suspect returns what the whole fleet knows of a request: the crashes that all
@@ -64,22 +42,6 @@
 	return s, known
 }
 
-func (d *Directory) add(node view.Node, server presence.Server) {
-	if !server.State.TakesWork() {
-		return
-	}
-	key := snapshot.ServiceKey{Mesh: server.Mesh, Name: server.Service}
-	service := d.Snapshot.Service(key)
-	if service == nil {
-		return
-	}
-	addr, err := netip.ParseAddrPort(server.Addr)
-	if err != nil || !service.Allows(addr.Addr()) {
-		return
-	}
-	d.candidates[key] = append(d.candidates[key], &Candidate{Node: node, Server: server})
-}
-
-// Candidates returns the backend servers of a service; the slice is shared and
-// must not be changed.
+// Candidates returns the backend servers of a service, by daemon and address;
+// the slice is shared and must not be changed.
 func (d *Directory) Candidates(k snapshot.ServiceKey) []*Candidate { return d.candidates[k] }
--- a/internal/version/directory/suspect_test.go
+++ b/internal/version/directory/suspect_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/view"
 	"github.com/daisygate/daisygate/internal/version/directory"
 	"github.com/daisygate/daisygate/internal/version/fleet"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
@@ -16,7 +17,8 @@
 	c := qt.New(t)
 	snap, err := snapshot.Compile(fleet.Empty())
 	c.Assert(err, qt.IsNil)
-	a, b := presence.New(presence.Config{}), presence.New(presence.Config{})
+	a := presence.New(presence.Config{Self: view.Node{Name: "a"}})
+	b := presence.New(presence.Config{Self: view.Node{Name: "b"}})
 	a.SetSuspects([]presence.Suspect{{Fingerprint: 7, Crashes: 1, Until: 10}})
 	b.SetSuspects([]presence.Suspect{{Fingerprint: 7, Crashes: 1, Until: 30}, {Fingerprint: 8, Crashes: 1, Until: 5}})
 	d := directory.Build(snap, append(a.Records(), b.Records()...))
