--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -199,7 +199,7 @@
 
 // behind are the daemons that do not have the version in force.
 func behind(nodes []operator.FleetNode, version uint64) []operator.FleetNode {
-	var list []operator.FleetNode
+	list := []operator.FleetNode{}
 	for _, n := range nodes {
 		if n.Version < version {
 			list = append(list, n)
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -74,10 +74,10 @@
 	ctx, cancel := context.WithTimeout(ctx, d.wait)
 	defer cancel()
 	for !status.Idle {
-		d.progress.show("%d requests in progress", status.Running)
+		d.progress.show("requests in progress: %d", status.Running)
 		select {
 		case <-ctx.Done():
-			return status, result.Errorf(result.NotIdle, "%d requests still in progress beside daemon %s; they go on and nothing new begins", status.Running, status.Node)
+			return status, result.Errorf(result.NotIdle, "requests still in progress beside daemon %s: %d; they go on and nothing new begins", status.Node, status.Running)
 		case <-time.After(drainPoll):
 		}
 		if seen, err := d.client.DrainStatus(ctx, d.order); err == nil {
@@ -92,7 +92,7 @@
 	if s.Draining {
 		state = "drains"
 	}
-	fmt.Fprintf(w, "daemon %s %s, %d requests in progress\n", s.Node, state, s.Running)
+	fmt.Fprintf(w, "daemon %s %s, requests in progress: %d\n", s.Node, state, s.Running)
 	var rows []string
 	for _, v := range s.Servers {
 		state := "serving"
--- /dev/null
+++ b/internal/connection/operator/handler_test.go
@@ -0,0 +1,153 @@
+package operator_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+const goodManifest = "mesh: m\nversion: 1\nservices: []\nroutes: []\n"
+
+// backend accepts everything; a Submit waits until held is closed.
+type backend struct {
+	operator.Backend
+	held    chan struct{}
+	entered chan struct{}
+}
+
+func (b *backend) NodeStatus() operator.NodeStatus { return operator.NodeStatus{Node: "n1"} }
+
+func (b *backend) Submit(context.Context, *manifest.Manifest) (source.Answer, error) {
+	b.entered <- struct{}{}
+	<-b.held
+	return source.Answer{Code: result.Accepted, Fleet: 1}, nil
+}
+
+func newBackend() *backend {
+	return &backend{held: make(chan struct{}), entered: make(chan struct{}, 100)}
+}
+
+type request struct{ method, path, token, from, body string }
+
+func (r request) send(h http.Handler) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(r.method, r.path, strings.NewReader(r.body))
+	if r.token != "" {
+		req.Header.Set("Authorization", "Bearer "+r.token)
+	}
+	if r.from != "" {
+		req.RemoteAddr = r.from
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	return w
+}
+
+func codeOf(c *qt.C, w *httptest.ResponseRecorder) result.Code {
+	number, err := strconv.Atoi(w.Header().Get(result.HeaderResult))
+	c.Assert(err, qt.IsNil, qt.Commentf("no result code: %d %s", w.Code, w.Body))
+	code := result.Code(number)
+	c.Assert(w.Code, qt.Equals, code.HTTPStatus())
+	return code
+}
+
+// TestEveryAnswerHasACode sends good and bad input to each path.
+func TestEveryAnswerHasACode(t *testing.T) {
+	c := qt.New(t)
+	b := newBackend()
+	close(b.held)
+	h := operator.Handler(operator.Config{Token: "secret", ManifestBytes: 100, SubmitTimeout: time.Second}, b)
+	for _, row := range []struct {
+		request
+		want result.Code
+	}{
+		{request{http.MethodGet, "/v1/status", "secret", "", ""}, result.Answered},
+		{request{http.MethodPost, "/v1/manifests", "secret", "", goodManifest}, result.Accepted},
+		{request{http.MethodGet, "/v1/status", "", "", ""}, result.Unauthorized},
+		{request{http.MethodGet, "/v1/status", "", "127.0.0.1:9", ""}, result.Unauthorized},
+		{request{http.MethodGet, "/v1/status", "secre", "", ""}, result.Unauthorized},
+		{request{http.MethodGet, "/v1/status", "secrets", "", ""}, result.Unauthorized},
+		{request{http.MethodGet, "/nowhere", "secret", "", ""}, result.UnknownResource},
+		{request{http.MethodDelete, "/v1/status", "secret", "", ""}, result.WrongMethod},
+		{request{http.MethodPost, "/v1/manifests", "secret", "", strings.Repeat("#", 101)}, result.InputTooLarge},
+		{request{http.MethodPost, "/v1/manifests", "secret", "", "mesh: ["}, result.ManifestInvalid},
+		{request{http.MethodPost, "/v1/drain", "secret", "", "{"}, result.BadRequest},
+		{request{http.MethodPost, "/v1/drain", "secret", "", `{"nodes":"n1"}`}, result.BadRequest},
+		{request{http.MethodPost, "/v1/drain", "secret", "", `{"node":"` + strings.Repeat("n", 5000) + `"}`}, result.InputTooLarge},
+	} {
+		c.Check(codeOf(c, row.send(h)), qt.Equals, row.want, qt.Commentf("%+v", row.request))
+	}
+}
+
+// TestWithoutTokenOnlyLoopback lets nobody from elsewhere in.
+func TestWithoutTokenOnlyLoopback(t *testing.T) {
+	c := qt.New(t)
+	h := operator.Handler(operator.Config{}, newBackend())
+	c.Assert(codeOf(c, request{http.MethodGet, "/v1/status", "", "127.0.0.1:9", ""}.send(h)), qt.Equals, result.Answered)
+	c.Assert(codeOf(c, request{http.MethodGet, "/v1/status", "", "192.0.2.1:9", ""}.send(h)), qt.Equals, result.Unauthorized)
+}
+
+// TestAdmission refuses a flood at once, and says when to come back; without
+// the token a flood uses up nothing.
+func TestAdmission(t *testing.T) {
+	c := qt.New(t)
+	b := newBackend()
+	h := operator.Handler(operator.Config{Token: "secret", ManifestBytes: 100, SubmitTimeout: time.Minute}, b)
+	for range 1000 {
+		c.Assert(codeOf(c, request{http.MethodGet, "/v1/status", "wrong", "", ""}.send(h)), qt.Equals, result.Unauthorized)
+	}
+	done := make(chan result.Code, 8)
+	for range 8 {
+		go func() {
+			w := request{http.MethodPost, "/v1/manifests", "secret", "", goodManifest}.send(h)
+			number, _ := strconv.Atoi(w.Header().Get(result.HeaderResult))
+			done <- result.Code(number)
+		}()
+		<-b.entered
+	}
+	ninth := request{http.MethodPost, "/v1/manifests", "secret", "", goodManifest}.send(h)
+	c.Assert(codeOf(c, ninth), qt.Equals, result.TooManyRequests)
+	c.Assert(ninth.Header().Get("Retry-After"), qt.Equals, "1")
+	close(b.held)
+	for range 8 {
+		c.Assert(<-done, qt.Equals, result.Accepted)
+	}
+	refused := 0
+	for range 1000 {
+		if codeOf(c, request{http.MethodGet, "/v1/status", "secret", "", ""}.send(h)) == result.TooManyRequests {
+			refused++
+		}
+	}
+	c.Assert(refused > 0, qt.IsTrue)
+}
+
+// TestListenerToken refuses a token file that would leave the door open.
+func TestListenerToken(t *testing.T) {
+	c := qt.New(t)
+	good, empty := filepath.Join(c.TempDir(), "good"), filepath.Join(c.TempDir(), "empty")
+	c.Assert(os.WriteFile(good, []byte(" secret\n"), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(empty, []byte(" \n"), 0o600), qt.IsNil)
+	token, err := operator.ListenerToken("192.0.2.1:7400", good)
+	c.Assert(err, qt.IsNil)
+	c.Assert(token, qt.Equals, "secret")
+	_, err = operator.ListenerToken("127.0.0.1:7400", "")
+	c.Assert(err, qt.IsNil)
+	_, err = operator.ListenerToken("127.0.0.1:7400", empty)
+	c.Assert(err, qt.ErrorMatches, ".*is empty: want one line with the token")
+	_, err = operator.ListenerToken("127.0.0.1:7400", good+"x")
+	c.Assert(err, qt.ErrorMatches, ".*no such file.*")
+	_, err = operator.ListenerToken("0.0.0.0:7400", "")
+	c.Assert(err, qt.ErrorMatches, ".*not a loopback address: set operator.token_file.*")
+}
--- a/internal/process/daemon/drain.go
+++ b/internal/process/daemon/drain.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"maps"
-	"net/rpc"
 	"slices"
 	"sync"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/result"
@@ -103,16 +100,11 @@
 	if node == d.set.Node {
 		return here(r)
 	}
-	var status operator.DrainStatus
-	err := d.pool.Call(ctx, addr, method, r, &status)
-	var answered rpc.ServerError
-	if errors.As(err, &answered) {
-		return status, result.Errorf(result.UnknownResource, "%s", string(answered))
-	}
-	if err != nil {
-		return status, result.Errorf(result.NodeUnreachable, "daemon %s at %s: %v", node, addr, err)
+	var reply DrainReply
+	if err := d.pool.Call(ctx, addr, method, r, &reply); err != nil {
+		return reply.Status, result.Errorf(result.NodeUnreachable, "daemon %s at %s: %v", node, addr, err)
 	}
-	return status, nil
+	return reply.Status, reply.Refused
 }
 
 // locate finds the daemon that a drain is meant for, and its peer address.
@@ -172,23 +164,20 @@
 	return status, nil
 }
 
-// drainReply carries a status or a refusal over the control connection.
-func drainReply(status operator.DrainStatus, refused *result.Error, into *operator.DrainStatus) error {
-	*into = status
-	if refused != nil {
-		return refused
-	}
-	return nil
+// DrainReply carries a status or a refusal over the control connection.
+type DrainReply struct {
+	Status  operator.DrainStatus
+	Refused *result.Error
 }
 
 // Drain carries out a drain at this daemon.
-func (s *nodeService) Drain(r operator.DrainRequest, status *operator.DrainStatus) error {
-	got, refused := s.d.drainHere(r)
-	return drainReply(got, refused, status)
+func (s *nodeService) Drain(r operator.DrainRequest, reply *DrainReply) error {
+	reply.Status, reply.Refused = s.d.drainHere(r)
+	return nil
 }
 
 // DrainStatus tells of a drain at this daemon.
-func (s *nodeService) DrainStatus(r operator.DrainRequest, status *operator.DrainStatus) error {
-	got, refused := s.d.drainStatus(r)
-	return drainReply(got, refused, status)
+func (s *nodeService) DrainStatus(r operator.DrainRequest, reply *DrainReply) error {
+	reply.Status, reply.Refused = s.d.drainStatus(r)
+	return nil
 }
