--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -77,18 +76,6 @@
 	process *process
 }
 
-// freeAddrs asks the system for ports, all open at once so that none repeats.
-func freeAddrs(c *qt.C, n int) []string {
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		defer func() { _ = l.Close() }()
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs
-}
-
 func newCluster(c *qt.C, size int) *cluster {
 	cl := &cluster{c: c, dir: c.TempDir()}
 	addrs := freeAddrs(c, 4*size)
