--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,27 @@
-# make build    builds the binary
+# make demo     sets up what is needed, shows a request answered and a change
+#               taking force
+# make dev      a mesh on loopback to try things on, until interrupted
+# make build    builds the binary ./daisygate
 # make test     passes the tests, under the race detector
 # make check    what CI runs
 
-.PHONY: build test check
+.PHONY: demo dev build test check
+
+demo:
+	go run ./cmd/daisygate dev --demo
+
+dev: build
+	./daisygate dev
+
+cli := github.com/daisygate/daisygate/internal/cli
+revision := $(shell git describe --always --dirty=+changes --exclude='*' 2>/dev/null)
 
 build:
-	go build -o daisygate ./cmd/daisygate
+	go build -ldflags "-X $(cli).Revision=$(revision)" -o daisygate ./cmd/daisygate
 
 # Tests listed in KNOWN-RED.txt are passed over and printed.
 test:
-	@if [ -s KNOWN-RED.txt ]; then echo "known red:"; cat KNOWN-RED.txt; fi
-	go test -race -count=1 -timeout 20m $$(if [ -s KNOWN-RED.txt ]; then printf -- '-skip ^(%s)$$' "$$(cut -d, -f1 KNOWN-RED.txt | paste -sd'|')"; fi) ./...
+	.ci/test
 
 check:
-	bash .ci/run
+	.ci/run
