Match routes by the borders of the path, on one reading of it

A host with a trailing dot or other case in the manifest matched nothing. Ruled out: a trie of segments; two look-ups a border need no structure of their own, and the longest key bounds what a hostile path can cost. Change: one hash look-up a border of the path, longest first; dot segments, encoded slashes, backslashes and bad escapes are refused as ambiguous; hosts are brought to one form on both sides. TestMatch failed on the old code: /dir/../stock was matched as dir, a.b. as none.

--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -135,7 +135,12 @@
 		return
 	}
 	dir := g.cfg.Directory()
-	route := dir.Snapshot.Match(r.Method, r.Host, r.URL.Path)
+	route, err := dir.Snapshot.Match(r.Method, r.Host, r.URL.EscapedPath())
+	if err != nil {
+		seen.done.Code = result.BadRequest
+		result.WriteHTTP(w, result.Errorf(result.BadRequest, "%v", err))
+		return
+	}
 	if route == nil {
 		seen.done.Code = result.NoRoute
 		result.WriteHTTP(w, result.Errorf(result.NoRoute, "%s %s%s", r.Method, r.Host, r.URL.Path))
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -5,10 +5,8 @@
 package snapshot
 
 import (
-	"net"
 	"net/netip"
 	"slices"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -53,7 +51,7 @@
 	Version  uint64
 	Hash     uint64
 	services map[ServiceKey]*Service
-	hosts    map[string][]*Route // longest path first; "" is any host
+	hosts    map[string]*table // "" is any host
 }
 
 // Compile builds the snapshot of a state.
@@ -62,7 +60,7 @@
 		Version:  state.Version,
 		Hash:     state.Hash(),
 		services: map[ServiceKey]*Service{},
-		hosts:    map[string][]*Route{},
+		hosts:    map[string]*table{},
 	}
 	for _, mesh := range state.Meshes() {
 		m, err := state.Manifest(mesh)
@@ -73,9 +71,6 @@
 			return nil, errors.Wrapf(err, "mesh %s", mesh)
 		}
 	}
-	for _, routes := range s.hosts {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
-	}
 	return s, nil
 }
 
@@ -101,12 +96,21 @@
 			return errors.Newf("route %s: no service %s", v.Name, v.Service)
 		}
 		for _, host := range hosts {
-			s.hosts[host] = append(s.hosts[host], &Route{Route: v, Mesh: m.Mesh, Target: target})
+			s.addRoute(cleanHost(host), &Route{Route: v, Mesh: m.Mesh, Target: target})
 		}
 	}
 	return nil
 }
 
+func (s *Snapshot) addRoute(host string, r *Route) {
+	t := s.hosts[host]
+	if t == nil {
+		t = &table{routes: map[string][]*Route{}}
+		s.hosts[host] = t
+	}
+	t.add(r)
+}
+
 // Service returns a service, or nil.
 func (s *Snapshot) Service(k ServiceKey) *Service { return s.services[k] }
 
@@ -118,27 +122,3 @@
 	}
 	return list
 }
-
-// Match returns the route for a request, or nil. A route of the request's own
-// host goes before one for any host.
-func (s *Snapshot) Match(method, host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, h := range []string{strings.ToLower(host), ""} {
-		for _, r := range s.hosts[h] {
-			if r.matches(method, path) {
-				return r
-			}
-		}
-	}
-	return nil
-}
-
-func (r *Route) matches(method, path string) bool {
-	if !strings.HasPrefix(path, r.Path) {
-		return false
-	}
-	onBorder := strings.HasSuffix(r.Path, "/") || len(path) == len(r.Path) || path[len(r.Path)] == '/'
-	return onBorder && (len(r.Methods) == 0 || slices.Contains(r.Methods, method))
-}
