--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -4,114 +4,129 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
-	"sync"
 	"sync/atomic"
-)
-
-// trackedBody notes whether a request's body was begun: from then on it cannot
-// be sent again.
-type trackedBody struct {
-	io.ReadCloser
-	read atomic.Bool
-}
+	"time"
 
-// Read implements io.Reader.
-func (b *trackedBody) Read(p []byte) (int, error) {
-	b.read.Store(true)
-	return b.ReadCloser.Read(p)
-}
+	"github.com/cockroachdb/errors"
+)
 
-// Close leaves the caller's body open for a further attempt.
-func (b *trackedBody) Close() error { return nil }
+const (
+	// smallBody is the largest body that is read whole before the request is
+	// sent on: it can be sent again, and needs no "100 Continue" on the way.
+	smallBody = 16 << 10
+	// stallMax bounds a pause within a body, either way.
+	stallMax = 5 * time.Minute
+)
 
-func (b *trackedBody) begun() bool { return b.read.Load() }
+// errDeadline is the cause of a context that a window ended.
+var errDeadline = errors.New("the deadline passed")
 
-// slotBody gives the slot back when the answer's body is closed, and tells how
-// the run ended.
-type slotBody struct {
-	io.ReadCloser
-	ctx   context.Context
-	end   error
-	leave func(Fate)
-	once  sync.Once
+// window ends a request's context when nothing happened for its length. It
+// begins at the request's arrival and again with each part of a streamed body,
+// so that a transfer in progress is never cut; it stops at the answer's header.
+type window struct {
+	length  time.Duration
+	timer   *time.Timer
+	stopped atomic.Bool
 }
 
-// Read implements io.Reader.
-func (b *slotBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.end = err
-	}
-	return n, err
+// newWindow returns a context that the window ends with errDeadline.
+func newWindow(parent context.Context, length time.Duration) (context.Context, *window, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	w := &window{length: length}
+	w.timer = time.AfterFunc(length, func() { cancel(errDeadline) })
+	return ctx, w, func() { w.stop(); cancel(context.Canceled) }
 }
 
-// Close implements io.Closer.
-func (b *slotBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.leave(b.fate()) })
-	return err
+func (w *window) stop() {
+	w.stopped.Store(true)
+	w.timer.Stop()
 }
 
-func (b *slotBody) fate() Fate {
-	switch {
-	case b.end == io.EOF:
-		return Finished
-	case b.end == nil || b.ctx.Err() != nil:
-		return Cancelled
+// extend begins the window anew, unless it was stopped.
+func (w *window) extend(length time.Duration) {
+	if w.stopped.Load() {
+		return
+	}
+	w.timer.Reset(length)
+	if w.stopped.Load() {
+		w.timer.Stop()
 	}
-	return Crashed
 }
 
-const streamBuffer = 32 << 10
-
-var buffers = sync.Pool{New: func() any { return new([streamBuffer]byte) }}
+// requestBody is the body of a request on its way through this daemon.
+type requestBody struct {
+	w http.ResponseWriter
+	r *http.Request
+	// small holds a body that was read whole.
+	small []byte
+	// stream is set for a larger body, begun once some of it was read, and
+	// whole once its end was.
+	stream bool
+	begun  atomic.Bool
+	whole  atomic.Bool
+	window *window
+	stall  time.Duration
+}
 
-// stream copies src to w and flushes after each read, so that a slow answer is
-// passed on as it comes. With kept, a caller that left does not end it.
-func stream(w http.ResponseWriter, src io.Reader, kept *capture) error {
-	buffer := buffers.Get().(*[streamBuffer]byte)
-	defer buffers.Put(buffer)
-	controller := http.NewResponseController(w)
-	for {
-		n, err := src.Read(buffer[:])
-		if n > 0 {
-			kept.add(buffer[:n])
-			if _, werr := w.Write(buffer[:n]); werr != nil && kept == nil {
-				return werr
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		_ = controller.Flush()
+// newRequestBody reads a small body, or readies a larger one for streaming.
+func newRequestBody(w http.ResponseWriter, r *http.Request, win *window, stall time.Duration) (*requestBody, error) {
+	b := &requestBody{w: w, r: r, window: win, stall: stall}
+	if r.ContentLength == 0 {
+		return b, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > smallBody {
+		b.stream = true
+		return b, http.NewResponseController(w).EnableFullDuplex()
 	}
+	b.small = make([]byte, r.ContentLength)
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(win.length))
+	_, err := io.ReadFull(r.Body, b.small)
+	_ = controller.SetReadDeadline(time.Time{})
+	return b, err
 }
 
-// loads holds the newest load each server's daemon told with an answer.
-type loads struct {
-	mu     sync.RWMutex
-	values map[string]float64
+// Read implements io.Reader. Each part that comes begins the window anew.
+func (b *requestBody) Read(p []byte) (int, error) {
+	b.begun.Store(true)
+	n, err := b.r.Body.Read(p)
+	b.window.extend(b.stall)
+	if err == io.EOF {
+		b.whole.Store(true)
+	}
+	return n, err
 }
 
-func newLoads() *loads { return &loads{values: map[string]float64{}} }
+const (
+	// abortGrace lets a Read end by itself that has bytes to read.
+	abortGrace = 20 * time.Millisecond
+	// lingerClose is how long the rest of a body is read away that nobody
+	// wanted: a reset would take the answer from its caller.
+	lingerClose = 500 * time.Millisecond
+)
 
-// Of implements balance.Load; an unknown server counts as idle.
-func (l *loads) Of(server string) float64 {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	return l.values[server]
+// abort ends a pending Read.
+func (b *requestBody) abort() {
+	_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(abortGrace))
 }
 
-func (l *loads) note(server, text string) {
-	value, err := strconv.ParseFloat(text, 64)
-	if err != nil {
+// settle ends the request after its answer: what is left of a begun body is
+// read away for a short while.
+func (b *requestBody) settle() {
+	if !b.begun.Load() || b.whole.Load() {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.values[server] = value
+	controller := http.NewResponseController(b.w)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(lingerClose))
+	_, _ = io.Copy(io.Discard, b.r.Body)
+}
+
+// length is the framing for the way on.
+func (b *requestBody) length() int64 {
+	if b.r.ContentLength > 0 {
+		return b.r.ContentLength
+	}
+	return -1
 }
--- /dev/null
+++ b/internal/connection/gateway/caller.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/request/flow"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/directory"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
+)
+
+// exchange is one request of a caller, while it lasts.
+type exchange struct {
+	g      *Gateway
+	w      http.ResponseWriter
+	r      *http.Request
+	seen   *watched
+	dir    *directory.Directory
+	route  *snapshot.Route
+	hooked *Request
+	depth  int
+	// claimed is set once Claims let the request run; settle is due then.
+	claimed bool
+
+	deadline time.Time
+	window   *window
+	body     *requestBody
+	course   *course
+}
+
+// ServeCaller serves the caller listener.
+func (g *Gateway) ServeCaller(w http.ResponseWriter, r *http.Request) {
+	r, seen := g.watch(r)
+	defer seen.end()
+	x := &exchange{g: g, w: w, r: r, seen: seen}
+	g.setClose(w.Header())
+	if refused := x.find(); refused != nil {
+		x.refuse(refused)
+		return
+	}
+	if !g.enter(x.route.Mesh) {
+		x.refuse(&refusal{Error: result.Errorf(result.Overloaded, "mesh %s has its share of this daemon", x.route.Mesh), back: retryAfterBusy})
+		return
+	}
+	defer g.exit(x.route.Mesh)
+	if x.admitted() {
+		x.run()
+	}
+}
+
+// refuse gives the final answer without a run.
+func (x *exchange) refuse(r *refusal) {
+	x.seen.done.Code = r.Code
+	writeRefusal(x.w, r)
+}
+
+// find matches the route.
+func (x *exchange) find() *refusal {
+	if !x.g.cfg.Ready() {
+		return &refusal{Error: result.Errorf(result.NotReady, "no confirmed version yet"), back: retryAfterBusy}
+	}
+	if x.r.Method == http.MethodConnect {
+		return refuse(result.BadRequest, "CONNECT is not served")
+	}
+	x.dir = x.g.cfg.Directory()
+	route, err := x.dir.Snapshot.Match(x.r.Method, x.r.Host, x.r.URL.EscapedPath())
+	if err != nil {
+		return refuse(result.BadRequest, err.Error())
+	}
+	if route == nil {
+		return refuse(result.NoRoute, x.r.Method+" "+x.r.Host+x.r.URL.Path)
+	}
+	x.route = route
+	x.seen.route(route.Mesh, route.Name)
+	depth, timeout := nesting(x.r)
+	if depth >= depthMax {
+		return refuse(result.BadRequest, "the call is too deep; is there a loop?")
+	}
+	x.depth = depth
+	if timeout == 0 || timeout > route.Timeout {
+		timeout = route.Timeout
+	}
+	x.deadline = time.Now().Add(timeout)
+	return nil
+}
+
+// admitted asks the hooks; without true, the caller is answered.
+func (x *exchange) admitted() bool {
+	x.hooked = &Request{Mesh: x.route.Mesh, Service: x.route.Service, Repeatable: x.route.Repeatable, HTTP: x.r}
+	if s := x.g.screen(x.hooked); s.Refusal != nil {
+		x.refuse(&refusal{Error: s.Refusal, back: s.RetryAfter})
+		return false
+	}
+	return x.claim()
+}
+
+// run takes the request to its one final answer.
+func (x *exchange) run() {
+	settlement := Settlement{Code: result.AnswerLost}
+	defer func() { x.settle(settlement) }()
+	parent := x.r.Context()
+	if x.claimed {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, win, cancel := newWindow(parent, time.Until(x.deadline))
+	defer cancel()
+	x.window = win
+	body, err := newRequestBody(x.w, x.r, win, x.route.Timeout)
+	if err != nil {
+		settlement.Code = result.BadRequest
+		x.refuse(refuse(result.BadRequest, "the body did not come whole: "+err.Error()))
+		return
+	}
+	x.body = body
+	resp, refused := x.dispatch(ctx)
+	if refused != nil {
+		settlement.Code = refused.Code
+		x.refuse(refused)
+		body.settle()
+		return
+	}
+	win.stop()
+	settlement = x.answer(resp)
+	body.settle()
+}
+
+func (x *exchange) settle(s Settlement) {
+	if x.claimed {
+		x.g.cfg.Claims.Settle(x.hooked, s)
+	}
+}
+
+// answer passes a backend server's answer on. An answer that was cut is cut for
+// the caller.
+func (x *exchange) answer(resp *http.Response) Settlement {
+	var kept *capture
+	if x.claimed {
+		kept = &capture{}
+	}
+	whole := relay(x.w, resp, kept)
+	x.course.relayed(whole)
+	if !whole {
+		x.settle(Settlement{Code: result.AnswerLost})
+		x.claimed = false
+		panic(http.ErrAbortHandler)
+	}
+	x.seen.done.Code = result.OK
+	s := Settlement{Code: result.OK}
+	if kept != nil && !kept.over {
+		s.Answer = &KeptAnswer{Status: resp.StatusCode, Header: http.Header{}, Body: kept.body}
+		copyHeader(s.Answer.Header, resp.Header)
+	}
+	return s
+}
+
+// dispatch carries out the actions of the flow until there is an answer to
+// relay or the caller is to be refused.
+func (x *exchange) dispatch(ctx context.Context) (*http.Response, *refusal) {
+	target := x.route.Target
+	course, action := x.g.service(target.Key).begin(x.dir, target, flow.Request{
+		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries,
+	})
+	x.course = course
+	last := refuse(result.NoBackendServer, "service "+target.Key.String())
+	for number := 0; action.Kind == flow.Try; number++ {
+		start := time.Now()
+		resp, refused := x.attempt(ctx, action.Candidate)
+		x.observe(action.Candidate, number, refused, time.Since(start))
+		if refused == nil {
+			course.answered()
+			return resp, nil
+		}
+		last = refused
+		action = course.failed(refused, x.body.begun.Load())
+	}
+	if action.Kind == flow.Answer && action.Code != last.Code {
+		last = refuse(action.Code, action.Code.Meaning())
+	}
+	last.back = action.RetryAfter
+	return nil, last
+}
+
+func (x *exchange) observe(to *directory.Candidate, number int, refused *refusal, took time.Duration) {
+	x.g.cfg.Observer.Attempt(Attempt{
+		Mesh: x.route.Mesh, Route: x.route.Name, Node: to.Node.Name, Server: to.Server.Addr,
+		Number: number, Code: codeOf(refused), Duration: took,
+	})
+}
+
+// attempt sends the request to one candidate: straight to a server beside this
+// daemon, else to the daemon beside the server.
+func (x *exchange) attempt(ctx context.Context, to *directory.Candidate) (*http.Response, *refusal) {
+	if to.Node.Name != x.g.cfg.Self {
+		return x.forward(ctx, to)
+	}
+	return x.g.serve(ctx, &work{
+		hooked: x.hooked, body: x.body, addr: to.Server.Addr, priority: x.route.Priority,
+		depth: x.depth, deadline: x.deadline, fresh: !x.route.Repeatable,
+	})
+}
+
+// answerMargin is the share of the time left that is kept for the way back, so
+// that a refusal for want of time arrives before the deadline does.
+const answerMargin = 16
+
+func (x *exchange) forward(ctx context.Context, to *directory.Candidate) (_ *http.Response, refused *refusal) {
+	out := x.body.outgoing(x.r)
+	left := time.Until(x.deadline)
+	out.Added = http.Header{
+		HeaderTimeout:  {microseconds(left - left/answerMargin)},
+		HeaderDepth:    {strconv.Itoa(x.depth)},
+		headerStall:    {microseconds(x.route.Timeout)},
+		headerServer:   {to.Server.Addr},
+		headerMesh:     {x.route.Mesh},
+		headerService:  {x.route.Service},
+		headerPriority: {strconv.Itoa(x.route.Priority)},
+	}
+	if !x.route.Repeatable {
+		out.Added[headerFresh] = []string{"1"}
+	}
+	out.Expect, out.IdleAge = x.body.stream, peerIdleTimeout
+	span := x.g.cfg.Tracer.Send(ctx, HopForward, out.Added)
+	span.Set(SpanNode, to.Node.Name)
+	defer func() { span.End(codeOf(refused)) }()
+	resp, failure := x.g.peers.pool(to.Node.Addr).RoundTrip(ctx, out)
+	if failure != nil {
+		return nil, classify(ctx, failure, result.DaemonRefused)
+	}
+	x.course.report(to, resp.Header.Get(headerLoad))
+	if code := resp.Header.Get(result.HeaderResult); code != "0" {
+		return nil, readRefusal(resp, code)
+	}
+	return resp, nil
+}
+
+// refusalMax bounds what is read of a refusal's body.
+const refusalMax = 4 << 10
+
+// readRefusal takes in the refusal of another daemon. Without a readable code
+// the outcome is unknown.
+func readRefusal(resp *http.Response, text string) *refusal {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, refusalMax))
+	_ = resp.Body.Close()
+	number, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return refuse(result.AnswerLost, "unreadable result of the daemon")
+	}
+	code := result.Code(number)
+	r := refuse(code, code.Meaning())
+	if seconds, ok := numberOf(resp.Header, "Retry-After"); ok {
+		r.back = time.Duration(seconds) * time.Second
+	}
+	return r
+}
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -9,6 +9,17 @@
 	"github.com/daisygate/daisygate/internal/result"
 )
 
+// refusal is a final answer without a run, or one whose run is unknown.
+type refusal struct {
+	*result.Error
+	// back is when to come back; 0 is not known.
+	back time.Duration
+}
+
+func refuse(code result.Code, detail string) *refusal {
+	return &refusal{Error: &result.Error{Code: code, Detail: detail}}
+}
+
 // gate is an admit.Core that goroutines wait at.
 type gate struct {
 	mu      sync.Mutex
@@ -17,55 +28,72 @@
 	waiting map[uint64]chan admit.Decision
 }
 
-// newGate returns a gate for one backend server.
-func newGate(slots, queueMax int) *gate {
-	return &gate{core: admit.New(slots, queueMax), waiting: map[uint64]chan admit.Decision{}}
+func newGate(cfg admit.Config) *gate {
+	return &gate{core: admit.New(cfg), waiting: map[uint64]chan admit.Decision{}}
 }
 
-// Enter waits for a slot. On a nil error the caller must call Leave.
-func (g *gate) Enter(ctx context.Context, priority int, deadline time.Time) *result.Error {
-	g.mu.Lock()
-	g.nextID++
-	id := g.nextID
-	reply := make(chan admit.Decision, 1)
-	g.waiting[id] = reply
-	g.deliver(g.core.Arrive(time.Now(), admit.Ticket{ID: id, Priority: priority, Deadline: deadline}))
-	g.mu.Unlock()
-	timer := time.NewTimer(time.Until(deadline))
+// Enter waits for a slot. With nil the caller must call Leave.
+func (g *gate) Enter(ctx context.Context, t admit.Ticket) *refusal {
+	reply, decided := g.arrive(&t)
+	if reply == nil {
+		return refusalOf(decided)
+	}
+	timer := time.NewTimer(time.Until(t.Deadline))
 	defer timer.Stop()
 	select {
 	case d := <-reply:
-		return refusal(d)
+		return refusalOf(d)
 	case <-ctx.Done():
-		return g.abandon(id, reply, result.CallerLeft)
+		return g.abandon(t.ID, reply, result.CallerLeft)
 	case <-timer.C:
-		return g.abandon(id, reply, result.DeadlineTooShort)
+		return g.abandon(t.ID, reply, result.DeadlineTooShort)
 	}
 }
 
-func refusal(d admit.Decision) *result.Error {
+// arrive returns the decision on t, or the channel that it will come on.
+func (g *gate) arrive(t *admit.Ticket) (chan admit.Decision, admit.Decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextID++
+	t.ID = g.nextID
+	var own admit.Decision
+	for _, d := range g.core.Arrive(time.Now(), *t) {
+		if d.ID == t.ID {
+			own = d
+		}
+		g.deliver(d)
+	}
+	if own.Verdict != admit.Wait {
+		return nil, own
+	}
+	reply := make(chan admit.Decision, 1)
+	g.waiting[t.ID] = reply
+	return reply, own
+}
+
+func refusalOf(d admit.Decision) *refusal {
 	if d.Verdict == admit.Start {
 		return nil
 	}
-	return result.Errorf(d.Code, "%s", d.Code.Meaning())
+	return &refusal{Error: &result.Error{Code: d.Code, Detail: d.Code.Meaning()}, back: d.RetryAfter}
 }
 
 // abandon takes a ticket out of the queue; one that got its slot meanwhile
 // gives it back.
-func (g *gate) abandon(id uint64, reply chan admit.Decision, code result.Code) *result.Error {
+func (g *gate) abandon(id uint64, reply chan admit.Decision, code result.Code) *refusal {
 	g.mu.Lock()
 	waiting := g.core.Cancel(id)
 	delete(g.waiting, id)
 	g.mu.Unlock()
 	if !waiting {
 		if d := <-reply; d.Verdict == admit.Start {
-			g.Leave()
+			g.Leave(0)
 		}
 	}
-	return result.Errorf(code, "%s", code.Meaning())
+	return refuse(code, code.Meaning())
 }
 
-func (g *gate) deliver(decisions []admit.Decision) {
+func (g *gate) deliver(decisions ...admit.Decision) {
 	for _, d := range decisions {
 		if reply, ok := g.waiting[d.ID]; ok {
 			reply <- d
@@ -74,18 +102,18 @@
 	}
 }
 
-// Leave returns a slot.
-func (g *gate) Leave() {
+// Leave returns a slot; took is the time to the answer's header, 0 without one.
+func (g *gate) Leave(took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.core.Finish(time.Now()))
+	g.deliver(g.core.Finish(time.Now(), took)...)
 }
 
 // Load is running and waiting requests per slot.
 func (g *gate) Load() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Load()
+	return g.core.Load(time.Now())
 }
 
 // Running is the number of slots in use.
@@ -95,15 +123,14 @@
 	return g.core.Running()
 }
 
-// Configure sets slots and whether the server drains.
-func (g *gate) Configure(slots int, draining bool) {
+// Configure sets the bounds and whether the server drains.
+func (g *gate) Configure(cfg admit.Config, draining bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.core.Resize(slots)
 	if draining {
-		g.deliver(g.core.Drain())
+		g.deliver(g.core.Drain()...)
 		return
 	}
 	g.core.Resume()
-	g.deliver(g.core.Fill(time.Now()))
+	g.deliver(g.core.Configure(time.Now(), cfg)...)
 }
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -4,24 +4,25 @@
 // slots.
 //
 // Every answer says whether the request was run, was certainly not run, or may
-// have been run (package result).
+// have been run (package result). What is decided stands in internal/request;
+// this package is the driver with its sockets, goroutines and clock.
+//
+// A route's timeout bounds a request up to the header of its answer. While the
+// request's body flows it begins anew with each part, and once the answer's
+// header came it ends; so no transfer in progress is cut by it.
 package gateway
 
 import (
-	"context"
-	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
-	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/connection/upstream"
 	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/request/share"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/directory"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
@@ -29,11 +30,14 @@
 
 // Config is fixed for the life of a Gateway.
 type Config struct {
-	// Self and Domain are this daemon's name and failure domain.
+	// Self, Domain and Region are this daemon's name and place.
 	Self   string
 	Domain string
+	Region string
 	// QueuePerSlot is the admission queue's length in multiples of the slots.
 	QueuePerSlot int
+	// Calls is the most calls of callers in progress; 0 is defaultCalls.
+	Calls int
 	// Directory returns the newest directory.
 	Directory func() *directory.Directory
 	// Ready reports whether a confirmed version is in force.
@@ -50,18 +54,24 @@
 type Gateway struct {
 	cfg     Config
 	log     logr.Logger
-	peers   *http.Transport
-	servers *http.Transport
-	loads   *loads
+	peers   *peers
+	leaving atomic.Bool
+
+	mu       sync.Mutex
+	backends map[string]*backend
+	applied  *snapshot.Snapshot
 
-	mu    sync.Mutex
-	gates map[string]*gate
+	servicesMu sync.RWMutex
+	services   map[snapshot.ServiceKey]*service
+
+	sharesMu sync.Mutex
+	shares   *share.Limiter
 }
 
 const (
-	backendDialTimeout = time.Second
-	maxIdlePerHost     = 256
-	retryAfterBusy     = time.Second
+	dialTimeout    = time.Second
+	retryAfterBusy = time.Second
+	defaultCalls   = 8192
 )
 
 // New returns a Gateway.
@@ -72,325 +82,102 @@
 	if cfg.Tracer == nil {
 		cfg.Tracer = ignore{}
 	}
+	if cfg.Calls == 0 {
+		cfg.Calls = defaultCalls
+	}
 	return &Gateway{
-		cfg: cfg, log: log, peers: newTransport(), servers: newTransport(),
-		loads: newLoads(), gates: map[string]*gate{},
+		cfg: cfg, log: log, peers: newPeers(), shares: share.New(cfg.Calls),
+		backends: map[string]*backend{}, services: map[snapshot.ServiceKey]*service{},
 	}
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
-		MaxIdleConns:          0,
-		MaxIdleConnsPerHost:   maxIdlePerHost,
-		IdleConnTimeout:       time.Minute,
-		DisableCompression:    true,
-		ExpectContinueTimeout: time.Second,
-	}
+func (g *Gateway) place() balance.Place {
+	return balance.Place{Node: g.cfg.Self, Domain: g.cfg.Domain, Region: g.cfg.Region}
 }
 
-// SetServers tells of the backend servers beside this daemon.
-func (g *Gateway) SetServers(servers []presence.Server) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	present := map[string]bool{}
-	for _, s := range servers {
-		present[s.Addr] = true
-		entry := g.gates[s.Addr]
-		if entry == nil {
-			entry = newGate(s.Slots, s.Slots*g.cfg.QueuePerSlot)
-			g.gates[s.Addr] = entry
-		}
-		entry.Configure(s.Slots, s.State == presence.Draining)
-	}
-	for addr, gate := range g.gates {
-		if !present[addr] {
-			gate.Configure(0, true)
-			delete(g.gates, addr)
-		}
-	}
-}
+// Leave begins the planned stop: what other daemons pass on is refused as not
+// run, and callers are told to close their connections. What is in progress
+// goes on.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
 
-func (g *Gateway) gateOf(addr string) *gate {
+// Close drops idle connections and those of requests that were given up. It is
+// called when nothing is in progress any more.
+func (g *Gateway) Close() {
+	g.peers.close()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.gates[addr]
-}
-
-// call is one request of a caller, while it lasts.
-type call struct {
-	route    *snapshot.Route
-	deadline time.Time
-	tried    map[string]bool
-	body     *trackedBody
-}
-
-// ServeCaller serves the caller listener.
-func (g *Gateway) ServeCaller(w http.ResponseWriter, r *http.Request) {
-	r, seen := g.watch(r)
-	defer seen.end()
-	if !g.cfg.Ready() {
-		seen.done.Code = result.NotReady
-		result.WriteHTTPRetry(w, result.Errorf(result.NotReady, "no confirmed version yet"), retryAfterBusy)
-		return
-	}
-	dir := g.cfg.Directory()
-	route, err := dir.Snapshot.Match(r.Method, r.Host, r.URL.EscapedPath())
-	if err != nil {
-		seen.done.Code = result.BadRequest
-		result.WriteHTTP(w, result.Errorf(result.BadRequest, "%v", err))
-		return
-	}
-	if route == nil {
-		seen.done.Code = result.NoRoute
-		result.WriteHTTP(w, result.Errorf(result.NoRoute, "%s %s%s", r.Method, r.Host, r.URL.Path))
-		return
-	}
-	seen.route(route.Mesh, route.Name)
-	c := &call{
-		route: route, deadline: time.Now().Add(route.Timeout),
-		tried: map[string]bool{}, body: &trackedBody{ReadCloser: r.Body},
-	}
-	hooked := &Request{Mesh: route.Mesh, Service: route.Service, Repeatable: route.Repeatable, HTTP: r}
-	if s := g.screen(hooked); s.Refusal != nil {
-		seen.done.Code = s.Refusal.Code
-		result.WriteHTTPRetry(w, s.Refusal, s.RetryAfter)
-		return
-	}
-	claimed, proceed := g.claim(r.Context(), w, hooked)
-	if !proceed {
-		seen.done.Code = result.InProgress
-		return
-	}
-	parent := r.Context()
-	if claimed {
-		parent = context.WithoutCancel(parent)
-	}
-	ctx, cancel := context.WithDeadline(parent, c.deadline)
-	defer cancel()
-	resp, refused := g.dispatch(ctx, dir, c, r)
-	if refused != nil {
-		if claimed {
-			g.cfg.Claims.Settle(hooked, Settlement{Code: refused.Code})
-		}
-		seen.done.Code = refused.Code
-		result.WriteHTTPRetry(w, refused, retryAfterBusy)
-		return
-	}
-	if !claimed {
-		g.copyAnswer(w, resp, nil)
-		seen.done.Code = result.OK
-		return
-	}
-	g.copyClaimed(w, resp, hooked)
-	seen.done.Code = result.OK
-}
-
-// copyClaimed streams an answer and keeps a copy of it. A caller that left does
-// not stop the reading.
-func (g *Gateway) copyClaimed(w http.ResponseWriter, resp *http.Response, r *Request) {
-	kept := &capture{}
-	settlement := Settlement{Code: result.AnswerLost}
-	defer func() { g.cfg.Claims.Settle(r, settlement) }()
-	g.copyAnswer(w, resp, kept)
-	settlement.Code = result.OK
-	if !kept.over {
-		settlement.Answer = &KeptAnswer{Status: resp.StatusCode, Header: cleanHeader(resp.Header), Body: kept.body}
-	}
-}
-
-// dispatch tries servers until one ran the request or nothing is left to try.
-func (g *Gateway) dispatch(ctx context.Context, dir *directory.Directory, c *call, r *http.Request) (*http.Response, *result.Error) {
-	refused := result.Errorf(result.NoBackendServer, "service %s", c.route.Target.Key)
-	for number := range c.route.Retries + 1 {
-		candidate := balance.Pick(balance.Input{
-			Candidates: dir.Candidates(c.route.Target.Key), Self: g.cfg.Self, Domain: g.cfg.Domain,
-			Tried: c.tried, Load: g.loads, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		})
-		if candidate == nil {
-			return nil, refused
-		}
-		c.tried[candidate.Server.Addr] = true
-		start := time.Now()
-		resp, err := g.attempt(ctx, candidate, c, r)
-		g.cfg.Observer.Attempt(Attempt{
-			Mesh: c.route.Mesh, Route: c.route.Name, Node: candidate.Node.Name, Server: candidate.Server.Addr,
-			Number: number, Code: codeOf(err), Duration: time.Since(start),
-		})
-		if err == nil {
-			return resp, nil
-		}
-		refused = err
-		if !g.mayRetry(c, err) || ctx.Err() != nil {
-			return nil, refused
-		}
+	for _, b := range g.backends {
+		b.pool.Close()
 	}
-	return nil, refused
 }
 
-// mayRetry allows a retry of what certainly was not run, or may be repeated,
-// as long as its body was not begun.
-func (g *Gateway) mayRetry(c *call, err *result.Error) bool {
-	if c.body.begun() {
-		return false
-	}
-	return err.Code.Outcome() == result.NotRun || c.route.Repeatable
+// enter counts a call of a mesh in.
+func (g *Gateway) enter(mesh string) bool {
+	g.sharesMu.Lock()
+	defer g.sharesMu.Unlock()
+	return g.shares.Enter(mesh)
 }
 
-func (g *Gateway) attempt(ctx context.Context, to *directory.Candidate, c *call, r *http.Request) (_ *http.Response, failed *result.Error) {
-	if to.Node.Name == g.cfg.Self {
-		return g.serve(ctx, to.Server.Addr, c.route.Priority, c.deadline, &Request{Mesh: c.route.Mesh, Service: c.route.Service, HTTP: r}, c.body)
-	}
-	out := outgoing(ctx, to.Node.Addr, r, c.body)
-	out.Header.Set(headerServer, to.Server.Addr)
-	out.Header.Set(headerMesh, c.route.Target.Key.Mesh)
-	out.Header.Set(headerService, c.route.Target.Key.Name)
-	out.Header.Set(headerPriority, strconv.Itoa(c.route.Priority))
-	setTimeout(out.Header, time.Until(c.deadline))
-	span := g.cfg.Tracer.Send(ctx, HopForward, out.Header)
-	span.Set(SpanNode, to.Node.Name)
-	defer func() { span.End(codeOf(failed)) }()
-	resp, err := g.peers.RoundTrip(out)
-	if err != nil {
-		return nil, classify(ctx, err, result.DaemonRefused)
-	}
-	g.loads.note(to.Server.Addr, resp.Header.Get(headerLoad))
-	if code := resp.Header.Get(result.HeaderResult); code != "" && code != "0" {
-		return nil, readRefusal(resp, code)
-	}
-	return resp, nil
+func (g *Gateway) exit(mesh string) {
+	g.sharesMu.Lock()
+	defer g.sharesMu.Unlock()
+	g.shares.Leave(mesh)
 }
 
-func readRefusal(resp *http.Response, text string) *result.Error {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
-	_ = resp.Body.Close()
-	code, err := strconv.Atoi(text)
-	if err != nil {
-		return result.Errorf(result.AnswerLost, "unreadable result %q", text)
-	}
-	c := result.Code(code)
-	return result.Errorf(c, "%s", c.Meaning())
+// writeRefusal sends a final answer without a run.
+func writeRefusal(w http.ResponseWriter, r *refusal) {
+	result.WriteHTTPRetry(w, r.Error, r.back)
 }
 
-// classify turns a transport error into what it says about the request: only a
-// failed dial is certain not to have run.
-func classify(ctx context.Context, err error, refused result.Code) *result.Error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return result.Errorf(refused, "%v", err)
-	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return result.Errorf(result.DeadlineExceeded, "%v", err)
-	case ctx.Err() != nil:
-		return result.Errorf(result.CallerLeft, "%v", err)
-	}
-	return result.Errorf(result.AnswerLost, "%v", err)
+// peers are the connections to other daemons, for calls.
+type peers struct {
+	mu    sync.RWMutex
+	pools map[string]*upstream.Pool
 }
 
-func outgoing(ctx context.Context, addr string, r *http.Request, body *trackedBody) *http.Request {
-	out := r.Clone(ctx)
-	out.RequestURI = ""
-	out.URL.Scheme = "http"
-	out.URL.Host = addr
-	out.Header = cleanHeader(r.Header)
-	out.Body = nil
-	if r.ContentLength != 0 {
-		out.Body = body
-	}
-	if _, ok := out.Header["User-Agent"]; !ok {
-		out.Header["User-Agent"] = nil
-	}
-	return out
-}
+const (
+	peerIdleMax     = 64
+	peerIdleTimeout = 20 * time.Second
+	// peerSweep is how many further daemons are met between two sweeps of those
+	// that no connection is left to.
+	peerSweep = 256
+)
 
-// ServePeer serves calls passed on by other daemons.
-func (g *Gateway) ServePeer(w http.ResponseWriter, r *http.Request) {
-	timeout, ok := timeoutOf(r.Header)
-	server := r.Header.Get(headerServer)
-	if !ok || server == "" {
-		result.WriteHTTP(w, result.Errorf(result.BadRequest, "not a forwarded call"))
-		return
-	}
-	priority, err := strconv.Atoi(r.Header.Get(headerPriority))
-	if err != nil {
-		result.WriteHTTP(w, result.Errorf(result.BadRequest, "priority: %v", err))
-		return
-	}
-	deadline := time.Now().Add(timeout)
-	r, span := g.cfg.Tracer.Arrive(r, HopPeer)
-	code := result.AnswerLost
-	defer func() { span.End(code) }()
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
-	defer cancel()
-	hooked := &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), HTTP: r}
-	resp, refused := g.serve(ctx, server, priority, deadline, hooked, &trackedBody{ReadCloser: r.Body})
-	if gate := g.gateOf(server); gate != nil {
-		w.Header().Set(headerLoad, strconv.FormatFloat(gate.Load(), 'f', 3, 64))
-	}
-	if refused != nil {
-		code = refused.Code
-		result.WriteHTTPRetry(w, refused, retryAfterBusy)
-		return
-	}
-	g.copyAnswer(w, resp, nil)
-	code = result.OK
-}
+func newPeers() *peers { return &peers{pools: map[string]*upstream.Pool{}} }
 
-// serve runs a request on a backend server beside this daemon. The slot is held
-// until the answer's body is closed.
-func (g *Gateway) serve(ctx context.Context, server string, priority int, deadline time.Time, r *Request, body *trackedBody) (*http.Response, *result.Error) {
-	gate := g.gateOf(server)
-	if gate == nil {
-		return nil, result.Errorf(result.Draining, "no backend server %s here", server)
+// pool returns the connections to the daemon at addr.
+func (p *peers) pool(addr string) *upstream.Pool {
+	p.mu.RLock()
+	pool := p.pools[addr]
+	p.mu.RUnlock()
+	if pool != nil {
+		return pool
 	}
-	if s := g.screen(r); s.Refusal != nil {
-		return nil, s.Refusal
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pool = p.pools[addr]; pool != nil {
+		return pool
 	}
-	entered := time.Now()
-	if refused := gate.Enter(ctx, priority, deadline); refused != nil {
-		g.cfg.Observer.Refused(Refused{Server: server, Code: refused.Code, Waited: time.Since(entered)})
-		return nil, refused
+	if len(p.pools)%peerSweep == peerSweep-1 {
+		p.sweep()
 	}
-	out := outgoing(ctx, server, r.HTTP, body)
-	setTimeout(out.Header, time.Until(deadline))
-	span := g.cfg.Tracer.Send(ctx, HopBackend, out.Header)
-	span.Set(SpanServer, server)
-	run := g.begin(server, r)
-	resp, err := g.servers.RoundTrip(out)
-	if err != nil {
-		refused := classify(ctx, err, result.BackendRefused)
-		gate.Leave()
-		span.End(refused.Code)
-		run.End(fateOf(refused.Code))
-		return nil, refused
-	}
-	span.End(result.OK)
-	resp.Body = &slotBody{ReadCloser: resp.Body, ctx: ctx, leave: func(f Fate) { gate.Leave(); run.End(f) }}
-	return resp, nil
+	pool = upstream.NewPool(upstream.Config{Addr: addr, IdleMax: peerIdleMax, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout})
+	p.pools[addr] = pool
+	return pool
 }
 
-func fateOf(c result.Code) Fate {
-	switch c {
-	case result.BackendRefused:
-		return Unsent
-	case result.CallerLeft, result.DeadlineExceeded:
-		return Cancelled
+func (p *peers) sweep() {
+	for addr, pool := range p.pools {
+		if pool.Total() == 0 {
+			delete(p.pools, addr)
+		}
 	}
-	return Crashed
 }
 
-// copyAnswer streams a backend server's answer. One that is cut on the way is
-// cut for the caller too, never ended as if it were whole.
-func (g *Gateway) copyAnswer(w http.ResponseWriter, resp *http.Response, kept *capture) {
-	defer func() { _ = resp.Body.Close() }()
-	header := w.Header()
-	for name, values := range cleanHeader(resp.Header) {
-		header[name] = values
-	}
-	result.SetHeaders(header, result.OK)
-	w.WriteHeader(resp.StatusCode)
-	if err := stream(w, resp.Body, kept); err != nil {
-		panic(http.ErrAbortHandler)
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		pool.Close()
 	}
 }
--- /dev/null
+++ b/internal/connection/gateway/gateway_test.go
@@ -0,0 +1,384 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/view"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/directory"
+	"github.com/daisygate/daisygate/internal/version/fleet"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
+)
+
+// shortTimeout is that of the route /short, which transfers must outlast.
+const shortTimeout = 300 * time.Millisecond
+
+// fleetOf is gateways on loopback that know of each other.
+type fleetOf struct {
+	c        *qt.C
+	gateways []*Gateway
+	callers  []*httptest.Server
+	records  []presence.Record
+	dir      atomic.Pointer[directory.Directory]
+	snap     *snapshot.Snapshot
+}
+
+func newFleet(c *qt.C, size int) *fleetOf {
+	f := &fleetOf{c: c}
+	route := func(path string, timeout time.Duration, repeatable bool) manifest.Route {
+		return manifest.Route{Name: path, Path: path, Service: "s", Timeout: timeout, Repeatable: repeatable, Retries: 2}
+	}
+	state, err := fleet.Empty().Accept(&manifest.Manifest{
+		Mesh: "m", Version: 1, Services: []manifest.Service{{Name: "s"}},
+		Routes: []manifest.Route{route("/", 20*time.Second, false), route("/short", shortTimeout, false), route("/again", 20*time.Second, true)},
+	})
+	c.Assert(err, qt.IsNil)
+	f.snap, err = snapshot.Compile(state)
+	c.Assert(err, qt.IsNil)
+	f.dir.Store(directory.Build(f.snap, nil))
+	for i := range size {
+		g := New(Config{
+			Self: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i), QueuePerSlot: 2,
+			Directory: f.dir.Load, Ready: func() bool { return true },
+		}, logr.Discard())
+		caller := httptest.NewServer(http.HandlerFunc(g.ServeCaller))
+		peer := httptest.NewServer(http.HandlerFunc(g.ServePeer))
+		c.Cleanup(caller.Close)
+		c.Cleanup(peer.Close)
+		f.gateways, f.callers = append(f.gateways, g), append(f.callers, caller)
+		f.records = append(f.records, presence.Record{Node: view.Node{Name: g.cfg.Self, Addr: peer.Listener.Addr().String(), Domain: g.cfg.Domain}})
+	}
+	return f
+}
+
+// place announces a server with slots beside each of the named gateways.
+func (f *fleetOf) place(slots int, servers map[int]string) {
+	for i, addr := range servers {
+		s := presence.Server{Mesh: "m", Service: "s", Addr: addr, Slots: slots, Connections: 100, State: presence.Serving}
+		f.records[i].Servers = append(f.records[i].Servers, s)
+	}
+	f.dir.Store(directory.Build(f.snap, f.records))
+	for i, g := range f.gateways {
+		g.SetServers(f.records[i].Servers)
+	}
+}
+
+// script answers the requests of a raw backend server: it gets the number of
+// the request since the start and the request, and writes to the connection.
+type script func(n int64, r *http.Request, conn net.Conn) (keep bool)
+
+func rawServer(c *qt.C, s script) (addr string, runs *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	runs = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveScript(conn, runs, s)
+		}
+	}()
+	c.Cleanup(func() { _ = l.Close() })
+	return netip.MustParseAddrPort(l.Addr().String()).String(), runs
+}
+
+func serveScript(conn net.Conn, runs *atomic.Int64, s script) {
+	defer func() { _ = conn.Close() }()
+	for br := bufio.NewReader(conn); ; {
+		r, err := http.ReadRequest(br)
+		if err != nil || !s(runs.Add(1), r, conn) {
+			return
+		}
+	}
+}
+
+func say(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+	return err == nil
+}
+
+const okAnswer = "HTTP/1.1 200 OK\nContent-Length: 2\n\n"
+
+type answer struct {
+	status  int
+	outcome string
+	body    string
+	err     error
+	resp    *http.Response
+}
+
+func (f *fleetOf) do(gateway int, method, path string, body io.Reader, header ...string) answer {
+	req, err := http.NewRequest(method, f.callers[gateway].URL+path, body)
+	f.c.Assert(err, qt.IsNil)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	transport := &http.Transport{} // a fresh connection: nothing is repeated by it
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, outcome: resp.Header.Get(result.HeaderOutcome), body: string(raw), err: err, resp: resp}
+}
+
+// everyHop runs a test with the server beside the first daemon, and with it
+// beside another.
+func everyHop(t *testing.T, test func(c *qt.C, f *fleetOf, at int)) {
+	for at, name := range []string{"local", "forwarded"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			test(c, newFleet(c, 2), at)
+		})
+	}
+}
+
+// slowly yields parts with pauses that together outlast shortTimeout.
+type slowly struct{ parts int }
+
+func (s *slowly) Read(p []byte) (int, error) {
+	if s.parts == 0 {
+		return 0, io.EOF
+	}
+	s.parts--
+	time.Sleep(shortTimeout / 3)
+	return copy(p, "part"), nil
+}
+
+func TestNeverSentTwice(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		addr, runs := rawServer(c, func(n int64, _ *http.Request, conn net.Conn) bool {
+			if n == 1 {
+				return say(conn, okAnswer+"ok")
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0) // a crash resets the connection
+			return false
+		})
+		f.place(4, map[int]string{at: addr})
+		c.Assert(f.do(0, "GET", "/", nil).body, qt.Equals, "ok")
+		a := f.do(0, "GET", "/", nil, "Idempotency-Key", "1")
+		c.Assert(a.outcome, qt.Equals, "unknown", qt.Commentf("%+v", a))
+		c.Assert(runs.Load(), qt.Equals, int64(2))
+	})
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		addr, _ := rawServer(c, func(_ int64, _ *http.Request, conn net.Conn) bool {
+			say(conn, okAnswer+"ok") // and closes although it did not say so
+			return false
+		})
+		f.place(4, map[int]string{at: addr})
+		for range 3 {
+			a := f.do(0, "POST", "/", strings.NewReader("x"))
+			c.Assert(a.body, qt.Equals, "ok", qt.Commentf("%+v", a))
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+func TestCrossedAnswerReachesNobodyElse(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		addr, _ := rawServer(c, func(n int64, r *http.Request, conn net.Conn) bool {
+			own := r.URL.Path[1:]
+			return say(conn, okAnswer+own) && say(conn, okAnswer+"xx")
+		})
+		f.place(4, map[int]string{at: addr})
+		for _, own := range []string{"aa", "bb", "cc"} {
+			c.Assert(f.do(0, "GET", "/"+own, nil).body, qt.Equals, own)
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+func TestTimeoutCutsNoTransfer(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			n, _ := io.Copy(io.Discard, r.Body)
+			if r.Method == "POST" {
+				_, _ = fmt.Fprint(w, n)
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+			_, _ = io.Copy(w, &slowly{parts: 6})
+		}))
+		defer server.Close()
+		f.place(4, map[int]string{at: server.Listener.Addr().String()})
+		down := f.do(0, "GET", "/short", nil)
+		c.Check(down.err, qt.IsNil)
+		c.Check(down.body, qt.Equals, strings.Repeat("part", 6))
+		up := f.do(0, "POST", "/short", &slowly{parts: 6})
+		c.Check(up.body, qt.Equals, "24", qt.Commentf("%+v", up))
+	})
+}
+
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		addr, _ := rawServer(c, func(_ int64, _ *http.Request, conn net.Conn) bool {
+			say(conn, "HTTP/1.1 413 Too Large\nContent-Length: 3\n\nbig")
+			time.Sleep(50 * time.Millisecond)
+			return false
+		})
+		f.place(4, map[int]string{at: addr})
+		a := f.do(0, "POST", "/", io.LimitReader(endless{}, 8<<20))
+		c.Assert(a.err, qt.IsNil)
+		c.Assert(a.status, qt.Equals, 413)
+		c.Assert(a.body, qt.Equals, "big")
+	})
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestCutAnswersAreSeenAsCut cuts answers of every framing.
+func TestCutAnswersAreSeenAsCut(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		addr, _ := rawServer(c, func(_ int64, r *http.Request, conn net.Conn) bool {
+			switch r.URL.Path {
+			case "/length":
+				say(conn, "HTTP/1.1 200 OK\nContent-Length: 10\n\nshort")
+			case "/chunked":
+				say(conn, "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n5\nshort\n")
+			case "/reset":
+				say(conn, "HTTP/1.1 200 OK\n\nshort")
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			return false
+		})
+		f.place(4, map[int]string{at: addr})
+		for _, path := range []string{"/length", "/chunked", "/reset"} {
+			c.Check(f.do(0, "GET", path, nil).err, qt.IsNotNil, qt.Commentf("%s", path))
+		}
+	})
+}
+
+// TestForms passes the forms of messages through that are easily broken.
+func TestForms(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		addr, _ := rawServer(c, func(_ int64, r *http.Request, conn net.Conn) bool {
+			for name := range r.Header {
+				if strings.HasPrefix(name, prefix) && name != "Daisygate-Timeout" && name != "Daisygate-Depth" || name == "X-Hop" {
+					return say(conn, okAnswer+"no")
+				}
+			}
+			body, _ := io.ReadAll(r.Body)
+			switch r.URL.Path {
+			case "/head":
+				return say(conn, "HTTP/1.1 200 OK\nContent-Length: 7\n\n")
+			case "/204":
+				return say(conn, "HTTP/1.1 204 No Content\n\n")
+			case "/304":
+				return say(conn, "HTTP/1.1 304 Not Modified\nEtag: x\n\n")
+			case "/hints":
+				return say(conn, "HTTP/1.1 103 Early Hints\nLink: x\n\n"+okAnswer+"ok")
+			case "/trailer":
+				return say(conn, "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nTrailer: Sum\n\n2\n"+r.Trailer.Get("Up")+"\n0\nSum: 1\n\n")
+			case "/lie":
+				return say(conn, "HTTP/1.1 200 OK\nDaisygate-Result: 212\nDaisygate-Outcome: not-run\nDaisygate-Load: NaN\nContent-Length: 2\n\nok")
+			case "/old":
+				say(conn, "HTTP/1.0 200 OK\n\nwhole")
+				return false
+			}
+			return say(conn, fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n%s", len(body), body))
+		})
+		f.place(4, map[int]string{at: addr})
+		c.Check(f.do(0, "HEAD", "/head", nil).resp.ContentLength, qt.Equals, int64(7))
+		c.Check(f.do(0, "GET", "/204", nil).status, qt.Equals, 204)
+		c.Check(f.do(0, "GET", "/304", nil).resp.Header.Get("Etag"), qt.Equals, "x")
+		c.Check(f.do(0, "GET", "/hints", nil).body, qt.Equals, "ok")
+		c.Check(f.do(0, "GET", "/old", nil).body, qt.Equals, "whole")
+		c.Check(f.do(0, "GET", "/lie", nil).outcome, qt.Equals, "run")
+		hidden := f.do(0, "POST", "/", strings.NewReader("ok"), "Daisygate-Server", "1.2.3.4:5", "Connection", "x-hop", "X-Hop", "1")
+		c.Check(hidden.body, qt.Equals, "ok")
+		large := strings.Repeat("abcdefgh", 1<<17)
+		c.Check(f.do(0, "PUT", "/", strings.NewReader(large)).body == large, qt.IsTrue)
+		req, err := http.NewRequest("POST", f.callers[0].URL+"/trailer", io.MultiReader(strings.NewReader("b")))
+		c.Assert(err, qt.IsNil)
+		req.Trailer = http.Header{"Up": {"ok"}}
+		resp, err := http.DefaultClient.Do(req)
+		c.Assert(err, qt.IsNil)
+		raw, _ := io.ReadAll(resp.Body)
+		c.Check(string(raw), qt.Equals, "ok")
+		c.Check(resp.Trailer.Get("Sum"), qt.Equals, "1")
+	})
+}
+
+// TestLeftCallersWork is cancelled, and keeps its slot until it has ended.
+func TestLeftCallersWork(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		var running, peak atomic.Int64
+		began, told, end := make(chan bool, 9), make(chan bool, 9), make(chan bool)
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if n := running.Add(1); n > peak.Load() {
+				peak.Store(n)
+			}
+			defer running.Add(-1)
+			began <- true
+			if r.URL.Path == "/left" {
+				<-r.Context().Done()
+				told <- true
+				<-end
+			}
+		}))
+		defer server.Close()
+		f.place(1, map[int]string{at: server.Listener.Addr().String()})
+		ctx, leave := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, "GET", f.callers[0].URL+"/left", nil)
+		c.Assert(err, qt.IsNil)
+		var wait sync.WaitGroup
+		wait.Go(func() { _, _ = http.DefaultClient.Do(req) })
+		<-began
+		leave()
+		<-told
+		wait.Go(func() { c.Check(f.do(0, "GET", "/next", nil).status, qt.Equals, 200) })
+		time.Sleep(50 * time.Millisecond)
+		close(end)
+		wait.Wait()
+		c.Check(peak.Load(), qt.Equals, int64(1))
+	})
+}
+
+// TestRefusedBeforeTheBody sends a stream to another server when the first
+// refuses it, whole; and a leaving daemon takes no new work.
+func TestRefusedBeforeTheBody(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 3)
+	echo := func(_ int64, r *http.Request, conn net.Conn) bool {
+		body, _ := io.ReadAll(r.Body)
+		return say(conn, fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\n\n%s", len(body), body))
+	}
+	one, runsOne := rawServer(c, echo)
+	two, _ := rawServer(c, echo)
+	f.place(4, map[int]string{1: one, 2: two})
+	f.gateways[1].Leave()
+	large := bytes.Repeat([]byte("12345678"), 1<<14)
+	for range 8 {
+		a := f.do(0, "POST", "/", struct{ io.Reader }{bytes.NewReader(large)})
+		c.Assert(a.body == string(large), qt.IsTrue, qt.Commentf("%d %s", a.status, a.outcome))
+	}
+	c.Assert(runsOne.Load(), qt.Equals, int64(0))
+}
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -1,56 +1,134 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
 )
 
-// The internal headers between daemons. Callers' own headers of this prefix are
-// removed on arrival, and none reaches a backend server.
+// The headers of daisygate. Between daemons each travels; of a caller's, only
+// Timeout and Depth count, and only from the same instance: there a backend
+// server may pass on those of the request that it runs.
 const (
-	prefix         = "Daisygate-"
+	prefix = "Daisygate-"
+	// HeaderTimeout is the time left for the request, in microseconds: the
+	// clocks of instances are not compared. Backend servers get it.
+	HeaderTimeout = prefix + "Timeout"
+	// HeaderDepth is how many backend servers the request came through.
+	// Backend servers get it.
+	HeaderDepth    = prefix + "Depth"
+	headerStall    = prefix + "Stall"
 	headerServer   = prefix + "Server"
 	headerMesh     = prefix + "Mesh"
 	headerService  = prefix + "Service"
 	headerPriority = prefix + "Priority"
-	headerTimeout  = prefix + "Timeout"
+	headerFresh    = prefix + "Fresh"
 	headerLoad     = prefix + "Load"
 )
 
-// hopByHop are the connection's own headers (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// depthMax is the deepest chain of calls; a deeper one is taken for a loop.
+const depthMax = 32
+
+// isHopByHop reports the connection's own headers (RFC 9110, section 7.6.1) and
+// those that frame a message.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
 }
 
-// cleanHeader returns a copy of h without hop-by-hop and internal headers.
-func cleanHeader(h http.Header) http.Header {
-	out := h.Clone()
-	for _, line := range h.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			out.Del(strings.TrimSpace(name))
+// skipped returns which headers of h are not sent on: hop-by-hop headers, those
+// of daisygate, those that the client frames itself, and what the message's own
+// Connection header names.
+func skipped(h http.Header) func(name string) bool {
+	named := connectionNames(h)
+	return func(name string) bool {
+		switch name {
+		case "Host", "Content-Length", "Expect":
+			return true
 		}
+		return isHopByHop(name) || strings.HasPrefix(name, prefix) || named[name]
 	}
-	for _, name := range hopByHop {
-		out.Del(name)
+}
+
+// connectionNames are the headers that the Connection header names; nil for
+// none.
+func connectionNames(h http.Header) map[string]bool {
+	var names map[string]bool
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if names == nil {
+				names = map[string]bool{}
+			}
+			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
 	}
-	for name := range out {
-		if strings.HasPrefix(name, prefix) {
-			delete(out, name)
+	return names
+}
+
+// copyHeader puts an answer's header into dst, without hop-by-hop headers and
+// those of daisygate. The values are shared.
+func copyHeader(dst, src http.Header) {
+	named := connectionNames(src)
+	for name, values := range src {
+		if !isHopByHop(name) && !strings.HasPrefix(name, prefix) && !named[name] {
+			dst[name] = values
 		}
 	}
-	return out
 }
 
-// setTimeout writes the remaining time, in microseconds: clocks of instances
-// are not compared.
-func setTimeout(h http.Header, remaining time.Duration) {
-	h.Set(headerTimeout, strconv.FormatInt(remaining.Microseconds(), 10))
+func microseconds(d time.Duration) string {
+	return strconv.FormatInt(max(1, d.Microseconds()), 10)
+}
+
+func durationOf(h http.Header, name string) (time.Duration, bool) {
+	n, err := strconv.ParseInt(h.Get(name), 10, 64)
+	const most = int64(24 * time.Hour / time.Microsecond)
+	return time.Duration(n) * time.Microsecond, err == nil && n > 0 && n <= most
+}
+
+func numberOf(h http.Header, name string) (int, bool) {
+	n, err := strconv.Atoi(h.Get(name))
+	return n, err == nil && n >= 0
+}
+
+// sameInstance reports whether a request came from this instance.
+func sameInstance(r *http.Request) bool {
+	remote, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	if ip := net.ParseIP(remote); ip != nil && ip.IsLoopback() {
+		return true
+	}
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return false
+	}
+	host, _, err := net.SplitHostPort(local.String())
+	return err == nil && host == remote
+}
+
+// nesting reads what a backend server passed on with a call of its own.
+func nesting(r *http.Request) (depth int, timeout time.Duration) {
+	if !sameInstance(r) {
+		return 0, 0
+	}
+	depth, _ = numberOf(r.Header, HeaderDepth)
+	timeout, _ = durationOf(r.Header, HeaderTimeout)
+	return depth, timeout
 }
 
-func timeoutOf(h http.Header) (time.Duration, bool) {
-	n, err := strconv.ParseInt(h.Get(headerTimeout), 10, 64)
-	return time.Duration(n) * time.Microsecond, err == nil && n > 0
+// target is the request target in origin form.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
 }
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -128,22 +128,24 @@
 	return g.cfg.Suspects.Begin(addr, r)
 }
 
-// claim reports whether the request is claimed now; proceed is false when it
-// was answered here.
-func (g *Gateway) claim(ctx context.Context, w http.ResponseWriter, r *Request) (claimed, proceed bool) {
-	if g.cfg.Claims == nil || r.HTTP.Header.Get(HeaderIdempotencyKey) == "" {
-		return false, true
+// claim asks for the claim of a request with a key. proceed is false when the
+// caller was answered here.
+func (x *exchange) claim() (proceed bool) {
+	if x.g.cfg.Claims == nil || x.r.Header.Get(HeaderIdempotencyKey) == "" {
+		return true
 	}
-	verdict := g.cfg.Claims.Claim(ctx, r)
+	verdict := x.g.cfg.Claims.Claim(x.r.Context(), x.hooked)
 	switch {
 	case verdict.Refusal != nil:
-		result.WriteHTTPRetry(w, verdict.Refusal, verdict.RetryAfter)
-		return false, false
+		x.refuse(&refusal{Error: verdict.Refusal, back: verdict.RetryAfter})
+		return false
 	case verdict.Answer != nil:
-		verdict.Answer.write(w)
-		return false, false
+		x.seen.done.Code = result.OK
+		verdict.Answer.write(x.w)
+		return false
 	}
-	return true, true
+	x.claimed = true
+	return true
 }
 
 func (a *KeptAnswer) write(w http.ResponseWriter) {
--- a/internal/connection/gateway/observe.go
+++ b/internal/connection/gateway/observe.go
@@ -121,9 +121,11 @@
 func (g *Gateway) Occupancy() []Occupancy {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	list := make([]Occupancy, 0, len(g.gates))
-	for addr, gate := range g.gates {
-		list = append(list, gate.occupancy(addr))
+	list := make([]Occupancy, 0, len(g.backends))
+	for addr, b := range g.backends {
+		if !b.gone {
+			list = append(list, b.gate.occupancy(addr))
+		}
 	}
 	return list
 }
@@ -157,19 +159,19 @@
 	w.span.End(w.done.Code)
 }
 
-// codeOf is the code of an attempt that ended with err.
-func codeOf(err *result.Error) result.Code {
-	if err == nil {
+// codeOf is the code of an attempt that ended with r.
+func codeOf(r *refusal) result.Code {
+	if r == nil {
 		return result.OK
 	}
-	return err.Code
+	return r.Code
 }
 
 func (g *gate) occupancy(server string) Occupancy {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return Occupancy{
-		Server: server, Load: g.core.Load(), Running: g.core.Running(),
+		Server: server, Load: g.core.Load(time.Now()), Running: g.core.Running(),
 		Queued: g.core.Queued(), Slots: g.core.Slots(),
 	}
 }
--- /dev/null
+++ b/internal/connection/gateway/peer.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// ServePeer serves calls passed on by other daemons.
+func (g *Gateway) ServePeer(w http.ResponseWriter, r *http.Request) {
+	k, timeout, stall, refused := forwarded(r)
+	if refused != nil {
+		writeRefusal(w, refused)
+		return
+	}
+	r, span := g.cfg.Tracer.Arrive(r, HopPeer)
+	code := result.AnswerLost
+	defer func() { span.End(code) }()
+	ctx, win, cancel := newWindow(r.Context(), timeout)
+	defer cancel()
+	body, err := newRequestBody(w, r, win, stall)
+	if err != nil {
+		code = result.CallerLeft
+		panic(http.ErrAbortHandler)
+	}
+	k.hooked.HTTP, k.body = r, body
+	resp, refused := g.serve(ctx, k)
+	g.setLoad(w.Header(), k.addr)
+	g.setClose(w.Header())
+	if refused != nil {
+		code = refused.Code
+		writeRefusal(w, refused)
+		body.settle()
+		return
+	}
+	win.stop()
+	if !relay(w, resp, nil) {
+		panic(http.ErrAbortHandler)
+	}
+	code = result.OK
+	body.settle()
+}
+
+// forwarded reads the internal headers of a request.
+func forwarded(r *http.Request) (k *work, timeout, stall time.Duration, refused *refusal) {
+	timeout, okTimeout := durationOf(r.Header, HeaderTimeout)
+	stall, okStall := durationOf(r.Header, headerStall)
+	priority, okPriority := numberOf(r.Header, headerPriority)
+	depth, okDepth := numberOf(r.Header, HeaderDepth)
+	k = &work{
+		addr: r.Header.Get(headerServer), priority: priority, depth: depth,
+		deadline: time.Now().Add(timeout), fresh: r.Header.Get(headerFresh) != "",
+		hooked: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService)},
+	}
+	if !okTimeout || !okStall || !okPriority || !okDepth || k.addr == "" {
+		return nil, 0, 0, refuse(result.BadRequest, "not a forwarded call")
+	}
+	return k, timeout, stall, nil
+}
+
+func (g *Gateway) setLoad(h http.Header, addr string) {
+	if load, ok := g.LocalLoad(addr); ok {
+		h[headerLoad] = []string{strconv.FormatFloat(load, 'f', 3, 64)}
+	}
+}
+
+// setClose asks the other side of a connection to leave it, once this daemon
+// leaves.
+func (g *Gateway) setClose(h http.Header) {
+	if g.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/internal/connection/gateway/serve.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisygate/daisygate/internal/connection/upstream"
+	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// work is a request on its way to a backend server beside this daemon.
+type work struct {
+	hooked   *Request
+	body     *requestBody
+	addr     string
+	priority int
+	depth    int
+	deadline time.Time
+	// fresh requests may not be repeated.
+	fresh bool
+}
+
+// serve runs a request on a backend server beside this daemon. The slot is held
+// until the server is done with it. The answer's body must be closed.
+func (g *Gateway) serve(ctx context.Context, k *work) (*http.Response, *refusal) {
+	b := g.backendAt(k.addr)
+	if b == nil || g.leaving.Load() {
+		return nil, refuse(result.Draining, "no new work for "+k.addr+" here")
+	}
+	screening := g.screen(k.hooked)
+	if screening.Refusal != nil {
+		return nil, &refusal{Error: screening.Refusal, back: screening.RetryAfter}
+	}
+	entered := time.Now()
+	ticket := admit.Ticket{Priority: k.priority, Deadline: k.deadline, Alone: screening.Alone}
+	if refused := b.gate.Enter(ctx, ticket); refused != nil {
+		g.cfg.Observer.Refused(Refused{Server: k.addr, Code: refused.Code, Waited: time.Since(entered)})
+		return nil, refused
+	}
+	return g.hand(ctx, b, k)
+}
+
+// hand passes a request that has its slot to the backend server.
+func (g *Gateway) hand(ctx context.Context, b *backend, k *work) (*http.Response, *refusal) {
+	out := k.body.outgoing(k.hooked.HTTP)
+	out.Added = http.Header{
+		HeaderTimeout: {microseconds(time.Until(k.deadline))},
+		HeaderDepth:   {strconv.Itoa(k.depth + 1)},
+	}
+	out.IdleAge = backendIdleTimeout
+	if k.fresh {
+		out.IdleAge = recentIdle
+	}
+	span := g.cfg.Tracer.Send(ctx, HopBackend, out.Added)
+	span.Set(SpanServer, k.addr)
+	run := g.begin(k.addr, k.hooked)
+	var took time.Duration
+	out.Done = func() { b.gate.Leave(took) }
+	start := time.Now()
+	resp, failure := b.pool.RoundTrip(ctx, out)
+	if failure != nil {
+		refused := classify(ctx, failure, result.BackendRefused)
+		run.End(fateOf(refused.Code))
+		span.End(refused.Code)
+		return nil, refused
+	}
+	took = time.Since(start)
+	span.End(result.OK)
+	resp.Body = &watchedBody{ReadCloser: resp.Body, ctx: ctx, run: run}
+	return resp, nil
+}
+
+// outgoing is the request as it is sent on, less what the receiver needs.
+func (b *requestBody) outgoing(r *http.Request) *upstream.Request {
+	out := &upstream.Request{
+		Method: r.Method, Target: target(r), Host: r.Host,
+		Header: r.Header, Skip: skipped(r.Header), Small: b.small, Stall: stallMax,
+	}
+	if b.stream {
+		out.Body, out.Length, out.Trailer, out.AbortBody = b, b.length(), r.Trailer, b.abort
+	}
+	return out
+}
+
+// classify says what a failed attempt tells about the request.
+func classify(ctx context.Context, f *upstream.Failure, unreachable result.Code) *refusal {
+	expired := errors.Is(context.Cause(ctx), errDeadline)
+	switch {
+	case expired && !f.Sent:
+		return refuse(result.DeadlineTooShort, f.Error())
+	case expired:
+		return refuse(result.DeadlineExceeded, f.Error())
+	case ctx.Err() != nil || errors.Is(f, upstream.ErrBody):
+		return refuse(result.CallerLeft, f.Error())
+	case !f.Sent:
+		return refuse(unreachable, f.Error())
+	}
+	return refuse(result.AnswerLost, f.Error())
+}
+
+func fateOf(c result.Code) Fate {
+	switch c {
+	case result.BackendRefused, result.DeadlineTooShort:
+		return Unsent
+	case result.CallerLeft, result.DeadlineExceeded:
+		return Cancelled
+	}
+	return Crashed
+}
--- /dev/null
+++ b/internal/connection/gateway/service.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/request/flow"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/directory"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
+)
+
+// service is a flow.Service that goroutines share.
+type service struct {
+	mu   sync.Mutex
+	core *flow.Service
+}
+
+func (g *Gateway) service(key snapshot.ServiceKey) *service {
+	g.servicesMu.RLock()
+	s := g.services[key]
+	g.servicesMu.RUnlock()
+	if s != nil {
+		return s
+	}
+	g.servicesMu.Lock()
+	defer g.servicesMu.Unlock()
+	if s = g.services[key]; s == nil {
+		s = &service{core: flow.NewService(g.place(), g)}
+		g.services[key] = s
+	}
+	return s
+}
+
+// course is a flow.Call whose service is locked for each step.
+type course struct {
+	service *service
+	call    *flow.Call
+}
+
+func (s *service) begin(dir *directory.Directory, target *snapshot.Service, r flow.Request) (*course, flow.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Table.Update(dir.Candidates(target.Key), target.SlowStart)
+	call, action := s.core.Begin(time.Now(), rand.Uint64(), r)
+	return &course{service: s, call: call}, action
+}
+
+func (c *course) answered() flow.Action {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	return c.call.Answered()
+}
+
+func (c *course) relayed(whole bool) {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	c.call.Relayed(time.Now(), whole)
+}
+
+// failed takes in the end of an attempt without an answer.
+func (c *course) failed(r *refusal, bodyBegun bool) flow.Action {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	if bodyBegun {
+		c.call.BodyBegun()
+	}
+	now := time.Now()
+	switch r.Code {
+	case result.DeadlineExceeded:
+		return c.call.Expired(now)
+	case result.CallerLeft:
+		return c.call.CallerLeft(now)
+	}
+	return c.call.Refused(now, rand.Uint64(), r.Code, r.back)
+}
+
+// report takes in the load that came with an answer.
+func (c *course) report(from *directory.Candidate, text string) {
+	load, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return
+	}
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	c.service.core.Table.Report(time.Now(), from, load)
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -159,7 +159,7 @@
 	}
 	d.mesh = control
 	d.gateway = gateway.New(gateway.Config{
-		Self: d.set.Node, Domain: d.set.Domain, QueuePerSlot: d.set.Limits.QueuePerSlot,
+		Self: d.set.Node, Domain: d.set.Domain, Region: d.set.Region, QueuePerSlot: d.set.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready,
 	}, d.log.WithName("gateway"))
 	d.servers = announce.NewServer(d.setServers)
@@ -227,6 +227,7 @@
 	d.stop(servers)
 	stop()
 	err := group.Wait()
+	d.gateway.Close()
 	d.items.Close()
 	d.messages.Close()
 	d.pool.Close()
@@ -235,6 +236,7 @@
 
 // stop leaves the fleet first, then waits for what is in progress.
 func (d *Daemon) stop(servers map[string]*http.Server) {
+	d.gateway.Leave()
 	d.mesh.Leave()
 	time.Sleep(leaveDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -2,6 +2,12 @@
 // wait in a short queue, and which are refused. It counts the server's slots
 // exactly, whatever the server reports.
 //
+// A waiting request goes by its class, its priority less one for every
+// agingStep that it waited, and within a class by its deadline; so no class
+// waits for ever. A full queue turns its last away, which need not be the
+// newest. What could not start before its deadline, going by the measured
+// service time, is refused at once.
+//
 // The package does no I/O and reads no clock.
 package admit
 
@@ -12,12 +18,25 @@
 	"github.com/daisygate/daisygate/internal/result"
 )
 
+// agingStep is the waiting time that raises a ticket by one class.
+const agingStep = 200 * time.Millisecond
+
 // Ticket is one request that wants a slot.
 type Ticket struct {
 	ID uint64
 	// Priority 0 goes first.
 	Priority int
+	// Deadline is when waiting has become useless.
 	Deadline time.Time
+	// Alone asks to run with no other request on the server.
+	Alone bool
+
+	arrived time.Time
+}
+
+// class is the priority with the waiting time taken off.
+func (t *Ticket) class(now time.Time) int {
+	return max(0, t.Priority-int(now.Sub(t.arrived)/agingStep))
 }
 
 // Verdict is the decision on one ticket.
@@ -39,66 +58,173 @@
 	Verdict Verdict
 	// Code is set on a refusal.
 	Code result.Code
+	// RetryAfter is set on a refusal: when a slot may be free again.
+	RetryAfter time.Duration
+}
+
+// Config is what bounds one backend server.
+type Config struct {
+	// Slots is the most tickets that run at a time.
+	Slots int
+	// QueueMax is the most tickets that wait.
+	QueueMax int
+	// Since is when the server began to take work, and SlowStart how long it
+	// takes from then to its full slots; 0 is at once.
+	Since     time.Time
+	SlowStart time.Duration
 }
 
 // Core is the admission of one backend server. It is not safe for concurrent
 // use.
 type Core struct {
-	slots    int
-	queueMax int
-	running  int
-	queue    []Ticket
+	cfg Config
+	// running never exceeds cfg.Slots but after a Configure that lowered it.
+	running int
+	// alone is set while a ticket runs that asked for it; running is then 1.
+	alone    bool
+	queue    []Ticket // in order of arrival; len is at most cfg.QueueMax
 	draining bool
+	limit    limiter
 }
 
-// New returns a Core with room for slots running and queueMax waiting requests.
-func New(slots, queueMax int) *Core { return &Core{slots: slots, queueMax: queueMax} }
+// New returns a Core.
+func New(cfg Config) *Core {
+	return &Core{cfg: cfg, limit: newLimiter(cfg.Slots)}
+}
 
-// Resize changes the slots; running requests above it finish.
-func (c *Core) Resize(slots int) { c.slots = slots }
+// Configure changes the bounds; running requests above them finish. It returns
+// what the change starts.
+func (c *Core) Configure(now time.Time, cfg Config) []Decision {
+	if cfg.Slots != c.cfg.Slots {
+		c.limit = newLimiter(cfg.Slots)
+	}
+	c.cfg = cfg
+	return c.fill(now)
+}
 
 // Running is the number of slots in use.
 func (c *Core) Running() int { return c.running }
 
-// Load is running and waiting requests per slot.
-func (c *Core) Load() float64 {
-	return float64(c.running+len(c.queue)) / float64(max(c.slots, 1))
+// Limit is the most tickets that run now: the slots, fewer while the server is
+// cold or its latency climbs; at least 1 if there are slots.
+func (c *Core) Limit(now time.Time) int {
+	limit := min(c.cfg.Slots, c.limit.value())
+	return min(limit, warmSlots(c.cfg, now))
 }
 
-// Arrive decides on a new ticket. A full queue refuses its last in order, which
-// need not be the new one.
+// warmSlots grows from a quarter of the slots to all of them.
+func warmSlots(cfg Config, now time.Time) int {
+	age := now.Sub(cfg.Since)
+	if cfg.SlowStart <= 0 || age >= cfg.SlowStart {
+		return cfg.Slots
+	}
+	share := max(coldShare, float64(max(age, 0))/float64(cfg.SlowStart))
+	return min(cfg.Slots, max(1, int(share*float64(cfg.Slots))))
+}
+
+// coldShare is the share of its slots that a server begins with.
+const coldShare = 0.25
+
+// Load is running and waiting requests per slot that may be used now.
+func (c *Core) Load(now time.Time) float64 {
+	return float64(c.running+len(c.queue)) / float64(max(c.Limit(now), 1))
+}
+
+// Arrive decides on a new ticket, and with it perhaps on others: without a
+// decision on it, it waits.
 func (c *Core) Arrive(now time.Time, t Ticket) []Decision {
-	if c.draining {
-		return []Decision{{ID: t.ID, Verdict: Refuse, Code: result.Draining}}
+	switch {
+	case c.draining:
+		return []Decision{c.refuse(t, result.Draining)}
+	case !t.Deadline.After(now):
+		return []Decision{c.refuse(t, result.DeadlineTooShort)}
 	}
-	if !t.Deadline.After(now) {
-		return []Decision{{ID: t.ID, Verdict: Refuse, Code: result.DeadlineTooShort}}
+	t.arrived = now
+	if len(c.queue) == 0 && c.mayStart(now, &t) {
+		return []Decision{c.start(&t)}
 	}
-	if c.running < c.slots {
-		c.running++
-		return []Decision{{ID: t.ID, Verdict: Start}}
+	if c.wait(now, &t) > t.Deadline.Sub(now) {
+		return []Decision{c.refuse(t, result.DeadlineTooShort)}
 	}
 	c.queue = append(c.queue, t)
-	slices.SortStableFunc(c.queue, before)
-	if len(c.queue) <= c.queueMax {
-		return nil
+	decisions := c.fill(now)
+	if len(c.queue) > c.cfg.QueueMax {
+		i := c.last(now)
+		decisions = append(decisions, c.refuse(c.queue[i], result.Overloaded))
+		c.queue = slices.Delete(c.queue, i, i+1)
+	}
+	return decisions
+}
+
+func (c *Core) mayStart(now time.Time, t *Ticket) bool {
+	if c.alone || (t.Alone && c.running > 0) {
+		return false
+	}
+	return c.running < c.Limit(now)
+}
+
+func (c *Core) start(t *Ticket) Decision {
+	c.running++
+	c.alone = t.Alone
+	return Decision{ID: t.ID, Verdict: Start}
+}
+
+func (c *Core) refuse(t Ticket, code result.Code) Decision {
+	d := Decision{ID: t.ID, Verdict: Refuse, Code: code}
+	if code != result.Draining {
+		d.RetryAfter = c.limit.service * time.Duration(len(c.queue)+1) / time.Duration(max(c.cfg.Slots, 1))
+	}
+	return d
+}
+
+// wait estimates how long t would wait for a slot behind those before it.
+func (c *Core) wait(now time.Time, t *Ticket) time.Duration {
+	ahead := 0
+	for i := range c.queue {
+		if before(now, &c.queue[i], t) {
+			ahead++
+		}
 	}
-	last := c.queue[len(c.queue)-1]
-	c.queue = c.queue[:len(c.queue)-1]
-	return []Decision{{ID: last.ID, Verdict: Refuse, Code: result.Overloaded}}
+	return c.limit.service * time.Duration(ahead) / time.Duration(max(c.Limit(now), 1))
 }
 
-func before(a, b Ticket) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
+func before(now time.Time, a, b *Ticket) bool {
+	if ca, cb := a.class(now), b.class(now); ca != cb {
+		return ca < cb
 	}
-	return a.Deadline.Compare(b.Deadline)
+	return a.Deadline.Before(b.Deadline)
 }
 
-// Finish returns a slot and decides who gets it.
-func (c *Core) Finish(now time.Time) []Decision {
+// first and last return the ends of the queue, which must not be empty.
+func (c *Core) first(now time.Time) int {
+	best := 0
+	for i := range c.queue {
+		if before(now, &c.queue[i], &c.queue[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c *Core) last(now time.Time) int {
+	worst := 0
+	for i := range c.queue {
+		if !before(now, &c.queue[i], &c.queue[worst]) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+// Finish returns a slot after took, the time to the header of the answer; 0
+// tells nothing. It decides who gets the slot.
+func (c *Core) Finish(now time.Time, took time.Duration) []Decision {
+	if took > 0 {
+		c.limit.sample(now, took, c.running, c.cfg.Slots)
+	}
 	c.running--
-	return c.Fill(now)
+	c.alone = false
+	return c.fill(now)
 }
 
 // Cancel takes a waiting ticket out and reports whether it was waiting.
@@ -116,7 +242,7 @@
 	c.draining = true
 	var decisions []Decision
 	for _, t := range c.queue {
-		decisions = append(decisions, Decision{ID: t.ID, Verdict: Refuse, Code: result.Draining})
+		decisions = append(decisions, c.refuse(t, result.Draining))
 	}
 	c.queue = nil
 	return decisions
@@ -125,18 +251,23 @@
 // Resume ends a drain.
 func (c *Core) Resume() { c.draining = false }
 
-// Fill starts waiting tickets while slots are free.
-func (c *Core) Fill(now time.Time) []Decision {
+// fill starts waiting tickets while slots are free. A ticket that asked to run
+// alone holds those behind it back until the server is empty.
+func (c *Core) fill(now time.Time) []Decision {
 	var decisions []Decision
-	for len(c.queue) > 0 && c.running < c.slots {
-		t := c.queue[0]
-		c.queue = c.queue[1:]
-		if !t.Deadline.After(now) {
-			decisions = append(decisions, Decision{ID: t.ID, Verdict: Refuse, Code: result.DeadlineTooShort})
+	for len(c.queue) > 0 {
+		i := c.first(now)
+		t := c.queue[i]
+		expired := !t.Deadline.After(now)
+		if !expired && !c.mayStart(now, &t) {
+			break
+		}
+		c.queue = slices.Delete(c.queue, i, i+1)
+		if expired {
+			decisions = append(decisions, c.refuse(t, result.DeadlineTooShort))
 			continue
 		}
-		c.running++
-		decisions = append(decisions, Decision{ID: t.ID, Verdict: Start})
+		decisions = append(decisions, c.start(&t))
 	}
 	return decisions
 }
--- a/internal/request/admit/occupancy.go
+++ b/internal/request/admit/occupancy.go
@@ -4,4 +4,4 @@
 func (c *Core) Queued() int { return len(c.queue) }
 
 // Slots is the most tickets that run at a time.
-func (c *Core) Slots() int { return c.slots }
+func (c *Core) Slots() int { return c.cfg.Slots }
--- /dev/null
+++ b/internal/request/balance/server.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/daisygate/daisygate/internal/version/directory"
+)
+
+// The ejection's constants.
+const (
+	// failuresToEject is how many failures in a row eject a server that can
+	// still be reached.
+	failuresToEject = 3
+	// ejectFirst is the first ejection; each further one in a row is twice as
+	// long, up to ejectMax.
+	ejectFirst = 250 * time.Millisecond
+	ejectMax   = 30 * time.Second
+	// avoidFull is how long a server that refused for want of room counts as
+	// full.
+	avoidFull = 100 * time.Millisecond
+)
+
+// server is what one daemon knows of one backend server.
+type server struct {
+	// outstanding is the attempts of this daemon in progress, never below 0.
+	outstanding int
+	// reported is the load told at reportedAt, when told attempts of this
+	// daemon were in progress.
+	reported   float64
+	reportedAt time.Time
+	told       int
+	fullUntil  time.Time
+	// failures and ejections count those in a row.
+	failures, ejections int
+	ejectedUntil        time.Time
+}
+
+func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
+
+func (s *server) load(now time.Time, slots int) float64 {
+	fresh := max(0, 1-float64(now.Sub(s.reportedAt))/float64(fade))
+	unseen := float64(s.outstanding) - fresh*float64(s.told)
+	load := fresh*s.reported + max(0, unseen)/float64(max(slots, 1))
+	if now.Before(s.fullUntil) {
+		return max(load, full)
+	}
+	return load
+}
+
+// End is how an attempt ended.
+type End uint8
+
+// The ends.
+const (
+	// Answered attempts brought an answer.
+	Answered End = iota
+	// Full attempts were refused for want of room.
+	Full
+	// Failed attempts brought no answer in time, or lost it.
+	Failed
+	// Unreachable attempts were not taken: nobody listens, or the server
+	// leaves.
+	Unreachable
+	// Neutral attempts say nothing about the server: the caller left.
+	Neutral
+)
+
+// Sent notes that an attempt goes to c.
+func (t *Table) Sent(c *directory.Candidate) {
+	if s := t.servers[c.Server.Addr]; s != nil {
+		s.outstanding++
+	}
+}
+
+// Report takes in the load that came with an answer, in requests per slot.
+func (t *Table) Report(now time.Time, c *directory.Candidate, load float64) {
+	s := t.servers[c.Server.Addr]
+	if s == nil || !(load >= 0) {
+		return
+	}
+	s.reported, s.reportedAt, s.told = min(load, maxLoad), now, s.outstanding
+}
+
+// Ended notes that an attempt at c is over.
+func (t *Table) Ended(now time.Time, c *directory.Candidate, end End) {
+	s := t.servers[c.Server.Addr]
+	if s == nil {
+		return
+	}
+	s.outstanding = max(0, s.outstanding-1)
+	switch end {
+	case Answered:
+		s.failures, s.ejections = 0, 0
+	case Full:
+		s.fullUntil = now.Add(avoidFull)
+	case Failed:
+		s.failures++
+		if s.failures >= failuresToEject && t.ejectedNow(now) < len(t.candidates)/2 {
+			s.eject(now)
+		}
+	case Unreachable:
+		s.eject(now)
+	}
+}
+
+func (s *server) eject(now time.Time) {
+	if s.ejected(now) {
+		return
+	}
+	d := min(ejectFirst<<min(s.ejections, 16), ejectMax)
+	s.ejectedUntil = now.Add(d)
+	s.ejections++
+	s.failures = 0
+}
+
+func (t *Table) ejectedNow(now time.Time) int {
+	n := 0
+	for _, s := range t.servers {
+		if s.ejected(now) {
+			n++
+		}
+	}
+	return n
+}
