Decide at most once: claims of idempotency keys and their table

Cause: a request that may not be repeated ran again when its caller sent it again: nothing connected two sendings of one request. Ruled out: claims in the memory of daemons in three failure domains (rendezvous hashing over presence): two daemons whose presence differs pick other holders and both grant, and a restart of two holders forgets; a table of the sources has one order of claims. The route in the claim's name: a resend must find its claim also after the operators moved its route. Change: package once decides what a caller is told and what becomes of a claim; package claims is the state machine of the table. Time comes with the commands and only goes up; claims, released tokens and bytes of answers are bounded; what does not fit is refused as not run, answers make room and leave "ran, not kept". Codes 240 to 245. Found by the fuzz while it was written, in its own oracle: time that goes back is not the table's time; a late answer of an owner whose claim had expired.

--- /dev/null
+++ b/internal/process/claims/table_test.go
@@ -0,0 +1,257 @@
+package claims_test
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/daisygate/daisygate/internal/process/claims"
+	"github.com/daisygate/daisygate/internal/request/once"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+var limits = claims.Limits{
+	Claims: 4, AnswerBytes: 20, Keep: 100 * time.Second, KeepAnswer: 30 * time.Second, KeepReleased: 5 * time.Second,
+}
+
+// TestSessions runs whole sessions against one table. A line is
+//
+//	<second> claim|answer|release <key> <daemon>/<seq> [request or body]
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		table := claims.New(limits)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.SplitSeq(d.Input, "\n") {
+				out.WriteString(step(t, table, line))
+			}
+			fmt.Fprintf(&out, "holds %d, answers %d bytes\n", table.Len(), table.AnswerBytes())
+			return out.String()
+		})
+	})
+}
+
+func step(t *testing.T, table *claims.Table, line string) string {
+	if line == "restart" {
+		raw, err := table.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, table.Restore(raw), qt.IsNil)
+		return "restarted\n"
+	}
+	var second, seq int64
+	var kind, key, daemon, rest string
+	fields := strings.Fields(strings.ReplaceAll(line, "/", " ") + " -")[:6]
+	_, err := fmt.Sscan(strings.Join(fields, " "), &second, &kind, &key, &daemon, &seq, &rest)
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", line))
+	c := claims.Command{ID: once.NewID("mesh", key), Now: second * 1000, Token: once.Token{Node: daemon, Incarnation: 1, Seq: uint64(seq)}}
+	switch kind {
+	case "claim":
+		r := once.Request{Path: rest}
+		c.Kind, c.Fingerprint = claims.KindClaim, r.Fingerprint()
+	case "answer":
+		c.Kind, c.Answer = claims.KindAnswer, &once.Answer{Status: 200, Body: []byte(rest)}
+	case "release":
+		c.Kind = claims.KindRelease
+	}
+	return fmt.Sprintf("%s -> %s\n", line, describe(table.Do(&c)))
+}
+
+func describe(r once.Reply) string {
+	step := once.Open(r, func(owner once.Token) bool { return owner.Node != "dead" })
+	switch {
+	case r.Verdict == once.Done:
+		return "done"
+	case r.Verdict == once.NotHeld:
+		return "not held"
+	case step.Replay != nil:
+		return fmt.Sprintf("first answer %q", step.Replay.Body)
+	case step.Refusal != nil:
+		return fmt.Sprintf("%s, %s, come back in %s", step.Refusal.Code, step.Refusal.Code.Outcome(), step.RetryAfter)
+	}
+	return "runs"
+}
+
+func init() {
+	// The same sequences each time; -rapid.seed asks for others.
+	_ = flag.Set("rapid.seed", "1")
+}
+
+// run is what the oracle knows of one attempt.
+type run struct {
+	key         int
+	fingerprint uint64
+	token       once.Token
+	granted     bool
+	settled     bool
+	// since is when the claim was granted.
+	since time.Time
+}
+
+// TestNoKeyRunsTwice drives daemons that race, resend, die and lose answers
+// against a table that is restored at any moment, beside an oracle that counts
+// the runs of each key within the time that it is kept.
+func TestNoKeyRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{table: claims.New(wide), ran: map[int]*run{}, answers: map[int]string{}, now: time.UnixMilli(1 << 40)}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim":   o.claim,
+			"late":    o.claimAgain,
+			"end":     o.end,
+			"die":     o.die,
+			"advance": o.advance,
+			"restore": o.restore,
+			"":        o.check,
+		})
+	})
+}
+
+var wide = claims.Limits{Claims: 6, AnswerBytes: 1 << 10, Keep: 50 * time.Second, KeepAnswer: 50 * time.Second, KeepReleased: 50 * time.Second}
+
+type oracle struct {
+	table *claims.Table
+	now   time.Time
+	// latest is the largest time so far: the table's own.
+	latest time.Time
+	seq    uint64
+	runs   []*run
+	// ran is the newest run of each key.
+	ran     map[int]*run
+	answers map[int]string
+}
+
+func (o *oracle) do(c claims.Command) once.Reply {
+	c.Now = o.now.UnixMilli()
+	if o.now.After(o.latest) {
+		o.latest = o.now
+	}
+	raw, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return o.table.Apply(0, 0, raw)
+}
+
+func id(key int) once.ID { return once.NewID("m", fmt.Sprint(key)) }
+
+func (o *oracle) claim(t *rapid.T) {
+	o.seq++
+	r := &run{key: rapid.IntRange(0, 7).Draw(t, "key"), token: once.Token{Node: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "daemon"), Seq: o.seq}}
+	r.fingerprint = uint64(rapid.SampledFrom([]int{1, 1, 1, 2}).Draw(t, "request"))
+	o.runs = append(o.runs, r)
+	o.send(t, r)
+}
+
+// claimAgain repeats a claim, as after a lost answer of the sources.
+func (o *oracle) claimAgain(t *rapid.T) {
+	if len(o.runs) > 0 {
+		o.send(t, rapid.SampledFrom(o.runs).Draw(t, "run"))
+	}
+}
+
+func (o *oracle) send(t *rapid.T, r *run) {
+	reply := o.do(claims.Command{Kind: claims.KindClaim, ID: id(r.key), Fingerprint: r.fingerprint, Token: r.token})
+	lost := rapid.IntRange(0, 4).Draw(t, "lost") == 0
+	if reply.Verdict == once.Answered && reply.Answer.Code == result.OK && string(reply.Answer.Body) != o.answers[r.key] {
+		t.Fatalf("key %d: answer %q, first was %q", r.key, reply.Answer.Body, o.answers[r.key])
+	}
+	switch {
+	case r.settled && reply.Verdict == once.Granted:
+		// A claim that arrives long after its release: nobody waits for it.
+	case lost && !r.granted && !r.settled:
+		r.settled = true
+		o.do(claims.Command{Kind: claims.KindRelease, ID: id(r.key), Token: r.token})
+	case reply.Verdict == once.Granted && !r.granted:
+		o.run(t, r)
+	case reply.Verdict != once.Granted && !r.granted:
+		r.settled = true
+	}
+}
+
+func (o *oracle) run(t *rapid.T, r *run) {
+	if first := o.ran[r.key]; first != nil && o.latest.Sub(first.since) < wide.Keep {
+		t.Fatalf("key %d runs twice: at %s and %s", r.key, first.since, o.latest)
+	}
+	o.ran[r.key], r.since = r, o.latest
+	delete(o.answers, r.key)
+	r.granted = true
+}
+
+// end settles a granted run: answered, certainly not run, or lost.
+func (o *oracle) end(t *rapid.T) {
+	r := o.open(t)
+	if r == nil {
+		return
+	}
+	r.settled = true
+	code := rapid.SampledFrom([]result.Code{result.OK, result.OK, result.BackendRefused, result.AnswerLost, result.CallerLeft}).Draw(t, "end")
+	body := fmt.Sprintf("answer %d", r.token.Seq)
+	answer := once.Close(code, &once.Answer{Status: 200, Body: []byte(body)})
+	c := claims.Command{Kind: claims.KindRelease, ID: id(r.key), Token: r.token}
+	if answer != nil {
+		c.Kind, c.Answer = claims.KindAnswer, answer
+	}
+	verdict := o.do(c).Verdict
+	current := o.ran[r.key] == r && o.latest.Sub(r.since) < wide.Keep
+	if verdict != once.Done && current {
+		t.Fatalf("key %d: the owner's settlement got %d", r.key, verdict)
+	}
+	if verdict == once.Done && code == result.OK {
+		o.answers[r.key] = body
+	}
+	if code == result.BackendRefused && current {
+		delete(o.ran, r.key)
+	}
+}
+
+// die drops a run without a word, as a killed daemon does.
+func (o *oracle) die(t *rapid.T) {
+	if r := o.open(t); r != nil {
+		r.settled = true
+	}
+}
+
+func (o *oracle) open(t *rapid.T) *run {
+	var open []*run
+	for _, r := range o.runs {
+		if r.granted && !r.settled {
+			open = append(open, r)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(open).Draw(t, "open run")
+}
+
+func (o *oracle) advance(t *rapid.T) {
+	o.now = o.now.Add(time.Duration(rapid.IntRange(-2, 30).Draw(t, "seconds")) * time.Second)
+}
+
+// restore moves the table to another source by its snapshot.
+func (o *oracle) restore(t *rapid.T) {
+	raw, err := o.table.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := claims.New(wide)
+	if err := other.Restore(raw); err != nil {
+		t.Fatal(err)
+	}
+	again, err := other.Snapshot()
+	if err != nil || string(again) != string(raw) {
+		t.Fatalf("another snapshot after a restore (%v)", err)
+	}
+	o.table = other
+}
+
+func (o *oracle) check(t *rapid.T) {
+	if o.table.Len() > wide.Claims || o.table.AnswerBytes() > wide.AnswerBytes {
+		t.Fatalf("%d claims, %d bytes of answers", o.table.Len(), o.table.AnswerBytes())
+	}
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -93,6 +93,13 @@
 	InProgress       Code = 233
 	OwnerLost        Code = 234
 
+	KeyReused         Code = 240
+	AnswerNotKept     Code = 241
+	ClaimsFull        Code = 242
+	ClaimsUnavailable Code = 243
+	BackendCrashed    Code = 244
+	Isolating         Code = 245
+
 	PeerBusy Code = 310
 
 	AnnounceInvalid Code = 410
@@ -151,6 +158,13 @@
 	Unreachable:      {"Unreachable", NotRun, http.StatusServiceUnavailable, "No daemon answered at the given address."},
 	NotInForce:       {"NotInForce", Run, http.StatusGatewayTimeout, "The manifest was accepted, but was not in force on every daemon in the time given."},
 	NotIdle:          {"NotIdle", Run, http.StatusGatewayTimeout, "The drain was begun and takes no new work, but requests were still in progress after the time given."},
+
+	KeyReused:         {"KeyReused", NotRun, http.StatusUnprocessableEntity, "The idempotency key was used for another request; this one was not run."},
+	AnswerNotKept:     {"AnswerNotKept", Run, http.StatusConflict, "The first request under this idempotency key ran; its answer is not kept, and it is not run again."},
+	ClaimsFull:        {"ClaimsFull", NotRun, http.StatusServiceUnavailable, "The sources hold as many idempotency keys as they may; come back when older ones have expired."},
+	ClaimsUnavailable: {"ClaimsUnavailable", NotRun, http.StatusServiceUnavailable, "No majority of sources can record the idempotency key now; this sending was not run. What an earlier one did is told when they are back."},
+	BackendCrashed:    {"BackendCrashed", Unknown, http.StatusBadGateway, "The backend server crashed while the request was in progress; it may have run."},
+	Isolating:         {"Isolating", NotRun, http.StatusServiceUnavailable, "The backend server is kept free for a request that was in progress at a crash; come back later."},
 }
 
 // Codes returns every defined code with its name and meaning, in no order.
