Run requests with an idempotency key at most once

Cause: the gateway asked for claims and nobody answered. Change: gateway.Once claims a key before the request leaves and records its end in the background; daemon/claims.go reaches the sources, leader first, and runs the table as a second replicated group beside the intent. A claim that may have been committed and was not answered is released. The owner of a claim counts as lost when its presence is gone or has a higher incarnation; that is told, not recorded, so that an owner thought lost by mistake still records its answer.

--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -158,19 +158,24 @@
 	return d.awaitReady(ctx)
 }
 
-// current is the manifest in force, or nil; it waits for the mesh to stand.
+// current is the manifest in force, or nil; it waits for a leader first.
 func (d *devMesh) current(ctx context.Context) (*manifest.Manifest, error) {
 	var current *manifest.Manifest
-	err := d.eventually(ctx, "the mesh to stand", func() error {
+	err := d.eventually(ctx, "a leader of the sources", func() error {
 		status, err := d.client.Status(ctx)
 		if err != nil {
 			return err
 		}
-		if err := d.stands(&status); err != nil {
+		if status.Source == nil || status.Source.Lead == "" {
+			return errors.New("none is elected")
+		}
+		if status.Source.Version > status.Mesh.Version {
+			return errors.New("its version is not in force yet")
+		}
+		if current, err = fetch(ctx, d.client, d.manifest.Mesh); err != nil {
 			return err
 		}
-		current, err = fetch(ctx, d.client, d.manifest.Mesh)
-		return err
+		return nil
 	})
 	if err != nil || current.Version == 0 {
 		return nil, err
@@ -178,19 +183,6 @@
 	return current, nil
 }
 
-// stands tells what the first daemon still lacks.
-func (d *devMesh) stands(s *operator.NodeStatus) error {
-	switch {
-	case s.Source == nil || s.Source.Lead == "":
-		return errors.New("no leader of the sources is elected")
-	case s.Mesh.Nodes < len(d.mesh.Nodes):
-		return errors.Newf("only %d of %d daemons found each other", s.Mesh.Nodes, len(d.mesh.Nodes))
-	case s.Source.Version > s.Mesh.Version:
-		return errors.Newf("version %d is not in force yet", s.Source.Version)
-	}
-	return nil
-}
-
 func (d *devMesh) apply(ctx context.Context) error {
 	raw, err := yaml.Marshal(d.manifest)
 	if err != nil {
@@ -292,7 +284,7 @@
 		fmt.Fprintln(d.out, "  "+d.curl(d.mesh.Nodes[i%len(d.mesh.Nodes)], &d.manifest.Routes[i]))
 	}
 	addr := d.mesh.Nodes[0].Operator
-	for _, command := range []string{"status", "history", "drain --node n1"} {
+	for _, command := range []string{"status", "history", "drain --node n1 --undo"} {
 		fmt.Fprintf(d.out, "  daisygate %s --operator %s\n", command, addr)
 	}
 	fmt.Fprintln(d.out, "\nInterrupt (Ctrl-C) ends it.")
--- /dev/null
+++ b/internal/process/daemon/claims.go
@@ -0,0 +1,240 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/connection/peer"
+	"github.com/daisygate/daisygate/internal/process/claims"
+	"github.com/daisygate/daisygate/internal/process/quorum"
+	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/request/once"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// The names of the methods of the claims' group.
+const (
+	claimsDeliver = "Claims.Deliver"
+	claimsPropose = "Claims.Propose"
+	claimsDo      = "Claims.Do"
+)
+
+const (
+	// claimWait is how long a source waits for a leader before it gives up.
+	claimWait = 500 * time.Millisecond
+	// claimServe bounds a command that another source passed on.
+	claimServe = 2 * time.Second
+	// flushTimeout bounds the wait for ends to be recorded at a planned stop.
+	flushTimeout = 5 * time.Second
+)
+
+// ClaimResult answers Claims.Do.
+type ClaimResult struct {
+	// Code is OK with a Reply, or why there is none.
+	Code   result.Code
+	Detail string
+	Reply  once.Reply
+	// Lead is the source that leads the group, or "".
+	Lead string
+}
+
+// claimSide is a daemon's part in at most once: its client of the table, and on
+// a source the replica of the table.
+type claimSide struct {
+	d        *Daemon
+	once     *gateway.Once
+	messages *peer.Outbox[replica.Message]
+	// group is nil on a daemon that is no source.
+	group *quorum.Group[once.Reply]
+	// preferred is the place in the settings of the member asked first.
+	preferred atomic.Int64
+}
+
+func newClaimSide(d *Daemon, incarnation, seed uint64) (*claimSide, error) {
+	s := &claimSide{d: d}
+	s.once = gateway.NewOnce(gateway.OnceConfig{
+		Node: d.set.Node, Incarnation: incarnation, Table: s, Lives: s.lives,
+	}, d.log.WithName("once"))
+	s.messages = peer.NewOutbox(outboxLimit, func(ctx context.Context, addr string, messages []replica.Message) error {
+		return d.pool.Call(ctx, addr, claimsDeliver, messages, &Empty{})
+	})
+	if !d.set.IsSource() {
+		return s, nil
+	}
+	var err error
+	s.group, err = quorum.Open(quorum.Config{
+		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "claims"),
+		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed,
+	}, claims.New(claims.DefaultLimits()), s, d.log.WithName("claims"))
+	return s, err
+}
+
+// lives reports whether the daemon that made a claim still is the process that
+// made it, by its presence.
+func (s *claimSide) lives(owner once.Token) bool {
+	if owner.Node == s.d.set.Node {
+		return owner.Incarnation == s.d.incarnation
+	}
+	for _, r := range s.d.mesh.Directory().Records {
+		if r.Node.Name == owner.Node {
+			return r.Incarnation <= owner.Incarnation
+		}
+	}
+	return false
+}
+
+// run drives this side until ctx ends.
+func (s *claimSide) run(ctx context.Context) error {
+	if s.group == nil {
+		s.once.Run(ctx)
+		return nil
+	}
+	go s.once.Run(ctx)
+	return s.group.Run(ctx)
+}
+
+// flush records what ended, before a planned stop.
+func (s *claimSide) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	s.once.Flush(ctx)
+}
+
+// Send implements quorum.Transport.
+func (s *claimSide) Send(to string, messages []replica.Message) {
+	if addr, ok := s.d.memberAddr(to); ok {
+		s.messages.Put(addr, messages...)
+	}
+}
+
+// Propose implements quorum.Transport.
+func (s *claimSide) Propose(ctx context.Context, to string, data []byte) (quorum.Reply, error) {
+	addr, ok := s.d.memberAddr(to)
+	if !ok {
+		return quorum.Reply{}, errors.Newf("no source %s", to)
+	}
+	var reply quorum.Reply
+	err := s.d.pool.Call(ctx, addr, claimsPropose, data, &reply)
+	return reply, err
+}
+
+// Do implements gateway.ClaimTable: it asks the sources in turn, the leader
+// first where it is known.
+func (s *claimSide) Do(ctx context.Context, c claims.Command) (once.Reply, bool, error) {
+	members := s.d.set.Source.Members
+	committed := false
+	var last error = result.Errorf(result.NoQuorum, "no sources in the settings")
+	first := int(s.preferred.Load())
+	for i := range members {
+		place := (first + i) % len(members)
+		answer, err := s.ask(ctx, members[place].Node, members[place].Peer, c)
+		if err == nil && answer.Code == result.OK {
+			s.prefer(place, answer.Lead)
+			return answer.Reply, false, nil
+		}
+		if err == nil {
+			err = result.Errorf(answer.Code, "%s", answer.Detail)
+		}
+		committed = committed || mayBeCommitted(err)
+		last = err
+	}
+	return once.Reply{}, committed, last
+}
+
+func (s *claimSide) prefer(place int, lead string) {
+	for i, m := range s.d.set.Source.Members {
+		if m.Node == lead {
+			place = i
+		}
+	}
+	s.preferred.Store(int64(place))
+}
+
+func (s *claimSide) ask(ctx context.Context, node, addr string, c claims.Command) (ClaimResult, error) {
+	if node == s.d.set.Node && s.group != nil {
+		return s.commit(ctx, c), nil
+	}
+	var answer ClaimResult
+	err := s.d.pool.Call(ctx, addr, claimsDo, c, &answer)
+	return answer, err
+}
+
+// mayBeCommitted reports whether a command that failed with err may be in the
+// log or may yet get there.
+func mayBeCommitted(err error) bool {
+	var coded *result.Error
+	if errors.As(err, &coded) {
+		return coded.Code != result.NoQuorum && coded.Code != result.StorageFailed
+	}
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return false
+	}
+	var op *net.OpError
+	return !errors.As(err, &op) || op.Op != "dial"
+}
+
+// commit stamps a command with this source's time and proposes it.
+func (s *claimSide) commit(ctx context.Context, c claims.Command) ClaimResult {
+	ctx, cancel := context.WithTimeout(ctx, s.patience())
+	defer cancel()
+	c.Now = time.Now().UnixMilli()
+	raw, err := c.Encode()
+	if err != nil {
+		return ClaimResult{Code: result.BadRequest, Detail: err.Error()}
+	}
+	reply, err := s.group.Propose(ctx, raw)
+	lead := s.group.Status().Lead
+	var failure *result.Error
+	if errors.As(err, &failure) {
+		return ClaimResult{Code: failure.Code, Detail: failure.Detail, Lead: lead}
+	}
+	return ClaimResult{Code: result.OK, Reply: reply, Lead: lead}
+}
+
+// patience is short while no leader is known.
+func (s *claimSide) patience() time.Duration {
+	if s.group.Status().Lead == "" {
+		return claimWait
+	}
+	return claimServe
+}
+
+// claimsService is the RPC side on a source.
+type claimsService struct{ d *Daemon }
+
+// Deliver takes in messages of another source.
+func (s *claimsService) Deliver(messages []replica.Message, _ *Empty) error {
+	if s.d.claims.group == nil {
+		return errNotSource
+	}
+	s.d.claims.group.Deliver(messages)
+	return nil
+}
+
+// Propose commits a command that another source passed on.
+func (s *claimsService) Propose(data []byte, reply *quorum.Reply) error {
+	if s.d.claims.group == nil {
+		return errNotSource
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimServe)
+	defer cancel()
+	*reply = s.d.claims.group.Serve(ctx, data)
+	return nil
+}
+
+// Do carries out a command of a daemon.
+func (s *claimsService) Do(c claims.Command, answer *ClaimResult) error {
+	if s.d.claims.group == nil {
+		return errNotSource
+	}
+	*answer = s.d.claims.commit(context.Background(), c)
+	return nil
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -73,6 +73,10 @@
 	gateway *gateway.Gateway
 	source  *source.Source
 	servers *announce.Server
+	claims  *claimSide
+
+	// incarnation is the start of this process in Unix milliseconds.
+	incarnation uint64
 
 	drains *drains
 	// token is the operators' bearer token, or "".
@@ -140,6 +144,7 @@
 
 func (d *Daemon) build() error {
 	incarnation := uint64(time.Now().UnixMilli())
+	d.incarnation = incarnation
 	seed := xxhash.Sum64String(d.set.Node) ^ incarnation
 	control, err := mesh.New(mesh.Config{
 		View: view.Config{
@@ -158,9 +163,13 @@
 		return err
 	}
 	d.mesh = control
+	if d.claims, err = newClaimSide(d, incarnation, seed); err != nil {
+		return err
+	}
 	d.gateway = gateway.New(gateway.Config{
 		Self: d.set.Node, Domain: d.set.Domain, Region: d.set.Region, QueuePerSlot: d.set.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready,
+		Claims: d.claims.once,
 	}, d.log.WithName("gateway"))
 	d.servers = announce.NewServer(d.setServers)
 	if !d.set.IsSource() {
@@ -212,6 +221,7 @@
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { d.mesh.Run(groupCtx); return nil })
 	group.Go(func() error { d.servers.Run(groupCtx); return nil })
+	group.Go(func() error { return d.claims.run(groupCtx) })
 	if d.source != nil {
 		group.Go(func() error { return d.source.Run(groupCtx) })
 	}
@@ -225,11 +235,13 @@
 	case <-groupCtx.Done():
 	}
 	d.stop(servers)
+	d.claims.flush()
 	stop()
 	err := group.Wait()
 	d.gateway.Close()
 	d.items.Close()
 	d.messages.Close()
+	d.claims.messages.Close()
 	d.pool.Close()
 	return err
 }
