Add the bench program: convergence and control bytes beside two baselines

Cause: convergence time and control bytes are the users' measures, and nothing measured them.

Change: bench/ runs fleets of daemons in one process or in a process each, with three sources on real files, one change of one route at a time on a manifest of 40 services and 200 routes; bench/baseline polls the whole state or streams deltas from one source, in the same run.

--- /dev/null
+++ b/bench/bytes.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/daisygate/daisygate/bench/baseline"
+	"github.com/daisygate/daisygate/bench/fleet"
+	"github.com/daisygate/daisygate/bench/report"
+	versions "github.com/daisygate/daisygate/internal/version/fleet"
+)
+
+// The systems that have no fleet of their own in reports.
+const (
+	systemEncoding = "encoding"
+	systemLimit    = "limit"
+)
+
+// The limits that issue 4 sets: bytes a change for each daemon, as a multiple
+// of the encoded delta and a constant.
+const (
+	limitDeltaFactor = 1.5
+	limitDeltaExtra  = 200
+)
+
+// bytesSettle is the default rest before idle daemons are watched: the
+// announcements of all servers must have reached everyone.
+const bytesSettle = "15s"
+
+// controlBytes measures what control costs: bytes for each change, and bytes,
+// processor time and memory of idle daemons.
+type controlBytes struct {
+	sizes       []int
+	processSize int
+	changes     int
+	shape       fleet.Shape
+	idle        time.Duration
+	spacing     time.Duration
+	timeout     time.Duration
+}
+
+func newBytes() *cobra.Command {
+	b := &controlBytes{}
+	flags := func(f *pflag.FlagSet) {
+		f.IntSliceVar(&b.sizes, "sizes", []int{12, 50, 200}, "daemons in one process")
+		f.IntVar(&b.processSize, "processes", 12, "daemons of the run with a process each; 0 for none")
+		f.IntVar(&b.changes, "changes", 30, "changes, one at a time")
+		f.IntVar(&b.shape.Services, "services", 40, "services of the manifest")
+		f.IntVar(&b.shape.Routes, "routes", 200, "routes of the manifest")
+		f.DurationVar(&b.idle, "idle", 10*time.Second, "time over which idle daemons are watched")
+		f.DurationVar(&b.spacing, "spacing", 200*time.Millisecond, "rest between changes")
+		f.DurationVar(&b.timeout, "timeout", 20*time.Second, "longest wait for one change")
+	}
+	cmd := newRun("bytes", "Control bytes a change and of idle daemons", "daemons", flags, b.measure)
+	setDefault(cmd, "settle", bytesSettle)
+	return cmd
+}
+
+func (b *controlBytes) measure(ctx context.Context, r *run) error {
+	r.report.Note("bytes are those of net/rpc on control connections, without TCP and IP headers; bytes a change are above the idle rate of the same fleet")
+	delta, err := deltaBytes(b.shape, b.changes)
+	if err != nil {
+		return err
+	}
+	for _, size := range b.sizes {
+		at := float64(size)
+		r.report.Add("received a change, mean daemon", systemEncoding, at, report.Bytes, delta)
+		r.report.Add("received a change, mean daemon", systemLimit, at, report.Bytes, limitDeltaFactor*delta+limitDeltaExtra)
+		for _, start := range []starter{startShared, startBaseline(baseline.Poll), startBaseline(baseline.Stream)} {
+			err := r.withSystem(ctx, start, size, b.shape, func(s fleet.System) error { return b.measureOn(ctx, r, s) })
+			if err != nil {
+				return err
+			}
+		}
+	}
+	if b.processSize == 0 {
+		return nil
+	}
+	return r.withSystem(ctx, startProcesses, b.processSize, b.shape, func(s fleet.System) error {
+		return b.measureOn(ctx, r, s)
+	})
+}
+
+// deltaBytes returns the mean encoded size of the deltas of the changes.
+func deltaBytes(shape fleet.Shape, changes int) (float64, error) {
+	state, err := versions.Empty().Accept(shape.Manifest(1))
+	if err != nil {
+		return 0, err
+	}
+	sum := 0
+	for i := range changes {
+		next, err := state.Accept(shape.Manifest(uint64(i) + 2))
+		if err != nil {
+			return 0, err
+		}
+		raw, err := versions.Diff(state, next).Encode()
+		if err != nil {
+			return 0, err
+		}
+		sum += len(raw)
+		state = next
+	}
+	return float64(sum) / float64(changes), nil
+}
+
+func (b *controlBytes) measureOn(ctx context.Context, r *run, s fleet.System) error {
+	idle, err := watch(s, func() error {
+		if !sleep(ctx, b.idle) {
+			return context.Cause(ctx)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	busy, err := watch(s, func() error { return b.makeChanges(ctx, s) })
+	if err != nil {
+		return errors.Wrapf(err, "%s, %d daemons", s.Name(), s.Size())
+	}
+	b.addIdle(r.report, s, idle)
+	b.addChanges(r.report, s, idle, busy)
+	return b.addMemory(r.report, s)
+}
+
+func (b *controlBytes) makeChanges(ctx context.Context, s fleet.System) error {
+	for i := range b.changes {
+		if err := changeEverywhere(ctx, s, b.shape.Manifest(uint64(i)+2), b.timeout); err != nil {
+			return err
+		}
+		if !sleep(ctx, b.spacing) {
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+func (b *controlBytes) addIdle(rep *report.Report, s fleet.System, idle usage) {
+	at := float64(s.Size())
+	seconds := idle.took.Seconds()
+	sources, daemons := idle.split(s)
+	rep.Add("idle, received, mean daemon", s.Name(), at, report.BytesPerSec, mean(daemons, received)/seconds)
+	rep.Add("idle, received, max daemon", s.Name(), at, report.BytesPerSec, most(daemons, received)/seconds)
+	rep.Add("idle, sent, mean daemon", s.Name(), at, report.BytesPerSec, mean(daemons, sent)/seconds)
+	rep.Add("idle, sent, max source", s.Name(), at, report.BytesPerSec, most(sources, sent)/seconds)
+	rep.Add("idle, processor, mean daemon", s.Name(), at, report.CorePercent, 100*idle.processor.Seconds()/seconds/at)
+}
+
+func (b *controlBytes) addChanges(rep *report.Report, s fleet.System, idle, busy usage) {
+	at := float64(s.Size())
+	above := busy.above(idle)
+	changes := float64(b.changes)
+	sources, daemons := above.split(s)
+	rep.Add("received a change, mean daemon", s.Name(), at, report.Bytes, mean(daemons, received)/changes)
+	rep.Add("received a change, max daemon", s.Name(), at, report.Bytes, most(daemons, received)/changes)
+	rep.Add("received a change, max source", s.Name(), at, report.Bytes, most(sources, received)/changes)
+	rep.Add("sent a change, all sources", s.Name(), at, report.Bytes, mean(sources, sent)*float64(len(sources))/changes)
+	rep.Add("sent a change, max source", s.Name(), at, report.Bytes, most(sources, sent)/changes)
+	rep.Add("processor a change, mean daemon", s.Name(), at, report.Milliseconds, report.Millis(above.processor)/changes/at)
+}
+
+// addMemory adds the resident memory where each daemon has its process.
+func (b *controlBytes) addMemory(rep *report.Report, s fleet.System) error {
+	processes, ok := s.(*fleet.Processes)
+	if !ok {
+		return nil
+	}
+	var sum, largest float64
+	for member := range s.Size() {
+		resident, err := fleet.ResidentBytes(processes.Pid(member))
+		if err != nil {
+			return err
+		}
+		sum += float64(resident)
+		largest = max(largest, float64(resident))
+	}
+	at := float64(s.Size())
+	rep.Add("resident memory, mean daemon", s.Name(), at, report.MiB, sum/at/(1<<20))
+	rep.Add("resident memory, max daemon", s.Name(), at, report.MiB, largest/(1<<20))
+	return nil
+}
--- /dev/null
+++ b/bench/fleet/processes.go
@@ -0,0 +1,211 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+const (
+	statusTimeout = time.Second
+	filePerm      = 0o600
+)
+
+// The packages of the programs that fleets of processes run, from the root of
+// the module.
+const (
+	daemonPackage  = "./cmd/daisygate"
+	backendPackage = "./bench/backend"
+)
+
+// Programs are the paths of built programs.
+type Programs struct {
+	Daemon, Backend string
+}
+
+// Build builds the programs into dir; the working directory is in the module.
+func Build(dir string) (Programs, error) {
+	p := Programs{Daemon: filepath.Join(dir, "daisygate"), Backend: filepath.Join(dir, "backend")}
+	root, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}").Output()
+	if err != nil {
+		return p, errors.Wrap(err, "find the module")
+	}
+	for _, b := range []struct{ out, pkg string }{{p.Daemon, daemonPackage}, {p.Backend, backendPackage}} {
+		cmd := exec.Command("go", "build", "-o", b.out, b.pkg)
+		cmd.Dir = string(root[:len(root)-1])
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return p, errors.Wrapf(err, "build %s: %s", b.pkg, out)
+		}
+	}
+	return p, nil
+}
+
+// Processes is a fleet with a real process for each daemon.
+type Processes struct {
+	program   string
+	dir       string
+	nodes     []settings.Settings
+	members   []*processMember
+	operators *operators
+	http      *http.Client
+}
+
+type processMember struct {
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// before is what earlier lives of the daemon used, as far as it was asked.
+	before Usage
+}
+
+// NewProcesses starts a fleet of processes of the given program.
+func NewProcesses(o Options, program string) (*Processes, error) {
+	nodes, err := layout(o)
+	if err != nil {
+		return nil, err
+	}
+	p := &Processes{
+		program: program, dir: o.Dir, nodes: nodes, operators: newOperators(nodes),
+		http: &http.Client{Timeout: statusTimeout},
+	}
+	for range nodes {
+		p.members = append(p.members, &processMember{})
+	}
+	for i := range nodes {
+		if err := p.start(i); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *Processes) start(i int) error {
+	raw, err := yaml.Marshal(p.nodes[i])
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(p.dir, p.nodes[i].Node+".yaml")
+	if err := os.WriteFile(path, raw, filePerm); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, p.nodes[i].Node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePerm)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(p.program, "serve", "--settings", path)
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start daemon")
+	}
+	p.members[i].cmd = cmd
+	return nil
+}
+
+// Kill ends a member at once (SIGKILL).
+func (p *Processes) Kill(member int) {
+	m := p.members[member]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.kill(m)
+}
+
+func (p *Processes) kill(m *processMember) {
+	if m.cmd == nil {
+		return
+	}
+	_ = m.cmd.Process.Kill()
+	_ = m.cmd.Wait()
+	m.cmd = nil
+}
+
+// Start starts a member that was killed.
+func (p *Processes) Start(member int) error {
+	m := p.members[member]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return p.start(member)
+}
+
+// Name implements System.
+func (p *Processes) Name() string { return "daisygate, a process each" }
+
+// Size implements System.
+func (p *Processes) Size() int { return len(p.members) }
+
+// Sources implements System.
+func (p *Processes) Sources() int { return sourceCount }
+
+// Submit implements System.
+func (p *Processes) Submit(ctx context.Context, m *manifest.Manifest) (uint64, error) {
+	return p.operators.submit(ctx, m)
+}
+
+// Status asks a member for its status.
+func (p *Processes) Status(member int) (operator.NodeStatus, error) {
+	client := operator.Client{Addr: p.nodes[member].Listen.Operator, HTTP: p.http}
+	return client.Status(context.Background())
+}
+
+// Version implements System; each call asks the process.
+func (p *Processes) Version(member int) uint64 {
+	status, err := p.Status(member)
+	if err != nil {
+		return 0
+	}
+	return status.Mesh.Version
+}
+
+// Usage implements System.
+func (p *Processes) Usage(member int) Usage {
+	u := p.members[member].before
+	if status, err := p.Status(member); err == nil {
+		u.Sent += status.ControlSent
+		u.Received += status.ControlReceived
+	}
+	return u
+}
+
+// Restart implements System, without a planned stop: the process is killed.
+func (p *Processes) Restart(member int) error {
+	m := p.members[member]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.before = p.Usage(member)
+	p.kill(m)
+	return p.start(member)
+}
+
+// Pid is the process id of a running member, 0 while it is down.
+func (p *Processes) Pid(member int) int {
+	m := p.members[member]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil {
+		return 0
+	}
+	return m.cmd.Process.Pid
+}
+
+// Settings implements Announced.
+func (p *Processes) Settings(member int) settings.Settings { return p.nodes[member] }
+
+// Close implements System.
+func (p *Processes) Close() {
+	var wait sync.WaitGroup
+	for i := range p.members {
+		wait.Go(func() { p.Kill(i) })
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/bench/fleet/shared.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/daisygate/daisygate/internal/process/daemon"
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// Shared is a fleet of daemons that share this process.
+type Shared struct {
+	nodes     []settings.Settings
+	members   []*sharedMember
+	operators *operators
+}
+
+// sharedMember is one daemon; current is nil while it is down.
+type sharedMember struct {
+	mu      sync.Mutex
+	current atomic.Pointer[daemon.Daemon]
+	stop    context.CancelFunc
+	done    chan error
+	// before is what earlier lives of the daemon used.
+	before Usage
+}
+
+// NewShared starts a fleet in this process.
+func NewShared(o Options) (*Shared, error) {
+	nodes, err := layout(o)
+	if err != nil {
+		return nil, err
+	}
+	s := &Shared{nodes: nodes, operators: newOperators(nodes)}
+	for range nodes {
+		s.members = append(s.members, &sharedMember{})
+	}
+	for i := range nodes {
+		if err := s.start(i); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Shared) start(i int) error {
+	d, err := daemon.New(s.nodes[i], logr.Discard())
+	if err != nil {
+		return errors.Wrapf(err, "start %s", s.nodes[i].Node)
+	}
+	m := s.members[i]
+	ctx, stop := context.WithCancel(context.Background())
+	m.stop = stop
+	m.done = make(chan error, 1)
+	go func() { m.done <- d.Run(ctx) }()
+	m.current.Store(d)
+	return nil
+}
+
+func (s *Shared) halt(i int) {
+	m := s.members[i]
+	d := m.current.Swap(nil)
+	if d == nil {
+		return
+	}
+	m.stop()
+	<-m.done
+	status := d.NodeStatus()
+	m.before.Sent += status.ControlSent
+	m.before.Received += status.ControlReceived
+}
+
+// Name implements System.
+func (s *Shared) Name() string { return "daisygate" }
+
+// Size implements System.
+func (s *Shared) Size() int { return len(s.members) }
+
+// Sources implements System.
+func (s *Shared) Sources() int { return sourceCount }
+
+// Submit implements System.
+func (s *Shared) Submit(ctx context.Context, m *manifest.Manifest) (uint64, error) {
+	return s.operators.submit(ctx, m)
+}
+
+// Daemon returns a member, nil while it is down.
+func (s *Shared) Daemon(member int) *daemon.Daemon { return s.members[member].current.Load() }
+
+// Settings implements Announced.
+func (s *Shared) Settings(member int) settings.Settings { return s.nodes[member] }
+
+// Version implements System.
+func (s *Shared) Version(member int) uint64 {
+	d := s.Daemon(member)
+	if d == nil {
+		return 0
+	}
+	return d.NodeStatus().Mesh.Version
+}
+
+// Usage implements System. It must not be called while the member restarts.
+func (s *Shared) Usage(member int) Usage {
+	u := s.members[member].before
+	if d := s.Daemon(member); d != nil {
+		status := d.NodeStatus()
+		u.Sent += status.ControlSent
+		u.Received += status.ControlReceived
+	}
+	return u
+}
+
+// Restart implements System, with a planned stop.
+func (s *Shared) Restart(member int) error {
+	m := s.members[member]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.halt(member)
+	return s.start(member)
+}
+
+// Close implements System.
+func (s *Shared) Close() {
+	var wait sync.WaitGroup
+	for i := range s.members {
+		wait.Go(func() {
+			s.members[i].mu.Lock()
+			defer s.members[i].mu.Unlock()
+			s.halt(i)
+		})
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/bench/fleet/system.go
@@ -0,0 +1,80 @@
+// Package fleet runs fleets to be measured: daemons that share this process,
+// or a real process each, on loopback with ports chosen by the system and with
+// the sources' files in real data folders.
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// Usage is what one member has used since it began.
+type Usage struct {
+	// Sent and Received are control bytes.
+	Sent, Received uint64
+}
+
+// System is a fleet under measurement: daisygate, or a baseline.
+type System interface {
+	// Name is the system's name in reports.
+	Name() string
+	// Size is the number of members.
+	Size() int
+	// Sources is how many of the members, the first ones, take in changes.
+	Sources() int
+	// Submit hands in a manifest and returns once it is accepted, with the
+	// version that members report when it is in force.
+	Submit(ctx context.Context, m *manifest.Manifest) (uint64, error)
+	// Version is the version in force on a member, 0 while it is down.
+	Version(member int) uint64
+	// Usage is what a member has used.
+	Usage(member int) Usage
+	// Restart stops a member, if it still runs, and starts it again with its
+	// addresses and files; it returns once the member has begun to run.
+	Restart(member int) error
+	// Close stops all members.
+	Close()
+}
+
+// pollEvery is how often WaitVersion looks.
+const pollEvery = time.Millisecond
+
+// Members returns the numbers of all members.
+func Members(s System) []int {
+	members := make([]int, s.Size())
+	for i := range members {
+		members[i] = i
+	}
+	return members
+}
+
+// WaitVersion waits until the given members have a version or ctx ends, and
+// returns those that still lack it. seen, if not nil, is called once for each
+// member with the time at which it was found to have the version.
+func WaitVersion(ctx context.Context, s System, members []int, version uint64, seen func(member int, at time.Time)) []int {
+	waiting := slices.Clone(members)
+	for {
+		left := waiting[:0]
+		for _, member := range waiting {
+			if s.Version(member) < version {
+				left = append(left, member)
+				continue
+			}
+			if seen != nil {
+				seen(member, time.Now())
+			}
+		}
+		waiting = left
+		if len(waiting) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return waiting
+		case <-time.After(pollEvery):
+		}
+	}
+}
--- /dev/null
+++ b/bench/main_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"bytes"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/bench/report"
+)
+
+// TestSmoke holds every measurement runnable at the smallest size. It looks at
+// no figure but for being there.
+func TestSmoke(t *testing.T) {
+	commands := []string{
+		"convergence --sizes 4 --processes 3 --changes 2 --services 2 --routes 4 --settle 100ms --spacing 1ms",
+		"bytes --sizes 4 --processes 3 --changes 2 --services 2 --routes 4 --settle 100ms --idle 100ms --spacing 1ms",
+	}
+	for _, line := range commands {
+		args := strings.Fields(line)
+		t.Run(args[0], func(t *testing.T) {
+			c := qt.New(t)
+			dir := c.TempDir()
+			var out bytes.Buffer
+			c.Assert(execute(t.Context(), append(args, "--out", dir, "--revision", "test"), &out), qt.IsNil, qt.Commentf("%s", &out))
+			paths, err := filepath.Glob(filepath.Join(dir, args[0]+"-*.json"))
+			c.Assert(err, qt.IsNil)
+			c.Assert(paths, qt.HasLen, 1)
+			rep, err := report.Load(paths[0])
+			c.Assert(err, qt.IsNil)
+			c.Assert(len(rep.Figures) > 0, qt.IsTrue)
+			c.Assert(rep.Revision, qt.Equals, "test")
+			c.Assert(rep.Machine.Cores > 0, qt.IsTrue)
+			c.Assert(out.String(), qt.Contains, rep.Machine.GoVersion)
+		})
+	}
+}
