Never say "not run" after an attempt that was lost

Cause: a repeatable request whose first attempt was lost, and whose second was refused, was told the refusal's "not run", although the first may have run. Change: the code of a lost attempt is kept; from then on the answer is unknown.

--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -100,6 +100,9 @@
 	redirects int
 	// begun is set once a part of the body was sent that cannot be sent again.
 	begun bool
+	// lost is the code of an attempt that may have run; 0 without one. From then
+	// on the caller is never told that the request was not run.
+	lost result.Code
 	// back is the shortest time that a refusing server named.
 	back time.Duration
 	// room keeps tried off the heap for the usual number of attempts.
@@ -131,6 +134,9 @@
 
 func (c *Call) answer(code result.Code) Action {
 	c.phase = over
+	if c.lost != 0 && code.Outcome() == result.NotRun {
+		code = c.lost
+	}
 	a := Action{Kind: Answer, Code: code}
 	if code.Outcome() == result.NotRun {
 		a.RetryAfter = comeBack
@@ -176,6 +182,9 @@
 	if back > 0 && (c.back == 0 || back < c.back) {
 		c.back = back
 	}
+	if code.Outcome() != result.NotRun {
+		c.lost = code
+	}
 	if !c.mayRepeat(now, code) {
 		return c.answer(code)
 	}
