--- a/internal/connection/operator/handler.go
+++ b/internal/connection/operator/handler.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -8,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -41,8 +43,12 @@
 	ManifestBytes int64
 	// SubmitTimeout bounds the wait for a commit.
 	SubmitTimeout time.Duration
+	// BodyTimeout bounds the reading of one request's body. Default 10s.
+	BodyTimeout time.Duration
 }
 
+const defaultBodyTimeout = 10 * time.Second
+
 type api struct {
 	cfg     Config
 	backend Backend
@@ -52,6 +58,9 @@
 
 // Handler returns the routes of the operator listener.
 func Handler(cfg Config, backend Backend) http.Handler {
+	if cfg.BodyTimeout == 0 {
+		cfg.BodyTimeout = defaultBodyTimeout
+	}
 	a := &api{
 		cfg: cfg, backend: backend,
 		limiter: rate.NewLimiter(requestsPerSecond, requestBurst),
@@ -113,9 +122,9 @@
 		result.WriteHTTPRetry(w, result.Errorf(result.TooManyRequests, "at most %d manifests at a time", submitsAtOnce), retryAfter)
 		return
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.cfg.ManifestBytes))
-	if err != nil {
-		result.WriteHTTP(w, unreadable(err))
+	raw, refused := a.readBody(w, r, a.cfg.ManifestBytes)
+	if refused != nil {
+		result.WriteHTTP(w, refused)
 		return
 	}
 	m, err := manifest.Parse(raw)
@@ -132,12 +141,24 @@
 	writeJSON(w, answer.Code, answer)
 }
 
-func unreadable(err error) *result.Error {
+// readBody reads a body of at most limit bytes. The deadline is for the body
+// alone: one left standing would cancel the request's context while it waits.
+func (a *api) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *result.Error) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(a.cfg.BodyTimeout))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		_ = conn.SetReadDeadline(time.Time{})
+		return raw, nil
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.Errorf(result.InputTooLarge, "at most %d bytes are taken", tooLarge.Limit)
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, result.Errorf(result.InputTooLarge, "at most %d bytes are taken", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, result.Errorf(result.BadRequest, "the body did not come within %s", a.cfg.BodyTimeout)
 	}
-	return result.Errorf(result.BadRequest, "body: %v", err)
+	return nil, result.Errorf(result.BadRequest, "body: %v", err)
 }
 
 func (a *api) inForce(w http.ResponseWriter, r *http.Request) {
@@ -163,11 +184,16 @@
 }
 
 func (a *api) drain(w http.ResponseWriter, r *http.Request) {
+	raw, refused := a.readBody(w, r, drainBytes)
+	if refused != nil {
+		result.WriteHTTP(w, refused)
+		return
+	}
 	var order DrainRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, drainBytes))
+	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&order); err != nil {
-		result.WriteHTTP(w, unreadable(err))
+		result.WriteHTTP(w, result.Errorf(result.BadRequest, "body: %v; want {\"node\": NAME, \"server\": \"ip:port\", \"undo\": BOOL}", err))
 		return
 	}
 	status, refused := a.backend.Drain(r.Context(), order)
--- a/internal/connection/operator/handler_test.go
+++ b/internal/connection/operator/handler_test.go
@@ -1,7 +1,10 @@
 package operator_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -133,6 +136,24 @@
 	c.Assert(refused > 0, qt.IsTrue)
 }
 
+// TestStalledBody answers a request whose body does not come, and gives its
+// place to others.
+func TestStalledBody(t *testing.T) {
+	c := qt.New(t)
+	h := operator.Handler(operator.Config{ManifestBytes: 100, SubmitTimeout: time.Second, BodyTimeout: time.Millisecond}, newBackend())
+	server := httptest.NewServer(h)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /v1/manifests HTTP/1.1\r\nHost: n1\r\nContent-Length: 50\r\n\r\nmesh")
+	c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	c.Assert(resp.Header.Get(result.HeaderResult), qt.Equals, strconv.Itoa(int(result.BadRequest)))
+}
+
 // TestListenerToken refuses a token file that would leave the door open.
 func TestListenerToken(t *testing.T) {
 	c := qt.New(t)
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -11,7 +11,6 @@
 	"github.com/daisygate/daisygate/internal/process/quorum"
 	"github.com/daisygate/daisygate/internal/process/replica"
 	"github.com/daisygate/daisygate/internal/process/source"
-	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
@@ -144,22 +143,6 @@
 	return "", false
 }
 
-// Submit implements operator.Backend: here if this daemon is a source, else at
-// the first source that answers.
-func (d *Daemon) Submit(ctx context.Context, m *manifest.Manifest) (source.Answer, error) {
-	if d.source != nil {
-		return d.source.Submit(ctx, m)
-	}
-	answer := source.Answer{Code: result.NotSource, Detail: "no source answers"}
-	for _, member := range d.set.Source.Members {
-		err := d.pool.Call(ctx, member.Peer, sourceSubmit, *m, &answer)
-		if err == nil && answer.Code != result.NoQuorum {
-			return answer, nil
-		}
-	}
-	return answer, nil
-}
-
 // History implements operator.Backend.
 func (d *Daemon) History(ctx context.Context) ([]source.Accepted, error) {
 	if d.source != nil {
