--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -29,7 +29,7 @@
 	// devPatience bounds each wait for the mesh to come up or follow.
 	devPatience = time.Minute
 	// devPoll is the time between two tries of a request.
-	devPoll = 20 * time.Millisecond
+	devPoll = 50 * time.Millisecond
 )
 
 // devOptions are the flags of dev.
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -119,7 +119,8 @@
 		if time.Now().After(deadline) {
 			ts.Fatalf("not in time: %v", err)
 		}
-		time.Sleep(10 * time.Millisecond)
+		// Slower than the operator API's limit: what waits uses up nothing.
+		time.Sleep(100 * time.Millisecond)
 	}
 }
 
