--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -71,7 +71,8 @@
 // Seek looks for a link to another daemon.
 func (c *Core) Seek() { c.view.Seek() }
 
-// Heard notes a message of any kind from a node.
+// Heard notes that something came over the link to a node. Messages of the view
+// and of presence note it by themselves.
 func (c *Core) Heard(now time.Time, name string) { c.view.Heard(now, name) }
 
 // Sent notes that something was sent to a node; it spares a keep-alive.
@@ -86,11 +87,15 @@
 		}
 		return nil
 	}
+	if m.Type == view.MsgAlive {
+		c.view.Heard(now, from)
+	}
 	return c.doView(now, c.view.Receive(now, from, m))
 }
 
 // ReceivePresence takes in a message of the presence.
 func (c *Core) ReceivePresence(now time.Time, from string, m presence.Message) []Action {
+	c.view.Heard(now, from)
 	return c.doPresence(c.presence.Receive(now, from, m))
 }
 
--- a/internal/process/membership/scale_test.go
+++ b/internal/process/membership/scale_test.go
@@ -2,32 +2,173 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/view"
+)
+
+// The limits of the brief.
+const (
+	drainLimit = 2 * time.Second
+	deathLimit = 5 * time.Second
 )
 
-// TestJoin starts fleets at once, through one seed.
-func TestJoin(t *testing.T) {
-	for _, size := range []int{3, 12, 50, 200} {
+var serving = []presence.Server{{Mesh: "mesh", Service: "service", Addr: "10.0.0.9:8080", Slots: 20, Connections: 110, State: presence.Serving}}
+
+// settled starts a fleet in which every daemon has a backend server.
+func settled(c *qt.C, size int) *sim {
+	s := newSim(uint64(size), 1)
+	for range size {
+		n := s.add(min(size/3, 5))
+		s.start(n, 0)
+		s.do(n, n.core.SetServers(serving))
+	}
+	s.run(20 * time.Second)
+	c.Assert(s.agree(), qt.IsNil)
+	return s
+}
+
+// until returns how long it takes until done, looked at with each step, or
+// limit.
+func (s *sim) until(limit, step time.Duration, done func() bool) time.Duration {
+	begin := s.now
+	for !done() && s.now.Sub(begin) < limit {
+		s.run(step)
+	}
+	return s.now.Sub(begin)
+}
+
+// nobody reports whether no live daemon's record of owner fits.
+func (s *sim) nobody(owner string, fits func(presence.Record) bool) func() bool {
+	return func() bool {
+		for _, n := range s.live() {
+			for _, r := range n.core.Presence().All() {
+				if r.Node.Name == owner && fits(*r) {
+					return false
+				}
+			}
+		}
+		return true
+	}
+}
+
+// TestPropagation measures how long a draining backend server and a dead
+// daemon's backend servers stay candidates anywhere.
+func TestPropagation(t *testing.T) {
+	for _, size := range []int{12, 50, 200} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			c := qt.New(t)
-			s := newSim(1, 1)
-			for range size {
-				s.start(s.add(min(size/3, 5)), 0)
+			s := settled(c, size)
+			n := s.nodes[size/2]
+			draining := slices.Clone(serving)
+			draining[0].State = presence.Draining
+			s.do(n, n.core.SetServers(draining))
+			drain := s.until(drainLimit, 10*time.Millisecond, s.nobody(n.node.Name, func(r presence.Record) bool { return r.Servers[0].State.TakesWork() }))
+			s.run(3 * time.Second)
+			n.up = false
+			death := s.until(deathLimit, 50*time.Millisecond, s.nobody(n.node.Name, func(presence.Record) bool { return true }))
+			c.Logf("%d daemons: drained everywhere after %s, dead after %s", size, drain, death)
+			c.Assert(drain < drainLimit, qt.IsTrue)
+			c.Assert(death < deathLimit, qt.IsTrue)
+		})
+	}
+}
+
+const (
+	seconds  = 20
+	idleTime = seconds * time.Second
+)
+
+// TestIdle measures what a settled fleet sends.
+func TestIdle(t *testing.T) {
+	for _, size := range []int{12, 50} {
+		c := qt.New(t)
+		s := settled(c, size)
+		s.measure = true
+		s.reset()
+		s.run(idleTime)
+		total, envelopes, links := 0, 0, 0
+		for _, n := range s.nodes {
+			total += n.bytes
+			envelopes += n.received
+			links += len(n.core.Links())
+		}
+		c.Logf("%d daemons idle: %d B/s and %.1f envelopes/s sent by each, %.1f links", size, total/size/seconds, float64(envelopes)/float64(size*seconds), float64(links)/float64(size))
+	}
+}
+
+func (s *sim) reset() {
+	for _, n := range s.nodes {
+		n.bytes, n.received = 0, 0
+	}
+}
+
+// TestHerd kills half of the fleet and brings it back at once.
+func TestHerd(t *testing.T) {
+	c := qt.New(t)
+	const size = 100
+	s := settled(c, size)
+	for i, n := range s.nodes {
+		n.up = i%2 == 0
+	}
+	dropped := s.until(30*time.Second, 200*time.Millisecond, func() bool { return s.check() == nil })
+	s.run(10 * time.Second)
+	s.measure = true
+	s.reset()
+	for i, n := range s.nodes {
+		if i%2 == 1 {
+			s.start(n, 0)
+			s.do(n, n.core.SetServers(serving))
+		}
+	}
+	back := s.until(30*time.Second, 200*time.Millisecond, func() bool { return s.check() == nil })
+	bytes, received := 0, 0
+	for _, n := range s.nodes {
+		bytes, received = max(bytes, n.bytes), max(received, n.received)
+	}
+	c.Logf("half of %d: dropped after %s, back after %s; seed received %d envelopes, the most was %d, the most sent %d B", size, dropped, back, s.nodes[0].received, received, bytes)
+	c.Assert(s.agree(), qt.IsNil)
+}
+
+// cutTime is short of the hour that the golden session takes, for the length of
+// the test.
+const cutTime = 2 * time.Minute
+
+// TestRegionCut cuts a region off and measures the return.
+func TestRegionCut(t *testing.T) {
+	c := qt.New(t)
+	const size = 100
+	s := settled(c, size)
+	s.cut = func(a, b view.Node) bool { return (a.Region == "r1") != (b.Region == "r1") }
+	sides := func() bool {
+		for _, n := range s.nodes {
+			want := 80
+			if n.node.Region == "r1" {
+				want = 20
 			}
-			took := time.Duration(0)
-			var err error
-			for took < 30*time.Second {
-				s.run(500 * time.Millisecond)
-				took += 500 * time.Millisecond
-				if err = s.check(); err == nil {
-					break
-				}
+			if n.core.Presence().Len() != want {
+				return false
 			}
-			c.Assert(err, qt.IsNil)
-			c.Logf("%d daemons agree after %s; the seed received %d envelopes", size, took, s.nodes[0].received)
-		})
+		}
+		return true
+	}
+	dropped := s.until(2*time.Minute, 200*time.Millisecond, sides)
+	c.Assert(sides(), qt.IsTrue)
+	s.run(cutTime)
+	c.Assert(sides(), qt.IsTrue)
+	s.measure = true
+	s.reset()
+	s.cut = func(_, _ view.Node) bool { return false }
+	back := s.until(2*time.Minute, 200*time.Millisecond, func() bool { return s.check() == nil })
+	c.Assert(s.agree(), qt.IsNil)
+	total := 0
+	for _, n := range s.nodes {
+		total += n.bytes
 	}
+	c.Logf("region of 20 of %d: dropped on both sides after %s, back after %s, %d B sent by each meanwhile", size, dropped, back, total/size)
 }
--- a/internal/process/membership/sim_test.go
+++ b/internal/process/membership/sim_test.go
@@ -232,7 +232,6 @@
 		return
 	}
 	to.received++
-	to.core.Heard(s.now, from.node.Name)
 	var actions []membership.Action
 	for _, i := range items {
 		if i.View != nil {
@@ -300,6 +299,11 @@
 	if err := s.checkOverlay(live); err != nil {
 		return err
 	}
+	for _, n := range live {
+		if got := n.core.Presence().Len(); got != len(live) {
+			return fmt.Errorf("%s knows %d records, want %d", n.node.Name, got, len(live))
+		}
+	}
 	want := s.owned(live)
 	for _, n := range live {
 		if got := table(n); got != want {
@@ -313,9 +317,9 @@
 func (s *sim) owned(live []*simNode) string {
 	var lines []string
 	for _, n := range live {
-		for _, r := range n.core.Presence().Records() {
+		for _, r := range n.core.Presence().All() {
 			if r.Node.Name == n.node.Name {
-				lines = append(lines, line(r))
+				lines = append(lines, line(*r))
 			}
 		}
 	}
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -159,12 +159,12 @@
 }
 
 func (m *Mesh) receive(now time.Time, e Envelope) {
-	m.members.core.Heard(now, e.From)
 	for _, item := range e.Items {
 		if item.View != nil {
 			m.doMembers(now, m.members.core.ReceiveView(now, e.From, *item.View))
 		}
 		if item.Spread != nil {
+			m.members.core.Heard(now, e.From)
 			m.doSpread(m.spread.Receive(now, e.From, *item.Spread))
 		}
 		if item.Presence != nil {
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -32,6 +32,8 @@
 	self  Record
 	table *table
 	links map[string]bool
+	// names are the names of links in order.
+	names []string
 
 	// suspects are the entries with suspected set.
 	suspects map[ID]bool
@@ -137,7 +139,7 @@
 // broadcast sends m on every link but one.
 func (c *Core) broadcast(m Message, except string) []Action {
 	var actions []Action
-	for _, name := range c.linkNames() {
+	for _, name := range c.names {
 		if name != except {
 			actions = append(actions, c.send(name, m))
 		}
@@ -145,8 +147,6 @@
 	return actions
 }
 
-func (c *Core) linkNames() []string { return slices.Sorted(maps.Keys(c.links)) }
-
 func (c *Core) send(to string, m Message) Action {
 	return Action{Send: &Send{To: to, Message: m}}
 }
@@ -157,7 +157,7 @@
 		c.clearSuspicions()
 	}
 	c.links[node] = true
-	c.forgive(now)
+	c.names = slices.Sorted(maps.Keys(c.links))
 	var actions []Action
 	if !c.pull.done {
 		actions = append(actions, c.send(node, Message{Type: MsgRecords, Records: []Record{c.self}}))
@@ -171,6 +171,7 @@
 // LinkDown removes a link; failed begins a suspicion.
 func (c *Core) LinkDown(now time.Time, node string, failed bool) []Action {
 	delete(c.links, node)
+	c.names = slices.Sorted(maps.Keys(c.links))
 	var actions []Action
 	if c.pull.from == node {
 		c.pull.from = ""
@@ -186,6 +187,9 @@
 
 // Receive takes in a message of a linked node.
 func (c *Core) Receive(now time.Time, from string, m Message) []Action {
+	if m.Type == MsgDigest || m.Type == MsgStamps || m.Type == MsgPull {
+		c.heard(now, from)
+	}
 	switch m.Type {
 	case MsgRecords:
 		return c.receiveRecords(now, from, m)
@@ -238,12 +242,13 @@
 		return nil, c.sawSelf(now, s, &r.Node)
 	}
 	e := c.table.entries[s.ID]
+	c.sawAlive(now, s)
 	if e == nil || s.newer(e.stamp) || (e.state == dormant && s == e.stamp) {
 		r.compact()
 		delete(c.suspects, s.ID)
 		return c.table.set(r, s), nil
 	}
-	if e.state == gone {
+	if e.state != alive {
 		return nil, []Action{c.send(from, Message{Type: MsgSuspect, Claims: []Claim{c.claim(now, e)}})}
 	}
 	return nil, nil
@@ -267,6 +272,5 @@
 		return actions
 	}
 	c.next = now.Add(c.cfg.DigestInterval)
-	names := c.linkNames()
-	return append(actions, c.sendDigest(names[c.rand.IntN(len(names))]))
+	return append(actions, c.sendDigest(c.names[c.rand.IntN(len(c.names))]))
 }
--- a/internal/process/presence/repair.go
+++ b/internal/process/presence/repair.go
@@ -28,8 +28,7 @@
 	if c.pull.done || c.pull.from != "" || len(c.links) == 0 {
 		return nil
 	}
-	names := c.linkNames()
-	c.pull.from = names[c.rand.IntN(len(names))]
+	c.pull.from = c.names[c.rand.IntN(len(c.names))]
 	return c.pullPage(now)
 }
 
@@ -129,7 +128,7 @@
 			want = append(want, s.ID)
 		case e.state == dormant && s == e.stamp:
 			actions = append(actions, c.revive(e, s)...)
-		case e.state == gone:
+		case e.state != alive:
 			claims = append(claims, c.claim(now, e))
 		case e.state == alive && e.stamp.newer(s):
 			theirs[s.ID] = false
--- a/internal/process/presence/suspicion.go
+++ b/internal/process/presence/suspicion.go
@@ -89,6 +89,7 @@
 		case e == nil || e.record == nil || !s.sameContent(e.record.stamp()):
 			want = append(want, s.ID)
 		default:
+			c.sawAlive(now, s)
 			actions = append(actions, c.revive(e, s)...)
 			news = append(news, s)
 		}
@@ -119,6 +120,10 @@
 	if len(c.links) == 0 {
 		return nil
 	}
+	c.forgetOld(now)
+	if len(c.suspects) == 0 {
+		return nil
+	}
 	var actions []Action
 	for _, id := range slices.SortedFunc(maps.Keys(c.suspects), cmp.Compare[ID]) {
 		if now.Sub(c.table.entries[id].since) <= c.cfg.SuspectFor {
@@ -127,7 +132,6 @@
 		delete(c.suspects, id)
 		actions = append(actions, Action{Change: c.table.drop(now, id, gone)})
 	}
-	c.forgetOld(now)
 	return actions
 }
 
@@ -159,6 +163,23 @@
 // that dropped them takes itself for the one that was cut off.
 const cutOffShare = 3
 
+// sawAlive takes note of a newer stamp of the same incarnation as a tombstone:
+// that daemon was alive all along.
+func (c *Core) sawAlive(now time.Time, s Stamp) {
+	e := c.table.entries[s.ID]
+	if e != nil && e.state == gone && s.newer(e.stamp) && s.Incarnation == e.stamp.Incarnation {
+		c.forgive(now)
+	}
+}
+
+// heard takes note of a neighbour that speaks although its record was dropped.
+// A new process of it would have sent its own record first.
+func (c *Core) heard(now time.Time, from string) {
+	if e := c.table.entries[IDOf(from)]; e != nil && e.state == gone {
+		c.forgive(now)
+	}
+}
+
 // forgive makes all tombstones dormant when so many were dropped that this
 // daemon's side was the one cut off; the neighbours' word then counts.
 func (c *Core) forgive(now time.Time) {
--- a/internal/process/view/view.go
+++ b/internal/process/view/view.go
@@ -20,6 +20,8 @@
 	node Node
 	// heard and sent are the times of the last message in each direction.
 	heard, sent time.Time
+	// rival is when another address first asked under the same name.
+	rival time.Time
 }
 
 // attempt is a join that waits for its answer. At most one is under way.
@@ -33,10 +35,13 @@
 //
 // Invariant: len(links) is at most cfg.Max.
 type Core struct {
-	cfg        Config
-	want       [scopes]int
-	rand       *rand.Rand
-	links      map[string]*link
+	cfg   Config
+	want  [scopes]int
+	rand  *rand.Rand
+	links map[string]*link
+	// nodes are the nodes of links in order of name; the slice is replaced, never
+	// changed.
+	nodes      []Node
 	candidates candidates
 	attempt    *attempt
 
@@ -65,15 +70,8 @@
 	}
 }
 
-// Links returns the live links in order of name.
-func (c *Core) Links() []Node {
-	nodes := make([]Node, 0, len(c.links))
-	for _, l := range c.links {
-		nodes = append(nodes, l.node)
-	}
-	slices.SortFunc(nodes, compareNames)
-	return nodes
-}
+// Links returns the live links in order of name; the slice must not be changed.
+func (c *Core) Links() []Node { return c.nodes }
 
 // Linked reports whether there is a link to the node named.
 func (c *Core) Linked(name string) bool { return c.links[name] != nil }
@@ -161,7 +159,7 @@
 	var actions []Action
 	if old := c.links[from.Name]; old != nil {
 		if old.node.Addr != from.Addr && now.Sub(old.heard) < c.cfg.Silence {
-			return []Action{{Conflict: &from}, c.refuse(now, from)}
+			return append(c.rival(now, old, from), c.refuse(now, from))
 		}
 		actions = c.down(from.Name, false)
 	}
@@ -176,6 +174,18 @@
 	return append(append(actions, accept), c.up(now, from)...)
 }
 
+// rival reports another address under the name of a link once the link outlived
+// the time in which an earlier process would have fallen silent.
+func (c *Core) rival(now time.Time, l *link, from Node) []Action {
+	if l.rival.IsZero() {
+		l.rival = now
+	}
+	if now.Sub(l.rival) <= c.cfg.Silence {
+		return nil
+	}
+	return []Action{{Conflict: &from}}
+}
+
 func (c *Core) receiveAccept(now time.Time, from Node, known []Node) []Action {
 	c.Learn(known...)
 	c.answered(from)
@@ -244,7 +254,7 @@
 
 // sample draws from links and candidates alike.
 func (c *Core) sample(except string) []Node {
-	nodes := c.Links()
+	nodes := slices.Clone(c.nodes)
 	for _, scope := range c.candidates.scopes {
 		for _, cand := range scope {
 			if c.links[cand.node.Name] == nil && cand.failures == 0 {
@@ -260,6 +270,8 @@
 func (c *Core) up(now time.Time, n Node) []Action {
 	c.Learn(n)
 	c.links[n.Name] = &link{node: n, heard: now, sent: now}
+	c.nodes = append(slices.Clone(c.nodes), n)
+	slices.SortFunc(c.nodes, compareNames)
 	return []Action{{Up: &n}}
 }
 
@@ -269,6 +281,7 @@
 		return nil
 	}
 	delete(c.links, name)
+	c.nodes = slices.DeleteFunc(slices.Clone(c.nodes), func(n Node) bool { return n.Name == name })
 	return []Action{{Down: &Down{Node: l.node, Failed: failed}}}
 }
 
@@ -290,7 +303,7 @@
 		}
 	}
 	if len(victims) == 0 {
-		victims = c.Links()
+		victims = c.nodes
 	}
 	victim := victims[c.rand.IntN(len(victims))]
 	leave := Message{Type: MsgLeave, Known: []Node{by}}
