--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -177,7 +177,7 @@
 	}
 	d.source, err = source.Open(quorum.Config{
 		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "source"),
-		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed,
+		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed, Idempotent: true,
 	}, transport{d}, d.log.WithName("source"), d.mesh.Publish)
 	return err
 }
--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -27,13 +28,22 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	Seed           uint64
+	// Idempotent says that the state machine answers a resent command with its
+	// first answer: Propose then resends when an outcome is unknown.
+	Idempotent bool
 }
 
 // inboxLimit bounds what waits for the goroutine in Run.
 const inboxLimit = 1024
 
-// retryInterval is how long a proposal waits before it looks for a leader again.
-const retryInterval = 20 * time.Millisecond
+const (
+	// retryInterval is how long a proposal waits before it looks for a leader
+	// again.
+	retryInterval = 20 * time.Millisecond
+	// attemptTimeout bounds one attempt of an idempotent proposal, so that a
+	// lost leader does not use up the whole deadline.
+	attemptTimeout = time.Second
+)
 
 type proposal[R any] struct {
 	data   []byte
@@ -55,7 +65,11 @@
 
 // Open reads the data folder. Run drives the group.
 func Open[R any](cfg Config, machine StateMachine[R], transport Transport, log logr.Logger) (*Group[R], error) {
-	disk, restored, err := storage.Open(cfg.DataDir)
+	dir, err := storage.NewOSDir(cfg.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	disk, restored, err := storage.Open(dir)
 	if err != nil {
 		return nil, err
 	}
@@ -148,23 +162,40 @@
 
 // Propose commits a command here or through the leader and returns the state
 // machine's answer. While no leader is known it waits for one until ctx ends.
-// An error is a *result.Error: NoQuorum and StorageFailed mean that the command
-// was certainly not committed, CommitUnknown that it may be or may yet be.
+// An error is a *result.Error: NoQuorum, StorageFailed and InputTooLarge mean
+// that the command was certainly not committed, CommitUnknown that it may be or
+// may yet be.
 func (g *Group[R]) Propose(ctx context.Context, data []byte) (R, error) {
+	var unknown error
 	for {
 		answer, err := g.attempt(ctx, data)
-		if code(err) != result.NoQuorum {
+		if codeOf(err) == result.CommitUnknown {
+			unknown = err
+		}
+		if !g.retryable(err) {
 			return answer, err
 		}
 		select {
 		case <-ctx.Done():
-			return answer, err
+			return answer, cmp.Or(unknown, err)
 		case <-time.After(retryInterval):
 		}
 	}
 }
 
-func code(err error) result.Code {
+func (g *Group[R]) retryable(err error) bool {
+	switch codeOf(err) {
+	case result.NoQuorum, result.StorageFailed:
+		return true
+	case result.CommitUnknown:
+		return g.cfg.Idempotent
+	default:
+		return false
+	}
+}
+
+// codeOf returns the code of an error of this package.
+func codeOf(err error) result.Code {
 	var e *result.Error
 	if errors.As(err, &e) {
 		return e.Code
@@ -174,12 +205,20 @@
 
 func (g *Group[R]) attempt(ctx context.Context, data []byte) (R, error) {
 	var none R
+	if g.cfg.Idempotent {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+	}
 	status := g.Status()
 	if status.Failure == "" && g.Leads() {
 		return g.local(ctx, data)
 	}
 	if status.Lead == "" || status.Lead == g.cfg.ID {
-		return none, noQuorum("no leader is known")
+		if status.Failure != "" {
+			return none, storageFailed(status.Failure)
+		}
+		return none, errNoLeader
 	}
 	reply, err := g.transport.Propose(ctx, status.Lead, data)
 	if err != nil {
@@ -207,7 +246,7 @@
 	select {
 	case g.proposals <- p:
 	case <-ctx.Done():
-		return none, noQuorum("busy")
+		return none, result.Errorf(result.NoQuorum, "busy")
 	}
 	select {
 	case o := <-done:
--- a/internal/process/quorum/node.go
+++ b/internal/process/quorum/node.go
@@ -4,6 +4,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/process/storage"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -19,8 +20,12 @@
 	answer func(R, error)
 }
 
-// compactAfter is the number of entries after which a snapshot replaces them.
-const compactAfter = 256
+// A snapshot replaces the log after so many entries, or when the log on disk
+// is larger than compactBytes and twice the last snapshot.
+const (
+	compactAfter = 256
+	compactBytes = 4 << 20
+)
 
 // Node is one member of a group, driven synchronously. It is not safe for
 // concurrent use.
@@ -34,32 +39,53 @@
 	waiters map[uint64]waiter[R]
 	// failed is set once and ends all writing, sending and accepting.
 	failed error
+	// observedTerm and observedLead are what a failed member hears of.
+	observedTerm uint64
+	observedLead string
+	// snapshotBytes is the size of the last snapshot.
+	snapshotBytes int
 }
 
 // NewNode joins what was restored from disk to the state machine.
 func NewNode[R any](cfg replica.Config, restored replica.Restored, disk Storage, machine StateMachine[R],
 	send func(to string, messages []replica.Message), log logr.Logger) (*Node[R], error) {
-	if len(restored.Snapshot.Data) > 0 {
+	if restored.Snapshot.Index > 0 {
 		if err := machine.Restore(restored.Snapshot.Data); err != nil {
 			return nil, err
 		}
 	}
 	return &Node[R]{
 		core: replica.New(cfg, restored), disk: disk, machine: machine, send: send, log: log,
-		waiters: map[uint64]waiter[R]{},
+		waiters: map[uint64]waiter[R]{}, snapshotBytes: len(restored.Snapshot.Data),
 	}, nil
 }
 
 // Tick advances time by one unit.
-func (n *Node[R]) Tick() { n.core.Tick() }
+func (n *Node[R]) Tick() {
+	if n.failed == nil {
+		n.core.Tick()
+	}
+}
 
 // Step takes in messages of another member.
 func (n *Node[R]) Step(messages []replica.Message) {
 	for _, m := range messages {
+		if n.failed != nil {
+			n.observe(m)
+			continue
+		}
 		n.core.Step(m)
 	}
 }
 
+// observe keeps a failed member able to tell who leads.
+func (n *Node[R]) observe(m replica.Message) {
+	if m.Type == replica.MsgAppend && m.Term >= n.observedTerm {
+		n.observedTerm = m.Term
+		n.observedLead = m.From
+	}
+}
+
 // Propose appends a command if this member leads; answer is called once, with
 // the state machine's answer after the commit or with an error.
 func (n *Node[R]) Propose(data []byte, answer func(R, error)) {
@@ -68,9 +94,13 @@
 		answer(none, storageFailed(n.failed.Error()))
 		return
 	}
+	if len(data) > storage.MaxData {
+		answer(none, result.Errorf(result.InputTooLarge, "%d bytes, at most %d", len(data), storage.MaxData))
+		return
+	}
 	index, term, err := n.core.Propose(data)
 	if err != nil {
-		answer(none, noQuorum(err.Error()))
+		answer(none, result.Errorf(result.NoQuorum, "%v", err))
 		return
 	}
 	n.waiters[index] = waiter[R]{term: term, answer: answer}
@@ -82,8 +112,9 @@
 	for n.failed == nil {
 		ready := n.core.Ready()
 		if ready.Empty() {
-			return
+			break
 		}
+		n.sendAll(ready.Early)
 		if err := n.disk.Save(ready); err != nil {
 			n.fail(err)
 			return
@@ -92,12 +123,18 @@
 		n.restore(ready.Snapshot)
 		n.applyAll(ready.Committed)
 		n.core.Advance(ready)
-		n.compact(ready.Committed)
+		n.compact()
+	}
+	if n.core.Role() != replica.Leader {
+		n.dropWaiters(errLeadLost)
 	}
 }
 
+// fail stops all acceptance here; what was applied stays readable.
 func (n *Node[R]) fail(err error) {
 	n.failed = err
+	n.core.Resign()
+	n.observedTerm = n.core.Term()
 	n.log.Error(err, "data folder failed: nothing is accepted here any more")
 	n.dropWaiters(result.Errorf(result.CommitUnknown, "%v", err))
 }
@@ -135,6 +172,9 @@
 
 func (n *Node[R]) applyAll(entries []replica.Entry) {
 	for _, e := range entries {
+		if n.failed != nil {
+			return
+		}
 		var answer R
 		if len(e.Data) > 0 {
 			answer = n.machine.Apply(e.Index, e.Term, e.Data)
@@ -157,35 +197,35 @@
 	w.answer(answer, nil)
 }
 
-// compact makes a snapshot durable, then drops the entries it stands for.
-func (n *Node[R]) compact(committed []replica.Entry) {
-	if len(committed) == 0 || n.failed != nil {
-		return
-	}
-	last := committed[len(committed)-1]
-	if last.Index-n.core.SnapshotIndex() < compactAfter {
+// compact replaces the log by a snapshot of what is applied.
+func (n *Node[R]) compact() {
+	if n.failed != nil || !n.compactDue() {
 		return
 	}
 	data, err := n.machine.Snapshot()
-	if err != nil {
-		n.log.Error(err, "encode snapshot")
-		return
+	if err == nil {
+		err = n.disk.Rewrite(n.core.Compact(data))
 	}
-	snap := &replica.Snapshot{Index: last.Index, Term: last.Term, Data: data}
-	if err := n.disk.Save(replica.Ready{Snapshot: snap}); err != nil {
+	if err != nil {
 		n.fail(err)
 		return
 	}
-	n.core.Compact(last.Index, data)
+	n.snapshotBytes = len(data)
+}
+
+func (n *Node[R]) compactDue() bool {
+	entries := n.core.Applied() - n.core.SnapshotIndex()
+	return entries >= compactAfter || n.disk.Size() > compactBytes+2*int64(n.snapshotBytes)
 }
 
 // Status returns what this member knows of its group.
 func (n *Node[R]) Status() Status {
 	s := Status{
 		Role: n.core.Role().String(), Term: n.core.Term(), Lead: n.core.Lead(), Commit: n.core.Commit(),
-		Syncs: n.disk.Syncs(), LogBytes: n.disk.Size(),
+		Repair: n.core.Repair(), Syncs: n.disk.Syncs(), LogBytes: n.disk.Size(),
 	}
 	if n.failed != nil {
+		s.Lead = n.observedLead
 		s.Failure = n.failed.Error()
 	}
 	return s
--- a/internal/process/quorum/quorum.go
+++ b/internal/process/quorum/quorum.go
@@ -36,10 +36,13 @@
 	Propose(ctx context.Context, to string, data []byte) (Reply, error)
 }
 
-// Storage keeps what must survive a crash. An error of Save is final.
+// Storage keeps what must survive a crash. An error of Save or Rewrite is
+// final: the member accepts nothing more.
 type Storage interface {
 	// Save makes HardState, Snapshot and Entries of r durable.
 	Save(r replica.Ready) error
+	// Rewrite replaces all that was saved by r, at once or not at all.
+	Rewrite(r replica.Restored) error
 	// Syncs counts the syncs since the storage was opened.
 	Syncs() uint64
 	// Size is the number of bytes on disk.
@@ -65,6 +68,8 @@
 	Commit uint64 `json:"commit"`
 	// Syncs counts the disk syncs since the start.
 	Syncs uint64 `json:"syncs"`
+	// Repair is how far a member whose disk is new is from having a vote.
+	Repair replica.Repair `json:"repair"`
 	// LogBytes is the size of the log on disk.
 	LogBytes int64 `json:"log_bytes"`
 	// Failure is why this member accepts nothing, or "".
@@ -74,6 +79,6 @@
 // errLeadLost answers proposals that another leader may have replaced.
 var errLeadLost = result.Errorf(result.CommitUnknown, "the leader changed before the commit was seen")
 
-func noQuorum(detail string) error { return result.Errorf(result.NoQuorum, "%s", detail) }
+var errNoLeader = result.Errorf(result.NoQuorum, "no leader is known")
 
 func storageFailed(detail string) error { return result.Errorf(result.StorageFailed, "%s", detail) }
--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -4,18 +4,16 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
-// ErrNotLeader is returned by Propose on a source that does not lead.
+// ErrNotLeader is returned by Propose on a member that does not lead.
 var ErrNotLeader = errors.New("not the leader")
 
-// maxEntries bounds the entries of one append message.
-const maxEntries = 64
-
 // Config is fixed for the life of a Core.
 type Config struct {
-	// ID is this source's name; Members lists all sources, this one included.
+	// ID is this member's name; Members lists all, this one included.
 	ID      string
 	Members []string
 	// ElectionTicks is the least number of ticks without a leader before a
@@ -27,17 +25,13 @@
 	Seed uint64
 }
 
-// Restored is what the driver read back from disk.
-type Restored struct {
-	HardState HardState
-	Snapshot  Snapshot
-	Entries   []Entry
-}
-
-// Core is the state machine of one source. It is not safe for concurrent use.
+// Core is the state machine of one member. It is not safe for concurrent use.
 type Core struct {
-	cfg  Config
-	rand *rand.Rand
+	cfg    Config
+	others []string
+	// group identifies the configured list of members.
+	group uint64
+	rand  *rand.Rand
 
 	role Role
 	term uint64
@@ -45,13 +39,23 @@
 	lead string
 	log  raftLog
 
+	membership        Membership
+	membershipChanged bool
+	// seen holds, on a fresh member, the disks of the others that agreed.
+	seen map[string]uint64
+	// repairTarget is the commit index a learner was first told of.
+	repairTarget uint64
+	// admitted is set when this member became a voter in this process's life.
+	admitted bool
+
 	votes    map[string]bool
-	progress map[string]*Progress
+	progress map[string]*progress
 
 	electionElapsed  int
 	electionTimeout  int
 	heartbeatElapsed int
 
+	// saved is the last HardState handed to the driver.
 	saved       HardState
 	newSnapshot *Snapshot
 	messages    []Message
@@ -62,22 +66,36 @@
 // New builds a Core from what was durable.
 func New(cfg Config, restored Restored) *Core {
 	c := &Core{
-		cfg:   cfg,
-		rand:  rand.New(rand.NewPCG(cfg.Seed, 1)),
-		term:  restored.HardState.Term,
-		vote:  restored.HardState.Vote,
-		saved: restored.HardState,
+		cfg:        cfg,
+		others:     slices.DeleteFunc(slices.Clone(cfg.Members), func(id string) bool { return id == cfg.ID }),
+		group:      groupHash(cfg.Members),
+		rand:       rand.New(rand.NewPCG(cfg.Seed, 1)),
+		term:       restored.HardState.Term,
+		vote:       restored.HardState.Vote,
+		saved:      restored.HardState,
+		membership: restored.Membership,
+		seen:       map[string]uint64{},
 	}
 	c.log.restore(restored.Snapshot)
-	c.log.entries = append([]Entry(nil), restored.Entries...)
+	c.log.entries = slices.Clone(restored.Entries)
 	c.log.stable = c.log.last()
 	c.handed = c.log.last()
-	c.log.commit = max(c.log.commit, min(restored.HardState.Commit, c.log.last()))
 	c.becomeFollower(c.term, "")
+	c.commitTo(min(restored.HardState.Commit, c.log.last()))
+	c.bootstrap()
 	return c
 }
 
-// Role is what this source currently is.
+// groupHash is the same for the same names in any order.
+func groupHash(members []string) uint64 {
+	var sum uint64
+	for _, id := range members {
+		sum += xxhash.Sum64String(id)
+	}
+	return sum
+}
+
+// Role is what this member currently is.
 func (c *Core) Role() Role { return c.role }
 
 // Term is the current term.
@@ -92,23 +110,27 @@
 // Last is the last index of the log.
 func (c *Core) Last() uint64 { return c.log.last() }
 
+// Applied is the last index that Advance reported as applied.
+func (c *Core) Applied() uint64 { return c.log.applied }
+
 // SnapshotIndex is the index up to which the log is replaced by a snapshot.
 func (c *Core) SnapshotIndex() uint64 { return c.log.snapshot.Index }
 
 // Tick advances time by one unit.
 func (c *Core) Tick() {
 	c.electionElapsed++
-	if c.role == Leader {
+	c.heartbeatElapsed++
+	switch {
+	case c.role == Leader:
 		c.tickLeader()
-		return
-	}
-	if c.electionElapsed >= c.electionTimeout {
+	case !c.membership.Voting:
+		c.tickLearner()
+	case c.electionElapsed >= c.electionTimeout:
 		c.campaign(PreCandidate)
 	}
 }
 
 func (c *Core) tickLeader() {
-	c.heartbeatElapsed++
 	if c.electionElapsed >= c.cfg.ElectionTicks {
 		c.electionElapsed = 0
 		if !c.quorumActive() {
@@ -118,21 +140,8 @@
 	}
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		c.heartbeatElapsed = 0
-		c.broadcast()
-	}
-}
-
-// quorumActive tells whether a majority answered since the last check, and
-// begins the next check.
-func (c *Core) quorumActive() bool {
-	active := 1
-	for _, p := range c.progress {
-		if p.Active {
-			active++
-		}
-		p.Active = false
+		c.heartbeat()
 	}
-	return active >= c.majority()
 }
 
 func (c *Core) majority() int { return len(c.cfg.Members)/2 + 1 }
@@ -144,6 +153,7 @@
 	}
 	c.role = Follower
 	c.lead = lead
+	c.progress = nil
 	c.resetElection()
 }
 
@@ -169,15 +179,11 @@
 		c.won()
 		return
 	}
-	for _, id := range c.others() {
+	for _, id := range c.others {
 		c.send(Message{Type: kind, To: id, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
 	}
 }
 
-func (c *Core) others() []string {
-	return slices.DeleteFunc(slices.Clone(c.cfg.Members), func(id string) bool { return id == c.cfg.ID })
-}
-
 func (c *Core) won() {
 	if c.role == PreCandidate {
 		c.campaign(Candidate)
@@ -187,69 +193,65 @@
 	c.lead = c.cfg.ID
 	c.electionElapsed = 0
 	c.heartbeatElapsed = 0
-	c.progress = map[string]*Progress{}
-	for _, id := range c.others() {
-		c.progress[id] = &Progress{Next: c.log.last() + 1, Active: true}
+	c.progress = map[string]*progress{}
+	for _, id := range c.others {
+		c.progress[id] = &progress{next: c.log.last() + 1, disk: c.diskOf(id), active: true}
 	}
 	// An entry of the own term lets everything before it be committed.
-	c.append(nil)
-	c.broadcast()
+	c.append(Entry{})
+	c.heartbeat()
 }
 
-func (c *Core) append(data []byte) uint64 {
-	index := c.log.last() + 1
-	c.log.entries = append(c.log.entries, Entry{Term: c.term, Index: index, Data: data})
-	return index
+func (c *Core) append(e Entry) uint64 {
+	e.Term = c.term
+	e.Index = c.log.last() + 1
+	c.log.entries = append(c.log.entries, e)
+	return e.Index
 }
 
 // Propose appends a command. It is accepted only once it shows up in
-// Ready.Committed with the returned term.
+// Ready.Committed with the returned term. The entries proposed before the next
+// Ready go out together.
 func (c *Core) Propose(data []byte) (index, term uint64, err error) {
 	if c.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
-	index = c.append(data)
-	c.broadcast()
-	return index, c.term, nil
+	return c.append(Entry{Data: data}), c.term, nil
 }
 
+// Resign gives leadership up: the driver calls it when its disk failed.
+func (c *Core) Resign() { c.becomeFollower(c.term, "") }
+
 func (c *Core) send(m Message) {
 	m.From = c.cfg.ID
+	m.Disk = c.membership.Disk
+	m.Voting = c.membership.Voting
+	m.Group = c.group
 	c.messages = append(c.messages, m)
 }
 
-func (c *Core) broadcast() {
-	for _, id := range c.others() {
-		c.sendAppend(id)
-	}
-}
-
-func (c *Core) sendAppend(to string) {
-	p := c.progress[to]
-	prevTerm, held := c.log.term(p.Next - 1)
-	if !held {
-		snap := c.log.snapshot
-		c.send(Message{Type: MsgSnapshot, To: to, Term: c.term, Snapshot: &snap})
-		p.Next = snap.Index + 1
-		return
-	}
-	m := Message{Type: MsgAppend, To: to, Term: c.term, Index: p.Next - 1, LogTerm: prevTerm, Commit: c.log.commit}
-	m.Entries = c.log.from(p.Next, maxEntries)
-	p.Next += uint64(len(m.Entries))
-	c.send(m)
-}
-
-// Step takes in a message from another source.
+// Step takes in a message from another member. Messages of members that were
+// configured with another list are dropped: two lists have no common quorum.
 func (c *Core) Step(m Message) {
-	if m.Type == MsgPreVote {
-		c.stepPreVote(m)
+	if m.Group != c.group || !slices.Contains(c.others, m.From) {
 		return
 	}
-	if m.Type == MsgPreVoteReply {
+	switch m.Type {
+	case MsgProbe:
+		c.stepProbe(m)
+	case MsgProbeReply:
+		c.stepProbeReply(m)
+	case MsgPreVote:
+		c.stepPreVote(m)
+	case MsgPreVoteReply:
 		c.stepPreVoteReply(m)
-		return
+	default:
+		c.stepTerm(m)
 	}
-	if m.Type == MsgVote && m.Term > c.term && c.leaseHeld() {
+}
+
+func (c *Core) stepTerm(m Message) {
+	if m.Type == MsgVote && (!c.membership.Voting || m.Term > c.term && c.leaseHeld()) {
 		return
 	}
 	if m.Term > c.term {
@@ -283,7 +285,7 @@
 	}
 }
 
-// leaseHeld tells that a leader was heard from lately, so that a source coming
+// leaseHeld tells that a leader was heard from lately, so that a member coming
 // back from the far side of a partition deposes nobody.
 func (c *Core) leaseHeld() bool {
 	return c.lead != "" && (c.role == Leader || c.electionElapsed < c.cfg.ElectionTicks)
@@ -292,11 +294,14 @@
 // answerStale tells a deposed leader its term is over.
 func (c *Core) answerStale(m Message) {
 	if m.Type == MsgAppend || m.Type == MsgSnapshot {
-		c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Reject: true, Hint: c.log.last()})
+		c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Reject: true})
 	}
 }
 
 func (c *Core) stepPreVote(m Message) {
+	if !c.membership.Voting {
+		return
+	}
 	grant := m.Term > c.term && !c.leaseHeld() && c.log.upToDate(m.Index, m.LogTerm)
 	term := m.Term
 	if !grant {
@@ -310,7 +315,7 @@
 		c.becomeFollower(m.Term, "")
 		return
 	}
-	if c.role == PreCandidate && (m.Reject || m.Term == c.term+1) {
+	if c.role == PreCandidate && m.Term == c.term+1 {
 		c.countVote(m)
 	}
 }
@@ -326,7 +331,7 @@
 }
 
 func (c *Core) countVote(m Message) {
-	if m.Reject {
+	if m.Reject || !c.counts(m) {
 		return
 	}
 	c.votes[m.From] = true
@@ -335,90 +340,50 @@
 	}
 }
 
-func (c *Core) stepAppend(m Message) {
-	term, held := c.log.term(m.Index)
-	if m.Index < c.log.snapshot.Index {
-		c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Index: c.log.commit})
-		return
-	}
-	if !held || term != m.LogTerm {
-		c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Reject: true, Index: m.Index, Hint: min(c.log.last(), m.Index-1)})
-		return
-	}
-	c.log.merge(m.Entries)
-	c.handed = min(c.handed, c.log.stable)
-	match := m.Index + uint64(len(m.Entries))
-	c.log.commit = max(c.log.commit, min(m.Commit, match))
-	c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Index: match})
-}
-
-func (c *Core) stepSnapshot(m Message) {
-	if m.Snapshot.Index > c.log.commit {
-		c.log.restore(*m.Snapshot)
-		c.handed = c.log.stable
-		c.newSnapshot = m.Snapshot
-	}
-	c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Index: c.log.commit})
-}
-
-func (c *Core) stepAppendReply(m Message) {
-	p, ok := c.progress[m.From]
-	if !ok {
-		return
-	}
-	p.Active = true
-	if m.Reject {
-		if m.Index >= p.Match {
-			p.Next = max(p.Match+1, min(m.Hint+1, m.Index))
-			c.sendAppend(m.From)
-		}
-		return
-	}
-	if m.Index > p.Match {
-		p.Match = m.Index
-		p.Next = max(p.Next, m.Index+1)
-		c.advanceCommit()
-	}
-	if p.Next <= c.log.last() {
-		c.sendAppend(m.From)
-	}
-}
-
-// advanceCommit commits what a majority holds durably, if it is of this term.
-func (c *Core) advanceCommit() {
-	matches := []uint64{c.log.stable}
-	for _, p := range c.progress {
-		matches = append(matches, p.Match)
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-c.majority()]
-	term, held := c.log.term(index)
-	if index > c.log.commit && held && term == c.term {
-		c.log.commit = index
-		c.broadcast()
-	}
-}
-
 // Ready returns what the driver must do next.
 func (c *Core) Ready() Ready {
-	r := Ready{Messages: c.messages, Snapshot: c.newSnapshot}
+	c.flush()
+	r := Ready{Snapshot: c.newSnapshot}
 	hard := HardState{Term: c.term, Vote: c.vote, Commit: c.log.commit}
-	if hard != c.saved {
+	r.Entries = c.log.after(c.handed)
+	elected := hard.Term != c.saved.Term || hard.Vote != c.saved.Vote
+	if elected || len(r.Entries) > 0 && hard != c.saved {
 		r.HardState = &hard
+		c.saved = hard
 	}
-	r.Entries = c.log.from(c.handed+1, len(c.log.entries))
-	r.Committed = c.log.from(c.log.applied+1, int(c.log.commit-c.log.applied))
+	if c.membershipChanged {
+		copied := c.membership
+		copied.Voters = slices.Clone(copied.Voters)
+		r.Membership = &copied
+	}
+	r.Early, r.Messages = c.splitMessages(elected || c.membershipChanged)
+	r.Committed = c.log.committed()
 	c.messages = nil
 	c.newSnapshot = nil
+	c.membershipChanged = false
 	c.handed = c.log.last()
 	return r
 }
 
+// splitMessages parts the appends of a leader whose term is durable: they may
+// leave while the leader itself still writes, since its own copy is counted
+// only after Advance.
+func (c *Core) splitMessages(dirty bool) (early, late []Message) {
+	if dirty || c.role != Leader {
+		return nil, c.messages
+	}
+	for _, m := range c.messages {
+		if m.Type == MsgAppend && m.Term == c.term {
+			early = append(early, m)
+			continue
+		}
+		late = append(late, m)
+	}
+	return early, late
+}
+
 // Advance tells that everything in r is durable and applied.
 func (c *Core) Advance(r Ready) {
-	if r.HardState != nil {
-		c.saved = *r.HardState
-	}
 	if n := len(r.Entries); n > 0 {
 		last := r.Entries[n-1]
 		if term, held := c.log.term(last.Index); held && term == last.Term {
@@ -433,11 +398,17 @@
 	}
 }
 
-// Compact drops the log up to index, which data stands for. The driver has
-// made the snapshot durable before.
-func (c *Core) Compact(index uint64, data []byte) {
-	term, held := c.log.term(index)
+// Compact drops the log up to the last applied index, which data stands for,
+// and returns what is left: the driver makes that durable before it goes on.
+func (c *Core) Compact(data []byte) Restored {
+	term, held := c.log.term(c.log.applied)
 	if held {
-		c.log.compact(Snapshot{Index: index, Term: term, Data: data})
+		c.log.compact(Snapshot{Index: c.log.applied, Term: term, Data: data, Voters: slices.Clone(c.membership.Voters)})
+	}
+	return Restored{
+		HardState:  HardState{Term: c.term, Vote: c.vote, Commit: c.log.commit},
+		Membership: c.membership,
+		Snapshot:   c.log.snapshot,
+		Entries:    c.log.from(c.log.first(), int(c.log.stable-c.log.snapshot.Index)),
 	}
 }
--- a/internal/process/replica/log.go
+++ b/internal/process/replica/log.go
@@ -45,6 +45,41 @@
 	return append([]Entry(nil), entries...)
 }
 
+// after returns the entries above index.
+func (l *raftLog) after(index uint64) []Entry { return l.from(index+1, len(l.entries)) }
+
+// committed returns what is committed and not yet applied.
+func (l *raftLog) committed() []Entry { return l.from(l.applied+1, int(l.commit-l.applied)) }
+
+// batch returns entries beginning at index that fit one append message.
+func (l *raftLog) batch(index uint64) []Entry {
+	entries := l.from(index, maxEntries)
+	size := 0
+	for i := range entries {
+		size += entries[i].size()
+		if i > 0 && size > maxBytes {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+// pendingVoters returns the newest list of voters that is not yet committed.
+func (l *raftLog) pendingVoters() []Voter {
+	for i := l.last(); i > l.commit; i-- {
+		if voters := l.entries[i-l.first()].Voters; voters != nil {
+			return voters
+		}
+	}
+	return nil
+}
+
+// cut drops the entries from index on.
+func (l *raftLog) cut(index uint64) {
+	l.entries = l.entries[:index-l.first()]
+	l.stable = min(l.stable, index-1)
+}
+
 // upToDate reports whether a log ending in (index, term) holds at least as
 // much as this one: the election restriction.
 func (l *raftLog) upToDate(index, term uint64) bool {
@@ -67,8 +102,7 @@
 			if e.Index <= l.commit {
 				panic("replica: conflict with a committed entry")
 			}
-			l.entries = l.entries[:e.Index-l.first()]
-			l.stable = min(l.stable, e.Index-1)
+			l.cut(e.Index)
 		}
 		l.entries = append(l.entries, entries[i:]...)
 		return
@@ -77,18 +111,12 @@
 
 // restore replaces everything by a snapshot.
 func (l *raftLog) restore(s Snapshot) {
-	l.snapshot = s
-	l.entries = nil
-	l.stable = s.Index
-	l.commit = s.Index
-	l.applied = s.Index
+	*l = raftLog{snapshot: s, stable: s.Index, commit: s.Index, applied: s.Index}
 }
 
-// compact drops entries up to the snapshot's index.
+// compact drops entries up to the snapshot's index, which is applied.
 func (l *raftLog) compact(s Snapshot) {
-	if s.Index <= l.snapshot.Index || s.Index > l.applied {
-		return
-	}
-	l.entries = append([]Entry(nil), l.entries[s.Index-l.snapshot.Index:]...)
+	kept := l.from(s.Index+1, len(l.entries))
 	l.snapshot = s
+	l.entries = kept
 }
--- a/internal/process/replica/types.go
+++ b/internal/process/replica/types.go
@@ -1,35 +1,78 @@
-// Package replica decides how sources agree on one log: terms, elections with
-// pre-vote, log matching, commit by a majority in the leader's own term, and
-// check-quorum, after Ongaro and Ousterhout, "In Search of an Understandable
-// Consensus Algorithm" (2014), and Ongaro's thesis for pre-vote.
+// Package replica decides how the members of a group agree on one log: terms,
+// elections with pre-vote and check-quorum, log matching, commit by a majority
+// in the leader's own term, after Ongaro and Ousterhout, "In Search of an
+// Understandable Consensus Algorithm" (2014), and Ongaro's thesis for pre-vote
+// and for sending entries while the leader still writes them. A member whose
+// disk was lost comes back as a learner: see membership.go.
 //
 // The package does no I/O and reads no clock. A driver feeds it with Tick, Step
-// and Propose, then takes Ready: it persists HardState, Snapshot and Entries,
-// syncs, only then sends Messages, applies Committed, and calls Advance.
+// and Propose, then takes Ready: it sends the Early messages, makes HardState,
+// Membership, Snapshot and Entries durable, only then sends Messages, applies
+// Committed, and calls Advance.
 package replica
 
 // Entry is one position of the log.
 type Entry struct {
 	Term  uint64 `cbor:"1,keyasint"`
 	Index uint64 `cbor:"2,keyasint"`
-	// Data is the command; empty for the entry a leader begins its term with.
+	// Data is the command; empty for the group's own entries: the one a leader
+	// begins its term with, and lists of voters.
 	Data []byte `cbor:"3,keyasint,omitempty"`
+	// Voters is the list of voters from the commit of this entry on, if set.
+	Voters []Voter `cbor:"4,keyasint,omitempty"`
 }
 
+// size estimates the bytes of the entry on the wire.
+func (e *Entry) size() int { return len(e.Data) + entryOverhead }
+
+const entryOverhead = 32
+
 // HardState must be durable before any message that follows from it is sent.
 type HardState struct {
 	Term uint64 `cbor:"1,keyasint"`
-	// Vote is who got this source's vote in Term; "" is nobody.
+	// Vote is who got this member's vote in Term; "" is nobody.
 	Vote string `cbor:"2,keyasint,omitempty"`
 	// Commit may lag behind on disk: it is found again from the leader.
 	Commit uint64 `cbor:"3,keyasint"`
 }
 
+// Voter is a member together with the disk that holds its vote.
+type Voter struct {
+	Member string `cbor:"1,keyasint"`
+	// Disk is the random number a data folder got when it was created; never 0.
+	Disk uint64 `cbor:"2,keyasint"`
+}
+
+// Membership is what a member durably knows of who may vote.
+type Membership struct {
+	// Disk is this member's own.
+	Disk uint64 `cbor:"1,keyasint"`
+	// Voting is set once this disk may vote.
+	Voting bool `cbor:"2,keyasint,omitempty"`
+	// Learning is set when another member knew this one under another disk.
+	// At most one of Voting and Learning is set; with neither the member is
+	// fresh and asks the others.
+	Learning bool `cbor:"3,keyasint,omitempty"`
+	// Voters has one disk for each member.
+	Voters []Voter `cbor:"4,keyasint,omitempty"`
+}
+
 // Snapshot stands for all entries up to Index.
 type Snapshot struct {
 	Index uint64 `cbor:"1,keyasint"`
 	Term  uint64 `cbor:"2,keyasint"`
 	Data  []byte `cbor:"3,keyasint"`
+	// Voters is who votes at Index or later.
+	Voters []Voter `cbor:"4,keyasint,omitempty"`
+}
+
+// Restored is what the driver read back from disk.
+type Restored struct {
+	HardState  HardState
+	Membership Membership
+	Snapshot   Snapshot
+	// Entries follow Snapshot.Index without a gap.
+	Entries []Entry
 }
 
 // MessageType tells what a Message is.
@@ -44,13 +87,21 @@
 	MsgAppend
 	MsgAppendReply
 	MsgSnapshot
+	// MsgProbe asks what the others know of a member that has no vote yet.
+	MsgProbe
+	MsgProbeReply
 )
 
-// Message is what sources send one another.
+// Message is what members send one another.
 type Message struct {
 	Type MessageType
 	From string
 	To   string
+	// Disk is the sender's disk, Voting whether the sender holds that it votes.
+	Disk   uint64
+	Voting bool
+	// Group identifies the list of members the sender was configured with.
+	Group uint64
 	// Term is the sender's term; in a pre-vote the term it would campaign in.
 	Term uint64
 	// Index and LogTerm name the entry before Entries (append), the last entry
@@ -59,13 +110,18 @@
 	LogTerm uint64
 	Entries []Entry
 	Commit  uint64
-	// Reject refuses a vote or an append; Hint is then the refuser's last index.
+	// Reject refuses a vote or an append; Hint is then the index to go on from.
 	Reject   bool
 	Hint     uint64
 	Snapshot *Snapshot
+	// Known is, in a probe's reply, the disk under which the sender knows the
+	// asker, if the sender has voters at all.
+	Known uint64
+	// Fresh is, in a probe's reply, whether the sender has no voters yet.
+	Fresh bool
 }
 
-// Role is what a source is in its term.
+// Role is what a member is in its term.
 type Role uint8
 
 // The roles.
@@ -81,23 +137,18 @@
 	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
 }
 
-// Progress is what a leader knows about one other source.
-type Progress struct {
-	// Match is the highest index known to be durable there; Match < Next.
-	Match uint64
-	// Next is the index to send next.
-	Next uint64
-	// Active is whether it answered since the last check of the quorum.
-	Active bool
-}
-
 // Ready is what the driver must do before it calls Advance.
 type Ready struct {
-	// HardState is set when it changed since the last Ready.
+	// Early may be sent before anything is durable.
+	Early []Message
+	// HardState is set when it must be durable before Messages leave.
 	HardState *HardState
-	// Snapshot replaces the log up to its Index.
+	// Membership is set when it changed.
+	Membership *Membership
+	// Snapshot replaces the whole log, entries after its Index included.
 	Snapshot *Snapshot
-	// Entries are to be appended; they overwrite whatever has their indices.
+	// Entries are to be appended; they overwrite whatever has their indices or
+	// higher ones.
 	Entries []Entry
 	// Messages are to be sent after everything above is synced.
 	Messages []Message
@@ -107,6 +158,10 @@
 
 // Empty reports whether there is nothing to do.
 func (r *Ready) Empty() bool {
-	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 &&
-		len(r.Messages) == 0 && len(r.Committed) == 0
+	return !r.Durable() && len(r.Early) == 0 && len(r.Messages) == 0 && len(r.Committed) == 0
+}
+
+// Durable reports whether there is something to persist.
+func (r *Ready) Durable() bool {
+	return r.HardState != nil || r.Membership != nil || r.Snapshot != nil || len(r.Entries) > 0
 }
--- /dev/null
+++ b/internal/process/source/cluster_test.go
@@ -0,0 +1,200 @@
+package source
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/daisygate/daisygate/internal/process/quorum"
+	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/process/storage"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/fleet"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// testCluster is a group of sources in one deterministic network. It keeps the
+// oracle: the plain list of what was accepted.
+type testCluster struct {
+	ids     []string
+	members map[string]*testMember
+	net     []replica.Message
+	cut     map[[2]string]bool
+	// accepted[i] is what fleet version i+1 holds, once any source applied it.
+	accepted []Accepted
+	// fault is the first broken promise.
+	fault string
+	seed  uint64
+}
+
+type testMember struct {
+	id      string
+	dir     *memDir
+	node    *quorum.Node[Answer]
+	machine *machine
+	// lost is set from the loss of the disk until the member votes again.
+	lost bool
+}
+
+func newTestCluster(n int) *testCluster {
+	c := &testCluster{members: map[string]*testMember{}, cut: map[[2]string]bool{}}
+	for i := range n {
+		id := string(rune('a' + i))
+		c.ids = append(c.ids, id)
+		c.members[id] = &testMember{id: id, dir: newMemDir()}
+	}
+	for _, id := range c.ids {
+		if err := c.start(id); err != nil {
+			panic(err)
+		}
+	}
+	return c
+}
+
+func (c *testCluster) start(id string) error {
+	m := c.members[id]
+	disk, restored, err := storage.Open(m.dir)
+	if err != nil {
+		return err
+	}
+	c.seed++
+	m.machine = newMachine(logr.Discard(), func(*fleet.State) {})
+	m.node, err = quorum.NewNode(replica.Config{
+		ID: id, Members: c.ids, ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
+	}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
+	return err
+}
+
+func (c *testCluster) crash(id string, keep int, oldNames bool) {
+	m := c.members[id]
+	m.node = nil
+	m.dir.crash(keep, oldNames)
+}
+
+func (c *testCluster) loseDisk(id string) {
+	m := c.members[id]
+	m.node = nil
+	m.dir = newMemDir()
+	m.lost = true
+}
+
+// up calls f for each running member in order.
+func (c *testCluster) up(f func(*testMember)) {
+	for _, id := range c.ids {
+		if m := c.members[id]; m.node != nil {
+			f(m)
+		}
+	}
+}
+
+func (c *testCluster) isolate(id string, cut bool) {
+	for _, other := range c.ids {
+		c.setLink(id, other, cut)
+	}
+}
+
+func (c *testCluster) setLink(a, b string, cut bool) {
+	c.cut[[2]string{a, b}] = cut
+	c.cut[[2]string{b, a}] = cut
+}
+
+// settle lets a member finish its work and checks the oracle.
+func (c *testCluster) settle(m *testMember) {
+	m.node.Settle()
+	status := m.node.Status()
+	if status.Repair.State == replica.RepairDone || status.Repair.State == replica.RepairNone {
+		m.lost = false
+	}
+	for i, line := range m.machine.all() {
+		if i == len(c.accepted) {
+			c.accepted = append(c.accepted, line)
+		}
+		if c.accepted[i] != line {
+			c.blame("%s has %+v as fleet version %d, accepted was %+v", m.id, line, i+1, c.accepted[i])
+		}
+	}
+}
+
+func (c *testCluster) blame(format string, args ...any) {
+	if c.fault == "" {
+		c.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+// deliver takes message i off the network; copies stay if again is set.
+func (c *testCluster) deliver(i int, again bool) {
+	msg := c.net[i]
+	if !again {
+		c.net = slices.Delete(c.net, i, i+1)
+	}
+	m := c.members[msg.To]
+	if m.node == nil || c.cut[[2]string{msg.From, msg.To}] {
+		return
+	}
+	m.node.Step([]replica.Message{msg})
+	c.settle(m)
+}
+
+func (c *testCluster) deliverAll() {
+	for n := 0; len(c.net) > 0 && n < 100_000; n++ {
+		c.deliver(0, false)
+	}
+}
+
+// run ticks every member so often and delivers all messages after each tick.
+func (c *testCluster) run(ticks int) {
+	for range ticks {
+		c.up(func(m *testMember) {
+			m.node.Tick()
+			c.settle(m)
+		})
+		c.deliverAll()
+	}
+}
+
+func (c *testCluster) leader() *testMember {
+	var leader *testMember
+	c.up(func(m *testMember) {
+		if s := m.node.Status(); s.Role == "leader" && (leader == nil || s.Term > leader.node.Status().Term) {
+			leader = m
+		}
+	})
+	return leader
+}
+
+// submit proposes at one member; the answer lands in the returned pointer.
+func (c *testCluster) submit(m *testMember, mf *manifest.Manifest) *Answer {
+	raw, err := encodeCommand(mf, time.Unix(0, 0).UTC())
+	if err != nil {
+		panic(err)
+	}
+	answer := &Answer{}
+	m.node.Propose(raw, func(a Answer, err error) {
+		if *answer = answerOf(a, err); a.Fleet > 0 {
+			c.checkAnswer(mf, a)
+		}
+	})
+	c.settle(m)
+	return answer
+}
+
+// checkAnswer holds an answer against the list of what was accepted.
+func (c *testCluster) checkAnswer(mf *manifest.Manifest, a Answer) {
+	content, _ := fleet.ContentHash(mf)
+	want := Accepted{Fleet: a.Fleet, Mesh: mf.Mesh, Version: mf.Version, Content: content, Time: time.Unix(0, 0).UTC()}
+	if int(a.Fleet) <= len(c.accepted) && c.accepted[a.Fleet-1] != want {
+		c.blame("answered %+v, accepted was %+v", want, c.accepted[a.Fleet-1])
+	}
+}
+
+func testManifest(mesh string, version uint64, service string) *manifest.Manifest {
+	return &manifest.Manifest{
+		Mesh: mesh, Version: version, Hosts: []string{mesh + ".example"},
+		Services: []manifest.Service{{Name: service}},
+		Routes:   []manifest.Route{{Name: "all", Path: "/", Service: service, Timeout: time.Second}},
+	}
+}
+
+func ok(a *Answer) bool { return a.Code == result.Accepted || a.Code == result.AlreadyAccepted }
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -41,20 +42,26 @@
 	Detail string    `json:"detail,omitempty"`
 }
 
-// historyLimit bounds the history kept in memory and in snapshots.
-const historyLimit = 10000
+// historyLimit bounds the lines kept of one mesh, so that a busy mesh does not
+// push out another's. The newest line of a mesh is always kept.
+const historyLimit = 2048
 
 // machine is the state that the log's entries build, the same on each source.
 type machine struct {
-	state   *fleet.State
-	history []Accepted
+	state *fleet.State
+	// history of each mesh, oldest first.
+	history map[string][]Accepted
+	routes  routeIndex
 	log     logr.Logger
 	// onState is called with each new state.
 	onState func(*fleet.State)
 }
 
 func newMachine(log logr.Logger, onState func(*fleet.State)) *machine {
-	return &machine{state: fleet.Empty(), log: log, onState: onState}
+	return &machine{
+		state: fleet.Empty(), history: map[string][]Accepted{}, routes: routeIndex{},
+		log: log, onState: onState,
+	}
 }
 
 // machineImage is the encoded form of a machine, for snapshots.
@@ -63,13 +70,23 @@
 	History []Accepted `cbor:"2,keyasint"`
 }
 
+// all returns every line kept, oldest first.
+func (m *machine) all() []Accepted {
+	var lines []Accepted
+	for _, h := range m.history {
+		lines = append(lines, h...)
+	}
+	slices.SortFunc(lines, func(a, b Accepted) int { return cmp.Compare(a.Fleet, b.Fleet) })
+	return lines
+}
+
 // Snapshot implements quorum.StateMachine.
 func (m *machine) Snapshot() ([]byte, error) {
 	delta, err := m.state.Snapshot().Encode()
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(machineImage{Delta: delta, History: m.history})
+	return cbor.Marshal(machineImage{Delta: delta, History: m.all()})
 }
 
 // Restore implements quorum.StateMachine.
@@ -86,8 +103,17 @@
 	if err != nil {
 		return err
 	}
+	routes, err := indexRoutes(state)
+	if err != nil {
+		return err
+	}
 	m.state = state
-	m.history = image.History
+	m.routes = routes
+	m.history = map[string][]Accepted{}
+	for _, line := range image.History {
+		line.Time = line.Time.UTC()
+		m.history[line.Mesh] = append(m.history[line.Mesh], line)
+	}
 	m.onState(state)
 	return nil
 }
@@ -120,17 +146,24 @@
 		return Answer{Code: result.ManifestInvalid, Detail: err.Error()}
 	}
 	m.state = next
-	m.history = append(m.history, Accepted{
+	m.routes.replace(&c.Manifest)
+	m.remember(Accepted{
 		Fleet: next.Version, Mesh: c.Manifest.Mesh, Version: c.Manifest.Version,
-		Content: content, Time: c.Submitted,
+		Content: content, Time: c.Submitted.UTC(),
 	})
-	if len(m.history) > historyLimit {
-		m.history = slices.Clone(m.history[len(m.history)-historyLimit:])
-	}
 	return Answer{Code: result.Accepted, Fleet: next.Version}
 }
 
-// refuse answers what is not new: a resend, a lost race, an old version.
+func (m *machine) remember(line Accepted) {
+	lines := append(m.history[line.Mesh], line)
+	if len(lines) > historyLimit {
+		lines = slices.Clone(lines[len(lines)-historyLimit:])
+	}
+	m.history[line.Mesh] = lines
+}
+
+// refuse answers what is not new: a resend, a lost race, an old version; and
+// what would take another mesh's requests.
 func (m *machine) refuse(mf *manifest.Manifest, content uint64) (Answer, bool) {
 	if first := m.find(mf.Mesh, mf.Version); first != nil {
 		if first.Content == content {
@@ -138,20 +171,31 @@
 		}
 		return Answer{Code: result.VersionConflict, Winner: first}, true
 	}
-	header, known := m.state.Mesh(mf.Mesh)
-	if known && mf.Version <= header.Version {
-		winner := m.find(mf.Mesh, header.Version)
-		return Answer{Code: result.VersionOld, Winner: winner}, true
+	if newest := m.newest(mf.Mesh); newest != nil && mf.Version < newest.Version {
+		return Answer{Code: result.VersionOld, Winner: newest}, true
+	}
+	if clash := m.routes.clash(mf); clash != nil {
+		return Answer{Code: result.RouteConflict, Winner: m.newest(clash.mesh), Detail: clash.String()}, true
 	}
 	return Answer{}, false
 }
 
+func (m *machine) newest(mesh string) *Accepted {
+	lines := m.history[mesh]
+	if len(lines) == 0 {
+		return nil
+	}
+	line := lines[len(lines)-1]
+	return &line
+}
+
+// find returns the line of a version; a mesh's versions only go up.
 func (m *machine) find(mesh string, version uint64) *Accepted {
-	for i := len(m.history) - 1; i >= 0; i-- {
-		if m.history[i].Mesh == mesh && m.history[i].Version == version {
-			found := m.history[i]
-			return &found
-		}
+	lines := m.history[mesh]
+	i, found := slices.BinarySearchFunc(lines, version, func(a Accepted, v uint64) int { return cmp.Compare(a.Version, v) })
+	if !found {
+		return nil
 	}
-	return nil
+	line := lines[i]
+	return &line
 }
--- /dev/null
+++ b/internal/process/source/memdir_test.go
@@ -0,0 +1,95 @@
+package source
+
+import (
+	"errors"
+	"maps"
+	"os"
+	"slices"
+
+	"github.com/daisygate/daisygate/internal/process/storage"
+)
+
+var errDisk = errors.New("no space left on device")
+
+// memDir is a data folder in memory that keeps apart what was synced.
+type memDir struct {
+	names, durable map[string]*memFile
+	// full makes each write and sync fail.
+	full bool
+}
+
+type memFile struct {
+	dir    *memDir
+	data   []byte
+	synced int
+}
+
+func newMemDir() *memDir {
+	return &memDir{names: map[string]*memFile{}, durable: map[string]*memFile{}}
+}
+
+// crash loses what was not synced, but for keep bytes of each file's tail; and
+// unsynced names if oldNames is set.
+func (d *memDir) crash(keep int, oldNames bool) {
+	if oldNames {
+		d.names = maps.Clone(d.durable)
+	}
+	for _, f := range d.names {
+		f.data = f.data[:min(len(f.data), f.synced+keep)]
+		f.synced = len(f.data)
+	}
+	d.durable = maps.Clone(d.names)
+	d.full = false
+}
+
+func (d *memDir) ReadFile(name string) ([]byte, error) {
+	f, ok := d.names[name]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return slices.Clone(f.data), nil
+}
+
+func (d *memDir) Create(name string) (storage.File, error) {
+	d.names[name] = &memFile{dir: d}
+	return d.names[name], nil
+}
+
+func (d *memDir) OpenAt(name string, size int64) (storage.File, error) {
+	f := d.names[name]
+	f.data = f.data[:size]
+	f.synced = min(f.synced, len(f.data))
+	return f, nil
+}
+
+func (d *memDir) Rename(from, to string) error {
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+func (d *memDir) Sync() error {
+	d.durable = maps.Clone(d.names)
+	return nil
+}
+
+func (d *memDir) Path(name string) string { return name }
+
+func (f *memFile) Write(p []byte) (int, error) {
+	if f.dir.full {
+		f.data = append(f.data, p[:len(p)/2]...)
+		return len(p) / 2, errDisk
+	}
+	f.data = append(f.data, p...)
+	return len(p), nil
+}
+
+func (f *memFile) Sync() error {
+	if f.dir.full {
+		return errDisk
+	}
+	f.synced = len(f.data)
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
--- a/internal/process/source/source.go
+++ b/internal/process/source/source.go
@@ -17,6 +17,7 @@
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/fleet"
 	"github.com/daisygate/daisygate/internal/version/manifest"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
 )
 
 // Status is what a source tells of itself.
@@ -83,21 +84,46 @@
 // History returns the accepted manifests, oldest first.
 func (s *Source) History(ctx context.Context) ([]Accepted, error) {
 	var history []Accepted
-	err := s.group.Query(ctx, func() { history = append(history, s.machine.history...) })
+	err := s.group.Query(ctx, func() { history = s.machine.all() })
 	return history, err
 }
 
-// Submit proposes a checked manifest here or at the leader, and waits for the
-// commit until ctx ends.
+// Submit proposes a manifest here or at the leader, and waits for the commit
+// until ctx ends. What could not be put in force never enters the log.
 func (s *Source) Submit(ctx context.Context, m *manifest.Manifest) (Answer, error) {
-	raw, err := cbor.Marshal(Command{Manifest: *m, Submitted: time.Now().UTC()})
+	if err := compiles(m); err != nil {
+		return Answer{Code: result.ManifestInvalid, Detail: err.Error()}, nil
+	}
+	raw, err := encodeCommand(m, time.Now().UTC())
 	if err != nil {
-		return Answer{}, errors.Wrap(err, "encode command")
+		return Answer{}, err
 	}
 	answer, err := s.group.Propose(ctx, raw)
+	return answerOf(answer, err), nil
+}
+
+func encodeCommand(m *manifest.Manifest, now time.Time) ([]byte, error) {
+	raw, err := cbor.Marshal(Command{Manifest: *m, Submitted: now})
+	return raw, errors.Wrap(err, "encode command")
+}
+
+// answerOf turns the end of a proposal into what the operator is told.
+func answerOf(answer Answer, err error) Answer {
 	var failure *result.Error
 	if errors.As(err, &failure) {
-		return Answer{Code: failure.Code, Detail: failure.Detail}, nil
+		return Answer{Code: failure.Code, Detail: failure.Detail}
+	}
+	return answer
+}
+
+// compiles checks that every daemon can put m in force. It is asked before the
+// log, not while entries are applied: sources of different releases must apply
+// the same entries alike.
+func compiles(m *manifest.Manifest) error {
+	state, err := fleet.Empty().Accept(m)
+	if err != nil {
+		return err
 	}
-	return answer, err
+	_, err = snapshot.Compile(state)
+	return err
 }
--- /dev/null
+++ b/internal/process/storage/dir.go
@@ -0,0 +1,89 @@
+package storage
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// File is an open file that is appended to.
+type File interface {
+	io.Writer
+	// Sync makes what was written durable.
+	Sync() error
+	Close() error
+}
+
+// Dir is a data folder. What Create and Rename do to names is durable only
+// after Sync.
+type Dir interface {
+	// ReadFile returns a file's content, or an error that is os.ErrNotExist.
+	ReadFile(name string) ([]byte, error)
+	// Create opens an empty file for appending.
+	Create(name string) (File, error)
+	// OpenAt opens a file for appending after its first size bytes; the rest
+	// is cut.
+	OpenAt(name string, size int64) (File, error)
+	// Rename replaces a file by another.
+	Rename(from, to string) error
+	// Sync makes the names durable.
+	Sync() error
+	// Path names a file for people.
+	Path(name string) string
+}
+
+// OSDir is a Dir in the file system.
+type OSDir string
+
+const (
+	dirMode  = 0o750
+	fileMode = 0o640
+)
+
+// NewOSDir creates the folder if needed.
+func NewOSDir(path string) (OSDir, error) {
+	if err := os.MkdirAll(path, dirMode); err != nil {
+		return "", errors.Wrap(err, "create data folder")
+	}
+	return OSDir(path), nil
+}
+
+// ReadFile implements Dir.
+func (d OSDir) ReadFile(name string) ([]byte, error) { return os.ReadFile(d.Path(name)) }
+
+// Create implements Dir.
+func (d OSDir) Create(name string) (File, error) {
+	return os.OpenFile(d.Path(name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+}
+
+// OpenAt implements Dir.
+func (d OSDir) OpenAt(name string, size int64) (File, error) {
+	file, err := os.OpenFile(d.Path(name), os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := file.Truncate(size); err != nil {
+		return nil, errors.CombineErrors(err, file.Close())
+	}
+	if _, err := file.Seek(size, io.SeekStart); err != nil {
+		return nil, errors.CombineErrors(err, file.Close())
+	}
+	return file, nil
+}
+
+// Rename implements Dir.
+func (d OSDir) Rename(from, to string) error { return os.Rename(d.Path(from), d.Path(to)) }
+
+// Sync implements Dir.
+func (d OSDir) Sync() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(f.Sync(), f.Close())
+}
+
+// Path implements Dir.
+func (d OSDir) Path(name string) string { return filepath.Join(string(d), name) }
