Decide which requests crash backend servers, and let them run alone

Cause: a request that crashes every server took down one server after another with all that ran beside it, and nothing told it from the innocents. Ruled out: blaming what is in progress at a crash, or at two crashes (a popular request is in progress at most crashes: two killed servers would blame it); fingerprints without headers or body (innocents of the same path would be refused with the culprit; one well-ended innocent would clear it); with the host (a resend through another daemon names another). Fields that change from one sending to the next are left out: tracing, dates, names ending in -Id, the idempotency key. Change: package quarantine. In progress at a crash: suspect. A suspect runs alone: well, and it is cleared everywhere; a crash, and it is refused for 1 min, doubling to 1 h, then runs alone again; remembered 30 min longer. A lost connection counts as a crash when nobody listens any more, or when every run in progress lost its connection at once (a server that was back before its daemon looked). flow and balance: a pinned request goes to the server of the highest random weight, so that no two copies of a suspect run at one time. Code 244; 245 is taken back, it was never told.

--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -39,6 +39,8 @@
 	// Tried are the servers that this request was sent to already; their
 	// failure domains come last.
 	Tried []*directory.Candidate
+	// Pin, if not 0, picks by it alone.
+	Pin uint64
 }
 
 // Local tells the load of the servers beside this daemon, which its own gates
@@ -119,6 +121,9 @@
 // Pick returns the candidate to use, or nil when every one was tried. An
 // ejected server is used only when nothing else is left.
 func (t *Table) Pick(in Input) *directory.Candidate {
+	if in.Pin != 0 {
+		return t.pinned(in)
+	}
 	p := picker{table: t, in: in, random: in.Seed}
 	for i := beside; i < anywhere; i++ {
 		if c := p.twoChoices(t.tiers[i]); c != nil && t.load(in.Now, c) < full {
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -75,6 +75,8 @@
 	Repeatable bool
 	// Retries is the most attempts after the first that failed.
 	Retries int
+	// Pin, if not 0, chooses the server: all requests with one Pin go to one.
+	Pin uint64
 }
 
 type phase uint8
@@ -122,7 +124,7 @@
 	if !now.Before(c.request.Deadline) {
 		return c.answer(result.DeadlineTooShort)
 	}
-	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried})
+	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin})
 	if picked == nil {
 		return c.answer(last)
 	}
@@ -147,6 +149,9 @@
 	return a
 }
 
+// Isolate chooses the servers of all further attempts by pin.
+func (c *Call) Isolate(pin uint64) { c.request.Pin = pin }
+
 // BodyBegun tells that a part of the body was sent which cannot be sent again.
 func (c *Call) BodyBegun() { c.begun = true }
 
@@ -197,7 +202,7 @@
 		return balance.Full
 	case result.Draining, result.BackendRefused, result.DaemonRefused, result.NotReady:
 		return balance.Unreachable
-	case result.AnswerLost, result.DeadlineExceeded:
+	case result.AnswerLost, result.DeadlineExceeded, result.BackendCrashed:
 		return balance.Failed
 	}
 	return balance.Neutral
--- /dev/null
+++ b/internal/request/quarantine/core.go
@@ -0,0 +1,145 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// lossWindow is the time within which several lost connections count as one
+// event.
+const lossWindow = time.Second
+
+// Fate is how a run ended.
+type Fate uint8
+
+// The fates.
+const (
+	// Well ended runs gave a whole answer.
+	Well Fate = iota + 1
+	// GivenUp runs were ended by this side, or never reached the server.
+	GivenUp
+	// Lost runs lost their connection by the server's doing.
+	Lost
+)
+
+// run is one request that a server beside this daemon runs.
+type run struct {
+	identity Identity
+	// alone is set while nothing else runs on the server.
+	alone bool
+	began time.Time
+	// lost is when its connection was lost; zero while it holds.
+	lost time.Time
+	// blamed is set once a crash of the server was reported for it.
+	blamed bool
+}
+
+// Core is what one daemon knows. It is not safe for concurrent use.
+type Core struct {
+	ledger ledger
+	nextID uint64
+	// servers are the runs in progress by the server's address; no map in it is
+	// empty.
+	servers map[string]map[uint64]*run
+}
+
+// New returns a Core that suspects nothing.
+func New(cfg Config) *Core {
+	return &Core{
+		ledger:  ledger{cfg: cfg, own: map[Fingerprint]Suspect{}, others: map[Fingerprint][]Suspect{}},
+		servers: map[string]map[uint64]*run{},
+	}
+}
+
+// Learn replaces what the other daemons report.
+func (c *Core) Learn(reports []Suspect) { c.ledger.learn(reports) }
+
+// Quiet reports whether no request of any kind is suspected.
+func (c *Core) Quiet() bool { return c.ledger.empty() }
+
+// Judge says how a request may run.
+func (c *Core) Judge(now time.Time, f Fingerprint) Verdict { return c.ledger.judge(now, f) }
+
+// Reports returns what this daemon reports to the fleet.
+func (c *Core) Reports() []Suspect { return c.ledger.reports() }
+
+// Begin notes that a request is handed to the server at addr. It returns a
+// number for End.
+func (c *Core) Begin(now time.Time, addr string, id Identity, alone bool) uint64 {
+	c.nextID++
+	if c.servers[addr] == nil {
+		c.servers[addr] = map[uint64]*run{}
+	}
+	c.servers[addr][c.nextID] = &run{identity: id, alone: alone, began: now}
+	return c.nextID
+}
+
+// Drop notes that a run's connection was lost by the server's doing. Whether
+// the server crashed is then to be found out, and told with End.
+func (c *Core) Drop(now time.Time, addr string, id uint64) {
+	if r := c.servers[addr][id]; r != nil {
+		r.lost = now
+	}
+}
+
+// End notes that nothing of a run is in progress any more. listening tells, of
+// a Lost run, whether the server still takes connections. It reports whether
+// the server crashed, and whether the reports have changed.
+func (c *Core) End(now time.Time, addr string, id uint64, fate Fate, listening bool) (crashed, changed bool) {
+	r := c.servers[addr][id]
+	if r == nil {
+		return false, false
+	}
+	switch {
+	case fate == Well && (r.alone || r.blamed):
+		changed = c.ledger.clear(now, r.identity.Fingerprint())
+	case fate == Lost && r.blamed:
+		crashed = true
+	case fate == Lost && (!listening || c.restarted(addr)):
+		crashed, changed = true, true
+		c.crash(now, addr)
+	}
+	delete(c.servers[addr], id)
+	if len(c.servers[addr]) == 0 {
+		delete(c.servers, addr)
+	}
+	return crashed, changed
+}
+
+// restarted reports whether a server that takes connections crashed and came
+// back: several runs lost their connections at one time, and none that was in
+// progress then goes on. One lost connection beside others that hold is no
+// crash.
+func (c *Core) restarted(addr string) bool {
+	var first time.Time
+	lost := 0
+	for _, r := range c.servers[addr] {
+		if r.lost.IsZero() {
+			continue
+		}
+		lost++
+		if first.IsZero() || r.lost.Before(first) {
+			first = r.lost
+		}
+	}
+	for _, r := range c.servers[addr] {
+		if r.lost.IsZero() && r.began.Before(first) {
+			return false
+		}
+	}
+	return lost > 1
+}
+
+// crash reports every run in progress on a server.
+func (c *Core) crash(now time.Time, addr string) {
+	runs := c.servers[addr]
+	for _, id := range slices.Sorted(maps.Keys(runs)) {
+		r := runs[id]
+		if r.blamed || (!r.lost.IsZero() && now.Sub(r.lost) > lossWindow) {
+			continue
+		}
+		r.blamed = true
+		c.ledger.blame(now, r.identity.Fingerprint(), r.alone)
+	}
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -98,7 +98,6 @@
 	ClaimsFull        Code = 242
 	ClaimsUnavailable Code = 243
 	BackendCrashed    Code = 244
-	Isolating         Code = 245
 
 	PeerBusy Code = 310
 
@@ -164,7 +163,6 @@
 	ClaimsFull:        {"ClaimsFull", NotRun, http.StatusServiceUnavailable, "The sources hold as many idempotency keys as they may; come back when older ones have expired."},
 	ClaimsUnavailable: {"ClaimsUnavailable", NotRun, http.StatusServiceUnavailable, "No majority of sources can record the idempotency key now; this sending was not run. What an earlier one did is told when they are back."},
 	BackendCrashed:    {"BackendCrashed", Unknown, http.StatusBadGateway, "The backend server crashed while the request was in progress; it may have run."},
-	Isolating:         {"Isolating", NotRun, http.StatusServiceUnavailable, "The backend server is kept free for a request that was in progress at a crash; come back later."},
 }
 
 // Codes returns every defined code with its name and meaning, in no order.
