Keep requests that crash servers away from the rest of the fleet

Cause: the gateway asked for suspects and nobody answered. Change: gateway.Quarantine joins package quarantine to the gateway and to the reports in presence. A lost connection is followed by a look whether the server still listens, twice, 50 ms apart. A request whose server crashed is told 244, and if it may be repeated its next attempt runs alone on the pinned server: the daemons tell each other by the code and a header, for presence comes later. A suspect waits at most 1 s for its server to become empty, and is screened again after the wait. Requests are screened after their small body was read: it is in the fingerprint. Test, failed first without Suspects in gateway.Config: all five servers were dead after the resends ("want 215 Quarantined, was told 211 NoBackendServer"); now two of five, and then 215 at every daemon. TestOrdinaryCrashBlamesNobody guards the other side and passed before too; what fails it is in the fuzz of package quarantine ("innocent i1 is refused" when crashes beside others count). Conclusion: go test -race -p 4 ./test/e2e passes in 24 s.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -91,10 +91,6 @@
 // admitted asks the hooks; without true, the caller is answered.
 func (x *exchange) admitted() bool {
 	x.hooked = &Request{Mesh: x.route.Mesh, Service: x.route.Service, Repeatable: x.route.Repeatable, HTTP: x.r}
-	if s := x.g.screen(x.hooked); s.Refusal != nil {
-		x.refuse(&refusal{Error: s.Refusal, back: s.RetryAfter})
-		return false
-	}
 	return x.claim()
 }
 
@@ -116,7 +112,14 @@
 		return
 	}
 	x.body = body
-	resp, refused := x.dispatch(ctx)
+	pin, refused := x.screen()
+	if refused != nil {
+		settlement.Code = refused.Code
+		x.refuse(refused)
+		body.settle()
+		return
+	}
+	resp, refused := x.dispatch(ctx, pin)
 	if refused != nil {
 		settlement.Code = refused.Code
 		x.refuse(refused)
@@ -159,10 +162,10 @@
 
 // dispatch carries out the actions of the flow until there is an answer to
 // relay or the caller is to be refused.
-func (x *exchange) dispatch(ctx context.Context) (*http.Response, *refusal) {
+func (x *exchange) dispatch(ctx context.Context, pin uint64) (*http.Response, *refusal) {
 	target := x.route.Target
 	course, action := x.g.service(target.Key).begin(x.dir, target, flow.Request{
-		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries,
+		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Pin: pin,
 	})
 	x.course = course
 	last := refuse(result.NoBackendServer, "service "+target.Key.String())
@@ -175,7 +178,8 @@
 			return resp, nil
 		}
 		last = refused
-		action = course.failed(refused, x.body.begun.Load())
+		again := x.isolate(refused) && !x.body.begun.Load()
+		action = course.failed(refused, !again)
 	}
 	if action.Kind == flow.Answer && action.Code != last.Code {
 		last = refuse(action.Code, action.Code.Meaning())
@@ -222,6 +226,9 @@
 	if !x.route.Repeatable {
 		out.Added[headerFresh] = []string{"1"}
 	}
+	if x.hooked.Alone {
+		out.Added[headerAlone] = []string{"1"}
+	}
 	out.Expect, out.IdleAge = x.body.stream, peerIdleTimeout
 	span := x.g.cfg.Tracer.Send(ctx, HopForward, out.Added)
 	span.Set(SpanNode, to.Node.Name)
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -26,6 +26,7 @@
 	headerService  = prefix + "Service"
 	headerPriority = prefix + "Priority"
 	headerFresh    = prefix + "Fresh"
+	headerAlone    = prefix + "Alone"
 	headerLoad     = prefix + "Load"
 )
 
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -21,6 +21,10 @@
 	// Repeatable is known to the first daemon only.
 	Repeatable bool
 	HTTP       *http.Request
+	// Body is the whole body if it is small, else nil; Suspects see it.
+	Body []byte
+	// Alone is set once the request runs with no other beside it.
+	Alone bool
 }
 
 // Claims makes requests with an idempotency key run at most once. It is asked
@@ -65,12 +69,12 @@
 // Suspects keeps requests away that crash backend servers. It must be safe for
 // concurrent use.
 type Suspects interface {
-	// Screen is asked before a request is dispatched, and again before it is
-	// served beside its backend server.
+	// Screen is asked before a request is dispatched, again before it is served
+	// beside its backend server, and after its server crashed.
 	Screen(r *Request) Screening
 	// Begin tells that a request is handed to the backend server at addr now.
 	// End of the Run is called exactly once, when nothing of it is in progress
-	// any more.
+	// any more; until then the Run may read r.
 	Begin(addr string, r *Request) Run
 }
 
@@ -81,11 +85,15 @@
 	RetryAfter time.Duration
 	// Alone runs the request with no other beside it on the backend server.
 	Alone bool
+	// Pin is set with Alone: requests with the same Pin go to the same server,
+	// so that no two of them run at one time.
+	Pin uint64
 }
 
 // Run is one request that a backend server beside this daemon runs.
 type Run interface {
-	End(f Fate)
+	// End reports whether the backend server crashed.
+	End(f Fate) (crashed bool)
 }
 
 // Fate is how a run ended.
@@ -112,7 +120,7 @@
 type noRun struct{}
 
 // End implements Run.
-func (noRun) End(Fate) {}
+func (noRun) End(Fate) bool { return false }
 
 func (g *Gateway) screen(r *Request) Screening {
 	if g.cfg.Suspects == nil {
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -25,7 +25,7 @@
 		code = result.CallerLeft
 		panic(http.ErrAbortHandler)
 	}
-	k.hooked.HTTP, k.body = r, body
+	k.hooked.HTTP, k.hooked.Body, k.body = r, body.small, body
 	resp, refused := g.serve(ctx, k)
 	g.setLoad(w.Header(), k.addr)
 	g.setClose(w.Header())
@@ -52,7 +52,7 @@
 	k = &work{
 		addr: r.Header.Get(headerServer), priority: priority, depth: depth,
 		deadline: time.Now().Add(timeout), fresh: r.Header.Get(headerFresh) != "",
-		hooked: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService)},
+		hooked: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Alone: r.Header.Get(headerAlone) != ""},
 	}
 	if !okTimeout || !okStall || !okPriority || !okDepth || k.addr == "" {
 		return nil, 0, 0, refuse(result.BadRequest, "not a forwarded call")
--- /dev/null
+++ b/internal/connection/gateway/quarantine.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/quarantine"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/directory"
+)
+
+const (
+	// probeTimeout bounds a look whether a backend server still listens.
+	probeTimeout = 200 * time.Millisecond
+	// probePause lets a server that ends close its listener after its
+	// connections.
+	probePause = 50 * time.Millisecond
+	// aloneWait is the longest that a suspect waits for its server to become
+	// empty; nothing new begins there meanwhile.
+	aloneWait = time.Second
+)
+
+// screen asks about the request before it is dispatched. Suspects get the pin
+// that chooses their server.
+func (x *exchange) screen() (pin uint64, refused *refusal) {
+	x.hooked.Body = x.body.small
+	s := x.g.screen(x.hooked)
+	if s.Refusal != nil {
+		return 0, &refusal{Error: s.Refusal, back: s.RetryAfter}
+	}
+	x.hooked.Alone = s.Alone
+	return s.Pin, nil
+}
+
+// isolate makes a request alone after its server crashed, before other daemons
+// know of it: the next attempt takes no other down. It reports whether there
+// may be one.
+func (x *exchange) isolate(refused *refusal) bool {
+	if refused.Code != result.BackendCrashed || x.g.cfg.Suspects == nil {
+		return true
+	}
+	x.hooked.Alone = true
+	s := x.g.screen(x.hooked)
+	x.course.isolate(s.Pin)
+	return s.Refusal == nil
+}
+
+func (c *course) isolate(pin uint64) {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	c.call.Isolate(pin)
+}
+
+// admitSuspect screens beside the backend server: before a request waits for
+// its slot and, because another may have crashed the server meanwhile, after.
+func (g *Gateway) admitSuspect(k *work) *refusal {
+	s := g.screen(k.hooked)
+	if s.Refusal != nil {
+		return &refusal{Error: s.Refusal, back: s.RetryAfter}
+	}
+	k.hooked.Alone = k.hooked.Alone || s.Alone
+	return nil
+}
+
+func (k *work) ticket(now time.Time) admit.Ticket {
+	t := admit.Ticket{Priority: k.priority, Deadline: k.deadline, Alone: k.hooked.Alone}
+	if wait := now.Add(aloneWait); t.Alone && wait.Before(t.Deadline) {
+		t.Deadline = wait
+	}
+	return t
+}
+
+// QuarantineConfig is fixed for the life of a Quarantine.
+type QuarantineConfig struct {
+	// Self is this daemon's name.
+	Self string
+	// Directory returns the newest directory, which carries the reports of the
+	// other daemons.
+	Directory func() *directory.Directory
+	// Publish replaces what this daemon reports.
+	Publish func([]presence.Suspect)
+}
+
+// Quarantine keeps requests that crash backend servers away from the rest. It
+// implements Suspects.
+type Quarantine struct {
+	cfg QuarantineConfig
+
+	mu   sync.Mutex
+	core *quarantine.Core
+	// learnt is the directory that core has learnt from.
+	learnt *directory.Directory
+}
+
+// NewQuarantine returns a Quarantine.
+func NewQuarantine(cfg QuarantineConfig) *Quarantine {
+	return &Quarantine{cfg: cfg, core: quarantine.New(quarantine.DefaultConfig())}
+}
+
+// Screen implements Suspects.
+func (q *Quarantine) Screen(r *Request) Screening {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.learn()
+	if q.core.Quiet() && !r.Alone {
+		return Screening{}
+	}
+	id := identityOf(r)
+	f := id.Fingerprint()
+	now := time.Now()
+	v := q.core.Judge(now, f)
+	switch {
+	case v.Mode == quarantine.Refused:
+		code := result.Quarantined
+		return Screening{Refusal: result.Errorf(code, "%s", code.Meaning()), RetryAfter: v.Until.Sub(now)}
+	case v.Mode == quarantine.Alone || r.Alone:
+		return Screening{Alone: true, Pin: uint64(f)}
+	}
+	return Screening{}
+}
+
+// learn takes in the reports of a directory that is new.
+func (q *Quarantine) learn() {
+	dir := q.cfg.Directory()
+	if dir == q.learnt {
+		return
+	}
+	q.learnt = dir
+	var reports []quarantine.Suspect
+	for i := range dir.Records {
+		if dir.Records[i].Node.Name == q.cfg.Self {
+			continue
+		}
+		for _, s := range dir.Records[i].Suspects {
+			reports = append(reports, quarantine.Suspect{
+				Fingerprint: quarantine.Fingerprint(s.Fingerprint), Crashes: s.Crashes, Until: time.UnixMilli(s.Until),
+			})
+		}
+	}
+	q.core.Learn(reports)
+}
+
+func identityOf(r *Request) quarantine.Identity {
+	return quarantine.Identity{
+		Mesh: r.Mesh, Method: r.HTTP.Method, Path: r.HTTP.URL.Path, Query: r.HTTP.URL.RawQuery,
+		ContentLength: r.HTTP.ContentLength, Header: r.HTTP.Header, Body: r.Body,
+	}
+}
+
+// Begin implements Suspects.
+func (q *Quarantine) Begin(addr string, r *Request) Run {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return &suspectRun{q: q, addr: addr, id: q.core.Begin(time.Now(), addr, identityOf(r), r.Alone)}
+}
+
+// suspectRun is one run that a Quarantine watches.
+type suspectRun struct {
+	q    *Quarantine
+	addr string
+	id   uint64
+}
+
+var fates = map[Fate]quarantine.Fate{
+	Finished: quarantine.Well, Cancelled: quarantine.GivenUp, Unsent: quarantine.GivenUp, Crashed: quarantine.Lost,
+}
+
+// End implements Run. After a lost connection it looks whether the server still
+// listens: a crash is told from one cut connection by that.
+func (s *suspectRun) End(f Fate) bool {
+	listens := true
+	if f == Crashed {
+		s.drop()
+		listens = listening(s.addr)
+	}
+	s.q.mu.Lock()
+	defer s.q.mu.Unlock()
+	crashed, changed := s.q.core.End(time.Now(), s.addr, s.id, fates[f], listens)
+	if changed {
+		s.q.publish()
+	}
+	return crashed
+}
+
+func (s *suspectRun) drop() {
+	s.q.mu.Lock()
+	defer s.q.mu.Unlock()
+	s.q.core.Drop(time.Now(), s.addr, s.id)
+}
+
+func (q *Quarantine) publish() {
+	var out []presence.Suspect
+	for _, s := range q.core.Reports() {
+		out = append(out, presence.Suspect{Fingerprint: uint64(s.Fingerprint), Crashes: s.Crashes, Until: s.Until.UnixMilli()})
+	}
+	q.cfg.Publish(out)
+}
+
+// listening reports whether connections to addr are not refused. A server that
+// only does not answer has not crashed.
+func listening(addr string) bool {
+	if !accepts(addr) {
+		return false
+	}
+	time.Sleep(probePause)
+	return accepts(addr)
+}
+
+func accepts(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return true
+}
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/daisygate/daisygate/internal/connection/upstream"
-	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -32,16 +31,18 @@
 	if b == nil || g.leaving.Load() {
 		return nil, refuse(result.Draining, "no new work for "+k.addr+" here")
 	}
-	screening := g.screen(k.hooked)
-	if screening.Refusal != nil {
-		return nil, &refusal{Error: screening.Refusal, back: screening.RetryAfter}
+	if refused := g.admitSuspect(k); refused != nil {
+		return nil, refused
 	}
 	entered := time.Now()
-	ticket := admit.Ticket{Priority: k.priority, Deadline: k.deadline, Alone: screening.Alone}
-	if refused := b.gate.Enter(ctx, ticket); refused != nil {
+	if refused := b.gate.Enter(ctx, k.ticket(entered)); refused != nil {
 		g.cfg.Observer.Refused(Refused{Server: k.addr, Code: refused.Code, Waited: time.Since(entered)})
 		return nil, refused
 	}
+	if refused := g.admitSuspect(k); refused != nil {
+		b.gate.Leave(0)
+		return nil, refused
+	}
 	return g.hand(ctx, b, k)
 }
 
@@ -65,7 +66,9 @@
 	resp, failure := b.pool.RoundTrip(ctx, out)
 	if failure != nil {
 		refused := classify(ctx, failure, result.BackendRefused)
-		run.End(fateOf(refused.Code))
+		if run.End(fateOf(refused.Code)) {
+			refused = refuse(result.BackendCrashed, failure.Error())
+		}
 		span.End(refused.Code)
 		return nil, refused
 	}
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -60,11 +60,12 @@
 	c.call.Relayed(time.Now(), whole)
 }
 
-// failed takes in the end of an attempt without an answer.
-func (c *course) failed(r *refusal, bodyBegun bool) flow.Action {
+// failed takes in the end of an attempt without an answer; final tells that the
+// request must not be sent again.
+func (c *course) failed(r *refusal, final bool) flow.Action {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	if bodyBegun {
+	if final {
 		c.call.BodyBegun()
 	}
 	now := time.Now()
--- a/internal/connection/gateway/watch.go
+++ b/internal/connection/gateway/watch.go
@@ -28,7 +28,7 @@
 // Close implements io.Closer.
 func (b *watchedBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.run.End(b.fate()) })
+	b.once.Do(func() { _ = b.run.End(b.fate()) })
 	return err
 }
 
--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -238,3 +238,10 @@
 	*answer = s.d.claims.commit(context.Background(), c)
 	return nil
 }
+
+// newSuspects joins the quarantine to the presence that spreads its reports.
+func newSuspects(d *Daemon) *gateway.Quarantine {
+	return gateway.NewQuarantine(gateway.QuarantineConfig{
+		Self: d.set.Node, Directory: d.mesh.Directory, Publish: d.mesh.SetSuspects,
+	})
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -169,7 +169,7 @@
 	d.gateway = gateway.New(gateway.Config{
 		Self: d.set.Node, Domain: d.set.Domain, Region: d.set.Region, QueuePerSlot: d.set.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready,
-		Claims: d.claims.once,
+		Claims: d.claims.once, Suspects: newSuspects(d),
 	}, d.log.WithName("gateway"))
 	d.servers = announce.NewServer(d.setServers)
 	if !d.set.IsSource() {
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -3,7 +3,11 @@
 // without an error is whole and free of dangling references.
 package manifest
 
-import "time"
+import (
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
 
 // Manifest is the desired state of one mesh.
 type Manifest struct {
@@ -66,7 +70,13 @@
 	LowestPriority = 9
 )
 
-// SetDefaults sets the documented defaults, before the keys are read.
-func (r *Route) SetDefaults() {
-	*r = Route{Timeout: DefaultTimeout, Retries: DefaultRetries, Priority: DefaultPriority}
+// UnmarshalYAML fills in the documented defaults before the keys are read.
+func (r *Route) UnmarshalYAML(raw []byte) error {
+	type plain Route
+	p := plain{Timeout: DefaultTimeout, Retries: DefaultRetries, Priority: DefaultPriority}
+	if err := yaml.UnmarshalWithOptions(raw, &p, yaml.Strict()); err != nil {
+		return err
+	}
+	*r = Route(p)
+	return nil
 }
