Measure calls, commits, and two runs side by side

Cause: nothing measured the added latency of a call, its processor time, calls under overload and when servers die, nor commits against the disk.

Ruled out: a closed loop of callers (it hides the waits); net/http benchmarks inside the test binary alone (servers and daemons share a heap with the callers); operators over HTTP for commits (a daemon admits 50 requests a second there, so that would have been the figure).

Fleets of processes are asked at most 40 times a second for a version.

--- /dev/null
+++ b/bench/callfleet.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisygate/daisygate/bench/fleet"
+	"github.com/daisygate/daisygate/bench/load"
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// The services and paths of the fleet that calls are measured on.
+const (
+	// serviceLocal has its one server beside localMember, serviceRemote beside
+	// remoteMember; servicePool has one beside each daemon.
+	serviceLocal  = "local"
+	serviceRemote = "remote"
+	servicePool   = "pool"
+
+	pathLocal  = "/local"
+	pathRemote = "/remote"
+	// pathPool and pathUrgent lead to the same service, the second before it.
+	pathPool   = "/pool"
+	pathUrgent = "/urgent"
+
+	localMember  = 0
+	remoteMember = 1
+
+	urgentPriority = 0
+	// wideSlots are the slots of the servers that shall not be the limit.
+	wideSlots       = 200
+	wideConnections = 400
+	answerTimeout   = 30 * time.Second
+)
+
+// callFleet is a fleet of processes with stand-in backend servers.
+type callFleet struct {
+	processes *fleet.Processes
+	// local and remote are the single servers; pool has one for each daemon.
+	local, remote *fleet.Backend
+	pool          []*fleet.Backend
+	client        *http.Client
+}
+
+// callManifest is what the call fleet runs on.
+func callManifest() *manifest.Manifest {
+	m := &manifest.Manifest{Mesh: fleet.MeshName, Version: 1}
+	for _, name := range []string{serviceLocal, serviceRemote, servicePool} {
+		m.Services = append(m.Services, manifest.Service{Name: name, Allow: []string{"127.0.0.0/8"}})
+	}
+	add := func(path, service string, priority int) {
+		m.Routes = append(m.Routes, manifest.Route{
+			Name: path[1:], Path: path, Service: service, Timeout: manifest.DefaultTimeout,
+			Repeatable: true, Retries: manifest.DefaultRetries, Priority: priority,
+		})
+	}
+	add(pathLocal, serviceLocal, manifest.DefaultPriority)
+	add(pathRemote, serviceRemote, manifest.DefaultPriority)
+	add(pathPool, servicePool, manifest.DefaultPriority)
+	add(pathUrgent, servicePool, urgentPriority)
+	return m
+}
+
+// startCallFleet starts size daemons, a server of the pool with the given slots
+// beside each, and waits until every daemon answers.
+func startCallFleet(ctx context.Context, r *run, size, slots, connections int) (*callFleet, error) {
+	o, err := r.fleetOptions(size)
+	if err != nil {
+		return nil, err
+	}
+	programs, err := fleet.Build(r.dir)
+	if err != nil {
+		return nil, err
+	}
+	processes, err := fleet.NewProcesses(o, programs.Daemon)
+	if err != nil {
+		return nil, err
+	}
+	f := &callFleet{processes: processes, client: load.NewClient()}
+	if err := f.fill(ctx, programs.Backend, slots, connections); err != nil {
+		f.close()
+		return nil, err
+	}
+	if !sleep(ctx, r.settle) {
+		f.close()
+		return nil, context.Cause(ctx)
+	}
+	return f, nil
+}
+
+func (f *callFleet) fill(ctx context.Context, program string, slots, connections int) error {
+	start := func(member int, service string, slots, connections int) (*fleet.Backend, error) {
+		return fleet.StartBackend(program, f.settings(member), member, service, slots, connections)
+	}
+	var err error
+	if f.local, err = start(localMember, serviceLocal, wideSlots, wideConnections); err != nil {
+		return err
+	}
+	if f.remote, err = start(remoteMember, serviceRemote, wideSlots, wideConnections); err != nil {
+		return err
+	}
+	for member := range f.processes.Size() {
+		b, err := start(member, servicePool, slots, connections)
+		if err != nil {
+			return err
+		}
+		f.pool = append(f.pool, b)
+	}
+	if err := changeEverywhere(ctx, f.processes, callManifest(), firstVersionTimeout); err != nil {
+		return err
+	}
+	return f.waitAnswers(ctx)
+}
+
+// waitAnswers waits until every daemon answers on every path.
+func (f *callFleet) waitAnswers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	for member := range f.processes.Size() {
+		for _, path := range []string{pathLocal, pathRemote, pathPool, pathUrgent} {
+			for load.Ask(ctx, f.client, f.url(member, path)) != nil {
+				if !sleep(ctx, submitPause) {
+					return errors.Newf("daemon %d does not answer on %s", member, path)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+const submitPause = 20 * time.Millisecond
+
+func (f *callFleet) settings(member int) settings.Settings { return f.processes.Settings(member) }
+
+// url is a path at the caller listener of a daemon.
+func (f *callFleet) url(member int, path string) string {
+	return "http://" + f.settings(member).Listen.Caller + path
+}
+
+// urls is a path at the caller listeners of daemons.
+func (f *callFleet) urls(members []int, path string) []string {
+	var urls []string
+	for _, member := range members {
+		urls = append(urls, f.url(member, path))
+	}
+	return urls
+}
+
+// processor returns the processor time a daemon used so far.
+func (f *callFleet) processor(member int) time.Duration {
+	used, _ := fleet.ProcessorTimeOf(f.processes.Pid(member))
+	return used
+}
+
+func (f *callFleet) close() {
+	for _, b := range append([]*fleet.Backend{f.local, f.remote}, f.pool...) {
+		if b != nil {
+			b.Kill()
+		}
+	}
+	f.processes.Close()
+	f.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/bench/calls.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/daisygate/daisygate/bench/load"
+	"github.com/daisygate/daisygate/bench/report"
+	"github.com/daisygate/daisygate/internal/standin"
+)
+
+// calls measures what daisygate adds to a call, what a call costs, and how
+// calls fare under overload and when servers die.
+type calls struct {
+	daemons     int
+	rates       []int
+	ramp        []int
+	phase       time.Duration
+	slots       int
+	connections int
+	delay       time.Duration
+	overload    float64
+	urgent      float64
+	killLoad    float64
+	skip        []string
+}
+
+// The parts of the measurement, for --skip.
+const (
+	partLatency  = "latency"
+	partRamp     = "ramp"
+	partOverload = "overload"
+	partKill     = "kill"
+)
+
+func newCalls() *cobra.Command {
+	c := &calls{}
+	flags := func(f *pflag.FlagSet) {
+		f.IntVar(&c.daemons, "daemons", 6, "daemons, a process each, with a server each")
+		f.IntSliceVar(&c.rates, "rates", []int{100, 200, 400, 800}, "calls a second, for latency and cost")
+		f.IntSliceVar(&c.ramp, "ramp", []int{2000, 4000, 8000, 16000}, "calls a second, for the most that one daemon serves")
+		f.DurationVar(&c.phase, "phase", 4*time.Second, "length of each phase")
+		f.IntVar(&c.slots, "slots", 20, "slots of a server of the pool")
+		f.IntVar(&c.connections, "connections", 110, "connections of a server of the pool")
+		f.DurationVar(&c.delay, "delay", 50*time.Millisecond, "time a call takes in a server of the pool")
+		f.Float64Var(&c.overload, "overload", 2, "load under overload, as a multiple of the capacity")
+		f.Float64Var(&c.urgent, "urgent", 0.1, "load of the first priority, as a share of the capacity")
+		f.Float64Var(&c.killLoad, "kill-load", 0.4, "load while servers are killed, as a share of the capacity")
+		f.StringSliceVar(&c.skip, "skip", nil, "parts to leave out: latency, ramp, overload, kill")
+	}
+	return newRun("calls", "Latency and cost of calls, overload, servers killed", "calls/s", flags, c.measure)
+}
+
+func (c *calls) measure(ctx context.Context, r *run) error {
+	f, err := startCallFleet(ctx, r, c.daemons, c.slots, c.connections)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	parts := []struct {
+		name    string
+		measure func(context.Context, *run, *callFleet) error
+	}{
+		{partLatency, c.measureLatency}, {partRamp, c.measureRamp},
+		{partOverload, c.measureOverload}, {partKill, c.measureKills},
+	}
+	for _, part := range parts {
+		if c.skips(part.name) {
+			continue
+		}
+		if err := part.measure(ctx, r, f); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+func (c *calls) skips(part string) bool {
+	for _, name := range c.skip {
+		if name == part {
+			return true
+		}
+	}
+	return false
+}
+
+// capacity is the most calls a second that the slots of the pool can run.
+func (c *calls) capacity(servers int) float64 {
+	return float64(servers*c.slots) / c.delay.Seconds()
+}
+
+// delayed is the header that makes a call take the delay.
+func (c *calls) delayed() http.Header {
+	return http.Header{http.CanonicalHeaderKey(standin.HeaderDelay): {c.delay.String()}}
+}
+
+func (c *calls) send(ctx context.Context, r *run, f *callFleet, classes ...load.Class) []*load.Result {
+	return load.Run(ctx, f.client, c.phase, r.random.Uint64(), classes)
+}
+
+// quantile returns a latency in milliseconds.
+func quantile(res *load.Result, percent float64) float64 {
+	return float64(res.Latency.ValueAtQuantile(percent)) / 1000
+}
+
+// addLatency adds the latencies of one class and whether all its calls were
+// served.
+func addLatency(rep *report.Report, res *load.Result, at float64) {
+	rep.Add("latency p50", res.Class, at, report.Milliseconds, quantile(res, 50))
+	rep.Add("latency p99", res.Class, at, report.Milliseconds, quantile(res, 99))
+	rep.Add("latency max", res.Class, at, report.Milliseconds, quantile(res, 100))
+	rep.Add("sent late p99", res.Class, at, report.Milliseconds, float64(res.Lateness.ValueAtQuantile(99))/1000)
+	rep.Add("not served", res.Class, at, report.Count, float64(res.Due()-res.Served))
+	if res.FirstFailure != "" {
+		rep.Note("%s at %s calls/s, a failure: %s", res.Class, report.Number(at), res.FirstFailure)
+	}
+}
--- a/bench/convergence.go
+++ b/bench/convergence.go
@@ -42,7 +42,7 @@
 }
 
 func (c *convergence) measure(ctx context.Context, r *run) error {
-	r.report.Note("in force is seen to 1 ms in a shared process and to one round of questions with a process each")
+	r.report.Note("in force is seen to 1 ms in a shared process and to 25 ms with a process each")
 	for _, size := range c.sizes {
 		for _, start := range []starter{startShared, startBaseline(baseline.Poll), startBaseline(baseline.Stream)} {
 			if err := c.measureOn(ctx, r, start, size); err != nil {
--- a/bench/fleet/operator.go
+++ b/bench/fleet/operator.go
@@ -17,6 +17,8 @@
 const (
 	operatorTimeout = 30 * time.Second
 	submitAgain     = 20 * time.Millisecond
+	// operatorConnections are kept open to each source.
+	operatorConnections = 64
 )
 
 // operators hands manifests to the sources as a build pipeline does.
@@ -26,7 +28,10 @@
 }
 
 func newOperators(nodes []settings.Settings) *operators {
-	o := &operators{http: &http.Client{Timeout: operatorTimeout}}
+	o := &operators{http: &http.Client{
+		Timeout:   operatorTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: operatorConnections},
+	}}
 	for _, n := range nodes[:sourceCount] {
 		o.addrs = append(o.addrs, n.Listen.Operator)
 	}
--- a/bench/fleet/processes.go
+++ b/bench/fleet/processes.go
@@ -19,7 +19,10 @@
 
 const (
 	statusTimeout = time.Second
-	filePerm      = 0o600
+	// versionEvery is how often Version asks a process: the operator API admits
+	// 50 requests a second.
+	versionEvery = 25 * time.Millisecond
+	filePerm     = 0o600
 )
 
 // The packages of the programs that fleets of processes run, from the root of
@@ -66,6 +69,9 @@
 	cmd *exec.Cmd
 	// before is what earlier lives of the daemon used, as far as it was asked.
 	before Usage
+	// version was told at the time asked.
+	version uint64
+	asked   time.Time
 }
 
 // NewProcesses starts a fleet of processes of the given program.
@@ -158,13 +164,21 @@
 	return client.Status(context.Background())
 }
 
-// Version implements System; each call asks the process.
+// Version implements System, from an answer at most versionEvery old. It must
+// not be called for one member from several goroutines.
 func (p *Processes) Version(member int) uint64 {
+	m := p.members[member]
+	if time.Since(m.asked) < versionEvery {
+		return m.version
+	}
+	m.asked = time.Now()
 	status, err := p.Status(member)
 	if err != nil {
+		m.version = 0
 		return 0
 	}
-	return status.Mesh.Version
+	m.version = status.Mesh.Version
+	return m.version
 }
 
 // Usage implements System.
--- /dev/null
+++ b/bench/load/load.go
@@ -0,0 +1,197 @@
+// Package load sends open-loop HTTP load: requests are due at times drawn in
+// advance, whatever became of the ones before, and each latency counts from
+// when the request was due (Tene's coordinated omission does not occur).
+package load
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+const (
+	// histogramMax is the largest latency a histogram tells apart, in
+	// microseconds.
+	histogramMax    = int64(time.Minute / time.Microsecond)
+	histogramDigits = 3
+	// BucketWidth is the width of the buckets of a Result's Timeline.
+	BucketWidth = 100 * time.Millisecond
+	// maxInFlight bounds the requests of a class in progress; what is due
+	// beyond it counts as not sent.
+	maxInFlight = 4096
+	callTimeout = 10 * time.Second
+	maxIdle     = 4096
+)
+
+// Class is one stream of equal requests.
+type Class struct {
+	Name string
+	// URLs are taken in turn.
+	URLs []string
+	// Header is sent with each request.
+	Header http.Header
+	// Rate is the mean number of requests a second; gaps are exponential.
+	Rate float64
+}
+
+// Bucket counts the answers to the requests that were due in one stretch of
+// time.
+type Bucket struct {
+	Served, Refused, Failed int
+	// Slowest is the largest latency of a served request.
+	Slowest time.Duration
+}
+
+// Result is what became of the requests of a class.
+type Result struct {
+	Class string
+	// Served requests were run, Refused certainly were not; of Failed ones
+	// nothing is known; NotSent ones were due while too many were in progress.
+	Served, Refused, Failed, NotSent int
+	// Latency of served requests and RefusalLatency count from the due time,
+	// in microseconds. Lateness is how long after it a request was sent.
+	Latency, RefusalLatency, Lateness *hdrhistogram.Histogram
+	Timeline                          []Bucket
+	// FirstFailure describes one failure, "" without any.
+	FirstFailure string
+	mu           sync.Mutex
+}
+
+// Due is the number of requests that were due.
+func (r *Result) Due() int { return r.Served + r.Refused + r.Failed + r.NotSent }
+
+// NewClient returns a client that keeps its connections open.
+func NewClient() *http.Client {
+	return &http.Client{
+		Timeout: callTimeout,
+		Transport: &http.Transport{
+			MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdle, DisableCompression: true,
+		},
+	}
+}
+
+// Run sends all classes at once for d and returns a result for each, in order,
+// once the last answer is there.
+func Run(ctx context.Context, client *http.Client, d time.Duration, seed uint64, classes []Class) []*Result {
+	results := make([]*Result, len(classes))
+	var wait sync.WaitGroup
+	for i, class := range classes {
+		results[i] = newResult(class.Name, d)
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		wait.Go(func() { send(ctx, client, d, random, class, results[i]) })
+	}
+	wait.Wait()
+	return results
+}
+
+func newResult(name string, d time.Duration) *Result {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMax, histogramDigits) }
+	return &Result{
+		Class: name, Latency: histogram(), RefusalLatency: histogram(), Lateness: histogram(),
+		Timeline: make([]Bucket, d/BucketWidth+1),
+	}
+}
+
+// send starts each request when it is due and waits for all answers.
+func send(ctx context.Context, client *http.Client, d time.Duration, random *rand.Rand, class Class, r *Result) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	inFlight := make(chan struct{}, maxInFlight)
+	begin := time.Now()
+	due := time.Duration(0)
+	for i := 0; ; i++ {
+		due += time.Duration(random.ExpFloat64() / class.Rate * float64(time.Second))
+		if due >= d || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(time.Until(begin.Add(due)))
+		select {
+		case inFlight <- struct{}{}:
+		default:
+			r.NotSent++
+			continue
+		}
+		url := class.URLs[i%len(class.URLs)]
+		at := due
+		wait.Go(func() {
+			call(ctx, client, url, class.Header, begin, at, r)
+			<-inFlight
+		})
+	}
+}
+
+func call(ctx context.Context, client *http.Client, url string, header http.Header, begin time.Time, due time.Duration, r *Result) {
+	lateness := time.Since(begin) - due
+	outcome, err := do(ctx, client, url, header)
+	r.record(due, lateness, time.Since(begin)-due, outcome, err)
+}
+
+// do sends one request and reads the whole answer.
+func do(ctx context.Context, client *http.Client, url string, header http.Header) (result.Outcome, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return result.Unknown, errors.Wrap(err, "request")
+	}
+	req.Header = header.Clone()
+	resp, err := client.Do(req)
+	if err != nil {
+		return result.Unknown, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err := errors.CombineErrors(err, resp.Body.Close()); err != nil {
+		return result.Unknown, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return result.Run, nil
+	}
+	outcome := result.ParseOutcome(resp.Header.Get(result.HeaderOutcome))
+	if outcome == result.NotRun {
+		return outcome, nil
+	}
+	return result.Unknown, errors.Newf("%s", resp.Status)
+}
+
+func (r *Result) record(due, lateness, latency time.Duration, outcome result.Outcome, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	bucket := &r.Timeline[due/BucketWidth]
+	_ = r.Lateness.RecordValue(micros(lateness))
+	switch outcome {
+	case result.Run:
+		r.Served++
+		bucket.Served++
+		bucket.Slowest = max(bucket.Slowest, latency)
+		_ = r.Latency.RecordValue(micros(latency))
+	case result.NotRun:
+		r.Refused++
+		bucket.Refused++
+		_ = r.RefusalLatency.RecordValue(micros(latency))
+	default:
+		r.Failed++
+		bucket.Failed++
+		if r.FirstFailure == "" && err != nil {
+			r.FirstFailure = err.Error()
+		}
+	}
+}
+
+func micros(d time.Duration) int64 {
+	return min(max(int64(d/time.Microsecond), 1), histogramMax)
+}
+
+// Ask sends one request and returns an error unless it was served.
+func Ask(ctx context.Context, client *http.Client, url string) error {
+	outcome, err := do(ctx, client, url, nil)
+	if err == nil && outcome != result.Run {
+		err = errors.Newf("%s answered %s", url, outcome)
+	}
+	return err
+}
--- a/bench/main_test.go
+++ b/bench/main_test.go
@@ -16,11 +16,14 @@
 func TestSmoke(t *testing.T) {
 	commands := []string{
 		"convergence --sizes 4 --processes 3 --changes 2 --services 2 --routes 4 --settle 100ms --spacing 1ms",
+		"calls --daemons 3 --rates 50 --ramp 50 --phase 300ms --settle 100ms --delay 1ms --overload 0.2 --urgent 0.1 --kill-load 0.01",
+		"commit --operators 2 --phase 300ms",
 		"bytes --sizes 4 --processes 3 --changes 2 --services 2 --routes 4 --settle 100ms --idle 100ms --spacing 1ms",
 	}
 	for _, line := range commands {
 		args := strings.Fields(line)
 		t.Run(args[0], func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			dir := c.TempDir()
 			var out bytes.Buffer
@@ -34,6 +37,8 @@
 			c.Assert(rep.Revision, qt.Equals, "test")
 			c.Assert(rep.Machine.Cores > 0, qt.IsTrue)
 			c.Assert(out.String(), qt.Contains, rep.Machine.GoVersion)
+			c.Assert(execute(t.Context(), []string{"compare", paths[0], paths[0]}, &out), qt.IsNil)
+			c.Assert(out.String(), qt.Contains, "+0%")
 		})
 	}
 }
--- a/bench/run.go
+++ b/bench/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -35,6 +36,7 @@
 	limit    time.Duration
 	settle   time.Duration
 	seed     uint64
+	profile  string
 
 	// dir holds the run's data folders while it lasts.
 	dir    string
@@ -60,6 +62,7 @@
 	f.DurationVar(&r.limit, "limit", defaultLimit, "longest time the run may take")
 	f.DurationVar(&r.settle, "settle", defaultSettle, "rest between the start of a fleet and the measurement")
 	f.Uint64Var(&r.seed, "seed", 1, "seed of the run's random choices")
+	f.StringVar(&r.profile, "profile", "", "write a processor profile of this process to a file")
 	flags(f)
 	return cmd
 }
@@ -83,7 +86,7 @@
 	if r.note != "" {
 		r.report.Note("%s", r.note)
 	}
-	if err := measure(ctx, r); err != nil {
+	if err := r.profiled(ctx, measure); err != nil {
 		return errors.CombineErrors(err, context.Cause(ctx))
 	}
 	r.report.Note("load average at the end %.1f", report.LoadAverage())
@@ -98,11 +101,28 @@
 	return nil
 }
 
+// profiled runs the measurement, under the profiler if that was asked for.
+func (r *run) profiled(ctx context.Context, measure measurement) error {
+	if r.profile == "" {
+		return measure(ctx, r)
+	}
+	file, err := os.Create(r.profile)
+	if err != nil {
+		return errors.Wrap(err, "create profile")
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "start profile"), file.Close())
+	}
+	err = measure(ctx, r)
+	pprof.StopCPUProfile()
+	return errors.CombineErrors(err, file.Close())
+}
+
 // paramsOf lists every flag, given or not, but those about the output.
 func paramsOf(flags *pflag.FlagSet) []report.Param {
 	var params []report.Param
 	flags.VisitAll(func(f *pflag.Flag) {
-		if !strings.Contains(" help out revision note ", " "+f.Name+" ") {
+		if !strings.Contains(" help out revision note profile ", " "+f.Name+" ") {
 			params = append(params, report.Param{Name: f.Name, Value: f.Value.String()})
 		}
 	})
