Give each measured node an IP number of its own on loopback

Ruled out: trying again with other ports (the settings of all nodes name them); handing over open listeners (a process of its own cannot take them, and a restart has none).

Change: each node listens on 127.A.B.C, by process, fleet and node, on ports that the system chose there; outgoing connections come from 127.0.0.1.

--- a/bench/fleet/layout.go
+++ b/bench/fleet/layout.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,12 +28,37 @@
 	Dir string
 }
 
-// reserve asks the system for n distinct ports, all open at once, and frees
-// them for the daemons to open.
-func reserve(n int) ([]string, error) {
+// The addresses of nodes are 127.A.B.C: A by process, B by fleet, C by node.
+// Outgoing connections come from 127.0.0.1, so no other socket takes a port
+// that a node was promised or that a restarting node left.
+const (
+	nodesPerBlock  = 250
+	blocks         = 250
+	processOctets  = 200
+	firstProcess   = 10
+	listenersANode = 4
+)
+
+var nextBlock atomic.Uint32
+
+// hosts returns the IP numbers of the nodes of one fleet.
+func hosts(size int) []string {
+	used := uint32((size + nodesPerBlock - 1) / nodesPerBlock)
+	block := nextBlock.Add(used) - used
+	hosts := make([]string, size)
+	for i := range hosts {
+		hosts[i] = fmt.Sprintf("127.%d.%d.%d", firstProcess+os.Getpid()%processOctets,
+			(int(block)+i/nodesPerBlock)%blocks, i%nodesPerBlock+1)
+	}
+	return hosts
+}
+
+// reserve asks the system for n ports at an address, all open at once so that
+// none repeats, and frees them for a daemon to open.
+func reserve(host string, n int) ([]string, error) {
 	var addrs []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return nil, errors.Wrap(err, "reserve port")
 		}
@@ -43,20 +70,18 @@
 
 // layout returns the settings of every node of a fleet.
 func layout(o Options) ([]settings.Settings, error) {
-	const listeners = 4
-	ports, err := reserve(listeners * o.Size)
-	if err != nil {
-		return nil, err
-	}
 	nodes := make([]settings.Settings, o.Size)
-	for i := range nodes {
+	for i, host := range hosts(o.Size) {
+		ports, err := reserve(host, listenersANode)
+		if err != nil {
+			return nil, err
+		}
 		s := settings.Defaults()
 		s.Node = fmt.Sprintf("n%04d", i)
 		s.Domain = fmt.Sprintf("d%02d", i%o.Domains)
 		s.Region = fmt.Sprintf("r%d", i%o.Domains%regionCount)
 		s.Listen = settings.Listen{
-			Caller: ports[listeners*i], Announce: ports[listeners*i+1],
-			Peer: ports[listeners*i+2], Operator: ports[listeners*i+3],
+			Caller: ports[0], Announce: ports[1], Peer: ports[2], Operator: ports[3],
 		}
 		s.DataDir = filepath.Join(o.Dir, s.Node)
 		nodes[i] = s
