--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,100 @@
+// Package examples holds the example manifests and settings to what daisygate
+// takes.
+package examples
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+func TestManifests(t *testing.T) {
+	c := qt.New(t)
+	for file, routes := range map[string]int{"ahnenbach.yaml": 4, "ramdin.yaml": 8} {
+		raw, err := os.ReadFile(file)
+		c.Assert(err, qt.IsNil)
+		m, err := manifest.Parse(raw)
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", file))
+		c.Assert(m.Mesh+".yaml", qt.Equals, file)
+		c.Assert(m.Routes, qt.HasLen, routes)
+	}
+}
+
+// TestFleets holds that the settings of a fleet fit together: unique names and
+// addresses, three failure domains, three sources in different domains, and
+// seeds and members that name real instances.
+func TestFleets(t *testing.T) {
+	c := qt.New(t)
+	for folder, size := range map[string]int{"ahnenbach": 10, "ramdin": 12} {
+		paths, err := filepath.Glob(filepath.Join("settings", folder, "*.yaml"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(paths, qt.HasLen, size)
+		peers, domains, sourceDomains := map[string]string{}, map[string]bool{}, map[string]bool{}
+		var fleet []settings.Settings
+		for _, path := range paths {
+			set, err := settings.Load(path)
+			c.Assert(err, qt.IsNil)
+			c.Assert(set.Node+".yaml", qt.Equals, filepath.Base(path))
+			c.Assert(peers[set.Listen.Peer], qt.Equals, "", qt.Commentf("%s", path))
+			peers[set.Listen.Peer] = set.Node
+			domains[set.Domain] = true
+			if set.IsSource() {
+				sourceDomains[set.Domain] = true
+			}
+			fleet = append(fleet, set)
+		}
+		c.Assert(domains, qt.HasLen, 3)
+		c.Assert(sourceDomains, qt.HasLen, 3)
+		for _, set := range fleet {
+			c.Assert(set.Source, qt.DeepEquals, fleet[0].Source)
+			c.Assert(set.Source.Members, qt.HasLen, 3)
+			for _, m := range set.Source.Members {
+				c.Assert(peers[m.Peer], qt.Equals, m.Node)
+			}
+			for _, seed := range set.Seeds {
+				c.Assert(peers[seed], qt.Not(qt.Equals), "")
+			}
+		}
+	}
+}
+
+// TestAllKeys holds that settings/all-keys.yaml names every key and that the
+// defaults it documents are those of the code.
+func TestAllKeys(t *testing.T) {
+	c := qt.New(t)
+	raw, err := os.ReadFile("settings/all-keys.yaml")
+	c.Assert(err, qt.IsNil)
+	set, err := settings.Parse(raw)
+	c.Assert(err, qt.IsNil)
+	want := settings.Defaults()
+	c.Assert(set.Log, qt.DeepEquals, want.Log)
+	c.Assert(set.Trace, qt.DeepEquals, want.Trace)
+	c.Assert(set.Limits, qt.DeepEquals, want.Limits)
+	c.Assert(set.Stop, qt.DeepEquals, want.Stop)
+	for _, key := range keys(reflect.TypeFor[settings.Settings]()) {
+		c.Assert(strings.Contains(string(raw), key+":"), qt.IsTrue, qt.Commentf("key %s", key))
+	}
+}
+
+func keys(t reflect.Type) []string {
+	var list []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		list = append(list, field.Tag.Get("yaml"))
+		kind := field.Type
+		if kind.Kind() == reflect.Slice {
+			kind = kind.Elem()
+		}
+		if kind.Kind() == reflect.Struct {
+			list = append(list, keys(kind)...)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/process/settings/check.go
@@ -0,0 +1,116 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/strictyaml"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// The bounds of the settings.
+const (
+	// MaxBytes is the most bytes of a settings file.
+	MaxBytes        = 256 << 10
+	maxSeeds        = 64
+	maxSources      = 7
+	maxLogLevel     = 9
+	minBytes        = 1 << 10
+	maxHeaderBytes  = 16 << 20
+	maxControlBytes = 1 << 30
+	maxConnections  = 1 << 20
+	maxQueuePerSlot = 1000
+	minTimeout      = 10 * time.Millisecond
+	maxTimeout      = time.Hour
+	maxStopTimeout  = 24 * time.Hour
+)
+
+// check reports everything that is wrong with s beyond its form.
+func (s *Settings) check(d *strictyaml.Document) {
+	d.Name("node", s.Node)
+	if s.Region != "" {
+		d.Name("region", s.Region)
+	}
+	d.Name("domain", s.Domain)
+	s.checkListen(d)
+	s.checkSeeds(d)
+	s.checkSource(d)
+	d.OneOf("log.format", s.Log.Format, LogJSON, LogText)
+	strictyaml.Range(d, "log.level", s.Log.Level, 0, maxLogLevel)
+	d.Duration("log.repeat_interval", s.Log.RepeatInterval, 0, maxTimeout)
+	strictyaml.Range(d, "trace.sample_ratio", s.Trace.SampleRatio, 0, 1)
+	s.Limits.check(d)
+	d.Duration("stop.leave_delay", s.Stop.LeaveDelay, 0, maxTimeout)
+	d.Duration("stop.timeout", s.Stop.Timeout, minTimeout, maxStopTimeout)
+}
+
+func (s *Settings) checkListen(d *strictyaml.Document) {
+	var ports strictyaml.Unique
+	listeners := []struct{ key, addr string }{
+		{"listen.caller", s.Listen.Caller}, {"listen.announce", s.Listen.Announce},
+		{"listen.peer", s.Listen.Peer}, {"listen.operator", s.Listen.Operator},
+	}
+	addrs := map[string]netip.AddrPort{}
+	for _, l := range listeners {
+		addrs[l.key] = d.AddrPort(l.key, l.addr)
+		if addrs[l.key].Port() != 0 {
+			ports.Check(d, l.key, l.addr)
+		}
+	}
+	if peer := addrs["listen.peer"]; peer.IsValid() && peer.Addr().IsUnspecified() {
+		d.Add("listen.peer", "want the address of this instance, which other daemons dial, got %q", s.Listen.Peer)
+	}
+	if announce := addrs["listen.announce"]; announce.IsValid() && !announce.Addr().IsLoopback() && !s.Listen.AnnounceRemote {
+		d.Add("listen.announce", "want a loopback address such as 127.0.0.1:7001, or set listen.announce_remote: true")
+	}
+	if operator := addrs["listen.operator"]; operator.IsValid() && !operator.Addr().IsLoopback() && s.Operator.TokenFile == "" {
+		d.Add("listen.operator", "want a loopback address such as 127.0.0.1:7003, or set operator.token_file")
+	}
+}
+
+func (s *Settings) checkSeeds(d *strictyaml.Document) {
+	d.Count("seeds", len(s.Seeds), maxSeeds)
+	var seen strictyaml.Unique
+	for i, seed := range s.Seeds {
+		key := fmt.Sprintf("seeds[%d]", i)
+		d.AddrPort(key, seed)
+		seen.Check(d, key, seed)
+	}
+}
+
+func (s *Settings) checkSource(d *strictyaml.Document) {
+	members := s.Source.Members
+	d.Count("source.members", len(members), maxSources)
+	if n := len(members); n > 0 && n%2 == 0 {
+		d.Add("source.members", "want an odd number, such as 3 or 5: of %d, as many may fail as of %d", n, n-1)
+	}
+	var nodes, peers strictyaml.Unique
+	for i, m := range members {
+		key := fmt.Sprintf("source.members[%d]", i)
+		d.Name(key+".node", m.Node)
+		nodes.Check(d, key+".node", m.Node)
+		d.AddrPort(key+".peer", m.Peer)
+		peers.Check(d, key+".peer", m.Peer)
+		if m.Node == s.Node && m.Peer != s.Listen.Peer {
+			d.Add(key+".peer", "want listen.peer of this node, %q, got %q", s.Listen.Peer, m.Peer)
+		}
+	}
+	if s.IsSource() && s.DataDir == "" {
+		d.Add("data_dir", "is required on a source, which %q is", s.Node)
+	}
+}
+
+func (l *Limits) check(d *strictyaml.Document) {
+	strictyaml.Range(d, "limits.header_bytes", l.HeaderBytes, minBytes, maxHeaderBytes)
+	strictyaml.Range(d, "limits.manifest_bytes", l.ManifestBytes, minBytes, manifest.MaxBytes)
+	strictyaml.Range(d, "limits.control_bytes", l.ControlBytes, manifest.MaxBytes, maxControlBytes)
+	d.Duration("limits.header_timeout", l.HeaderTimeout, minTimeout, maxTimeout)
+	d.Duration("limits.idle_timeout", l.IdleTimeout, minTimeout, maxTimeout)
+	d.Duration("limits.stall_timeout", l.StallTimeout, minTimeout, maxTimeout)
+	strictyaml.Range(d, "limits.caller_connections", l.CallerConnections, 1, maxConnections)
+	strictyaml.Range(d, "limits.peer_connections", l.PeerConnections, 1, maxConnections)
+	strictyaml.Range(d, "limits.announce_connections", l.AnnounceConnections, 1, maxConnections)
+	strictyaml.Range(d, "limits.operator_connections", l.OperatorConnections, 1, maxConnections)
+	strictyaml.Range(d, "limits.queue_per_slot", l.QueuePerSlot, 0, maxQueuePerSlot)
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -6,13 +6,13 @@
 package settings
 
 import (
-	"net/netip"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/goccy/go-yaml"
+
+	"github.com/daisygate/daisygate/internal/strictyaml"
+	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
 // Settings is the content of one node's settings file.
@@ -39,24 +39,38 @@
 	Trace Trace `yaml:"trace"`
 	// Limits bound what the listeners take in.
 	Limits Limits `yaml:"limits"`
+	// Stop configures the planned stop.
+	Stop Stop `yaml:"stop"`
 }
 
 // Listen holds the addresses of the listeners, each "ip:port".
 type Listen struct {
-	Caller   string `yaml:"caller"`
+	// Caller takes the requests of callers.
+	Caller string `yaml:"caller"`
+	// Announce takes the announcements of backend servers. It is a loopback
+	// address unless AnnounceRemote is set: who can reach it can draw requests.
 	Announce string `yaml:"announce"`
-	Peer     string `yaml:"peer"`
+	// AnnounceRemote allows Announce to be another than a loopback address.
+	// Default false.
+	AnnounceRemote bool `yaml:"announce_remote"`
+	// Peer takes what other daemons send; it is the address they dial.
+	Peer string `yaml:"peer"`
+	// Operator takes manifests and answers questions. It is a loopback address
+	// unless Operator.TokenFile is set.
 	Operator string `yaml:"operator"`
 }
 
 // Source lists the sources.
 type Source struct {
+	// Members are the sources, an odd number, at most 7; the same on each node.
 	Members []Member `yaml:"members"`
 }
 
 // Member is one source.
 type Member struct {
+	// Node is the source's name.
 	Node string `yaml:"node"`
+	// Peer is its listen.peer.
 	Peer string `yaml:"peer"`
 }
 
@@ -66,13 +80,22 @@
 	TokenFile string `yaml:"token_file"`
 }
 
+// The formats of logs.
+const (
+	LogJSON = "json"
+	LogText = "text"
+)
+
 // Log configures structured logs.
 type Log struct {
 	// Level is the logr verbosity: 0 for events people act on, 1 for detail,
-	// 2 for debugging. Default 0.
+	// 2 for debugging, up to 9. Default 0.
 	Level int `yaml:"level"`
 	// Format is "json" or "text". Default "json".
 	Format string `yaml:"format"`
+	// RepeatInterval is how long a message that repeats is held back; the next
+	// one tells how many were. 0s holds nothing back. Default 10s.
+	RepeatInterval time.Duration `yaml:"repeat_interval"`
 }
 
 // Trace configures span export.
@@ -80,96 +103,105 @@
 	// File receives one JSON object a span; empty exports nothing.
 	File string `yaml:"file"`
 	// SampleRatio is the share of traces begun here that are recorded, 0 to 1.
+	// A trace begun by the caller keeps the caller's choice. Default 0.
 	SampleRatio float64 `yaml:"sample_ratio"`
 }
 
 // Limits bound what the listeners take in.
 type Limits struct {
-	// HeaderBytes is the most header bytes of one request. Default 64 KiB.
+	// HeaderBytes is the most header bytes of one request, request line
+	// included. Default 65536 (64 KiB).
 	HeaderBytes int `yaml:"header_bytes"`
 	// HeaderTimeout bounds the reading of a request's header. Default 5s.
 	HeaderTimeout time.Duration `yaml:"header_timeout"`
 	// IdleTimeout closes idle connections. Default 90s.
 	IdleTimeout time.Duration `yaml:"idle_timeout"`
-	// CallerConnections is the most connections from callers. Default 10000.
+	// StallTimeout cuts a request or answer of which no byte could be read or
+	// written for this long. Default 60s.
+	StallTimeout time.Duration `yaml:"stall_timeout"`
+	// CallerConnections is the most connections from callers. One more is
+	// answered with 503 and closed. Default 10000.
 	CallerConnections int `yaml:"caller_connections"`
 	// PeerConnections is the most connections from daemons. Default 10000.
 	PeerConnections int `yaml:"peer_connections"`
-	// ManifestBytes is the largest manifest taken. Default 4 MiB.
+	// AnnounceConnections is the most connections to listen.announce.
+	// Default 256.
+	AnnounceConnections int `yaml:"announce_connections"`
+	// OperatorConnections is the most connections to listen.operator.
+	// Default 256.
+	OperatorConnections int `yaml:"operator_connections"`
+	// ManifestBytes is the largest manifest taken. Default 4194304 (4 MiB),
+	// which is also the most.
 	ManifestBytes int64 `yaml:"manifest_bytes"`
+	// ControlBytes is the largest control message taken from a daemon.
+	// Default 67108864 (64 MiB).
+	ControlBytes int `yaml:"control_bytes"`
 	// QueuePerSlot is the length of the admission queue beside a backend
 	// server, in multiples of its slots. Default 2.
 	QueuePerSlot int `yaml:"queue_per_slot"`
 }
 
+// Stop configures the planned stop.
+type Stop struct {
+	// LeaveDelay is how long a leaving daemon keeps answering "not run" while
+	// the fleet learns that it leaves. Default 1s.
+	LeaveDelay time.Duration `yaml:"leave_delay"`
+	// Timeout bounds the wait for requests in progress; what still runs then is
+	// cut. Default 1h, at most 24h.
+	Timeout time.Duration `yaml:"timeout"`
+}
+
 // Defaults returns the documented defaults.
 func Defaults() Settings {
 	return Settings{
-		Log: Log{Format: "json"},
+		Log: Log{Format: LogJSON, RepeatInterval: 10 * time.Second},
 		Limits: Limits{
-			HeaderBytes:       64 << 10,
-			HeaderTimeout:     5 * time.Second,
-			IdleTimeout:       90 * time.Second,
-			CallerConnections: 10000,
-			PeerConnections:   10000,
-			ManifestBytes:     4 << 20,
-			QueuePerSlot:      2,
+			HeaderBytes:         64 << 10,
+			HeaderTimeout:       5 * time.Second,
+			IdleTimeout:         90 * time.Second,
+			StallTimeout:        time.Minute,
+			CallerConnections:   10000,
+			PeerConnections:     10000,
+			AnnounceConnections: 256,
+			OperatorConnections: 256,
+			ManifestBytes:       manifest.MaxBytes,
+			ControlBytes:        64 << 20,
+			QueuePerSlot:        2,
 		},
+		Stop: Stop{LeaveDelay: time.Second, Timeout: time.Hour},
 	}
 }
 
+// SetDefaults sets the documented defaults, before the keys are read.
+func (s *Settings) SetDefaults() { *s = Defaults() }
+
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read settings")
 	}
-	return Parse(raw)
+	s, err := Parse(raw)
+	return s, errors.Wrapf(err, "settings %s", path)
 }
 
-// Parse reads settings from YAML. Unknown keys are refused; all other faults
-// are reported together.
+// Parse reads and checks settings. The error, if any, holds a
+// strictyaml.Faults that lists everything wrong with them.
 func Parse(raw []byte) (Settings, error) {
-	s := Defaults()
-	if err := yaml.UnmarshalWithOptions(raw, &s, yaml.Strict()); err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
+	var s Settings
+	doc := strictyaml.Decode(raw, MaxBytes, &s)
+	if doc.Whole() {
+		s.check(doc)
 	}
-	return s, s.Validate()
+	return s, doc.Err()
 }
 
-// Validate lists every fault in one error, or returns nil.
+// Validate lists every fault of settings that were built in memory, or returns
+// nil.
 func (s *Settings) Validate() error {
-	var faults []string
-	need := func(key, value string) {
-		if value == "" {
-			faults = append(faults, key+": is required")
-		}
-	}
-	addr := func(key, value string) {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			faults = append(faults, key+": want an IP number and port such as 127.0.0.1:7000, got "+value)
-		}
-	}
-	need("node", s.Node)
-	need("domain", s.Domain)
-	addr("listen.caller", s.Listen.Caller)
-	addr("listen.announce", s.Listen.Announce)
-	addr("listen.peer", s.Listen.Peer)
-	addr("listen.operator", s.Listen.Operator)
-	for _, seed := range s.Seeds {
-		addr("seeds", seed)
-	}
-	for _, m := range s.Source.Members {
-		need("source.members.node", m.Node)
-		addr("source.members.peer", m.Peer)
-	}
-	if s.IsSource() && s.DataDir == "" {
-		faults = append(faults, "data_dir: is required on a source")
-	}
-	if len(faults) > 0 {
-		return errors.Newf("settings: %s", strings.Join(faults, "; "))
-	}
-	return nil
+	doc := strictyaml.NewDocument()
+	s.check(doc)
+	return doc.Err()
 }
 
 // IsSource reports whether this node is one of the sources.
--- /dev/null
+++ b/internal/version/manifest/bounds_test.go
@@ -0,0 +1,27 @@
+package manifest
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestShapeIsBoundedBeforeItCosts reads texts that took the parser minutes, or
+// its whole stack, before their shape was bounded. No clock is read: without
+// the bounds the package's test timeout passes.
+func TestShapeIsBoundedBeforeItCosts(t *testing.T) {
+	c := qt.New(t)
+	for name, text := range map[string]struct{ text, want string }{
+		"depth":     {strings.Repeat("[", 1<<18), "is nested too deep"},
+		"list":      {strings.Repeat("- ", 1<<17), "is nested too deep"},
+		"keys":      {strings.Repeat("a: b\n", 100_000), "more than 256 keys"},
+		"flow keys": {"{" + strings.Repeat("a: b, ", 100_000), "more than 256 keys"},
+		"blanks":    {"a: >\n" + strings.Repeat("\n", 4_000_000), "block text"},
+		"size":      {strings.Repeat("#", MaxBytes+1), "want at most 4194304"},
+		"faults":    {"mesh: [" + strings.Repeat("\n", 10) + "]\nroutes:\n" + strings.Repeat("- {}\n", 5000), "more faults are not listed"},
+	} {
+		_, err := Parse([]byte(text.text))
+		c.Assert(err, qt.ErrorMatches, "(?s).*"+text.want+".*", qt.Commentf("%s", name))
+	}
+}
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -3,11 +3,7 @@
 // without an error is whole and free of dangling references.
 package manifest
 
-import (
-	"time"
-
-	"github.com/goccy/go-yaml"
-)
+import "time"
 
 // Manifest is the desired state of one mesh.
 type Manifest struct {
@@ -70,13 +66,7 @@
 	LowestPriority = 9
 )
 
-// UnmarshalYAML fills in the documented defaults before the keys are read.
-func (r *Route) UnmarshalYAML(raw []byte) error {
-	type plain Route
-	p := plain{Timeout: DefaultTimeout, Retries: DefaultRetries, Priority: DefaultPriority}
-	if err := yaml.UnmarshalWithOptions(raw, &p, yaml.Strict()); err != nil {
-		return err
-	}
-	*r = Route(p)
-	return nil
+// SetDefaults sets the documented defaults, before the keys are read.
+func (r *Route) SetDefaults() {
+	*r = Route{Timeout: DefaultTimeout, Retries: DefaultRetries, Priority: DefaultPriority}
 }
