Take announcements strictly, close idle connections, let routine digests ride

Cause: the announcement listener took any number of servers, from anywhere, and believed a server that said "serving" while nothing listened; the pool kept every connection it ever opened, and one call that timed out closed the connection under all others (a slow Submit killed by an envelope, or the other way); two kinds of digest and the keep-alive each went in an envelope of its own. Ruled out: one connection for each kind of call (twice the connections for 10,000 daemons, and the same fault within each kind). Change: announce refuses with codes 411 and 412, bounds names and sizes, dials each server every second and gives it no work after two vain dials; Since starts anew then; the pool closes a connection after a minute without calls, and a timed-out call only closes one on which nothing else was answered; a routine digest of presence waits for the next envelope, at most a keep-alive away. Tests: TestPool fails with the old rule (2 connections opened, want 1), tried by putting the unconditional drop back; TestLeases and TestHandler are new with what they test.

--- /dev/null
+++ b/internal/connection/announce/announcement.go
@@ -0,0 +1,84 @@
+// Package announce takes in the announcements of the backend servers beside
+// this daemon. An announcement is a lease: it is renewed before it runs out, or
+// the server is gone. What a server says of itself is not taken on trust: one
+// that cannot be reached gets no work, though its lease runs.
+package announce
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// Announcement is the JSON body of a PUT.
+type Announcement struct {
+	Mesh    string `json:"mesh"`
+	Service string `json:"service"`
+	// Address is where the backend server listens, "ip:port".
+	Address string `json:"address"`
+	// Slots is how many requests it runs at a time, 1 to 100000.
+	Slots int `json:"slots"`
+	// Connections is how many connections it takes, 1 to 100000.
+	Connections int `json:"connections"`
+	// State is "warming", "serving" or "draining". Default "serving".
+	State string `json:"state,omitempty"`
+	// LeaseSeconds is how long it stays known without a renewal, 1 to 60.
+	// Default 5.
+	LeaseSeconds int `json:"lease_seconds,omitempty"`
+}
+
+const (
+	defaultLease = 5
+	maxLease     = 60
+	maxName      = 128
+	maxCapacity  = 100000
+)
+
+// parseState reads a state as announced.
+func parseState(text string) (state presence.ServerState, ok bool) {
+	switch text {
+	case "", "serving":
+		return presence.Serving, true
+	case "warming":
+		return presence.Warming, true
+	case "draining":
+		return presence.Draining, true
+	}
+	return 0, false
+}
+
+// check returns the server and the length of its lease.
+func (a *Announcement) check() (presence.Server, time.Duration, *result.Error) {
+	state, known := parseState(a.State)
+	seconds := a.LeaseSeconds
+	if seconds == 0 {
+		seconds = defaultLease
+	}
+	server := presence.Server{
+		Mesh: a.Mesh, Service: a.Service, Addr: a.Address,
+		Slots: a.Slots, Connections: a.Connections, State: state,
+	}
+	addr, addrErr := netip.ParseAddrPort(a.Address)
+	invalid := func(format string, args ...any) (presence.Server, time.Duration, *result.Error) {
+		return server, 0, result.Errorf(result.AnnounceInvalid, format, args...)
+	}
+	switch {
+	case !validName(a.Mesh) || !validName(a.Service):
+		return invalid("mesh and service are required, at most %d bytes each", maxName)
+	case addrErr != nil || addr.Port() == 0 || addr.Addr().IsUnspecified():
+		return invalid("address: want ip:port, got %q", a.Address)
+	case !validCapacity(a.Slots) || !validCapacity(a.Connections):
+		return invalid("slots and connections: want 1 to %d, got %d and %d", maxCapacity, a.Slots, a.Connections)
+	case !known:
+		return invalid("state: want warming, serving or draining, got %q", a.State)
+	case seconds < 1 || seconds > maxLease:
+		return invalid("lease_seconds: want 1 to %d, got %d", maxLease, a.LeaseSeconds)
+	}
+	return server, time.Duration(seconds) * time.Second, nil
+}
+
+func validName(s string) bool { return s != "" && len(s) <= maxName }
+
+func validCapacity(n int) bool { return n >= 1 && n <= maxCapacity }
--- a/internal/connection/announce/registry.go
+++ b/internal/connection/announce/registry.go
@@ -1,11 +1,7 @@
-// Package announce takes in the announcements of the backend servers beside
-// this daemon. An announcement is a lease: it is renewed before it runs out, or
-// the server is gone.
 package announce
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -13,94 +9,93 @@
 	"github.com/daisygate/daisygate/internal/result"
 )
 
-// Announcement is the JSON body of a PUT.
-type Announcement struct {
-	Mesh    string `json:"mesh"`
-	Service string `json:"service"`
-	// Address is where the backend server listens, "ip:port".
-	Address string `json:"address"`
-	// Slots is how many requests it runs at a time; at least 1.
-	Slots int `json:"slots"`
-	// Connections is how many connections it takes; at least 1.
-	Connections int `json:"connections"`
-	// State is "warming", "serving" or "draining". Default "serving".
-	State string `json:"state,omitempty"`
-	// LeaseSeconds is how long it stays known without a renewal, 1 to 60.
-	// Default 5.
-	LeaseSeconds int `json:"lease_seconds,omitempty"`
+// failureLimit is the number of vain dials in a row after which a server gets
+// no work, whatever it announces.
+const failureLimit = 2
+
+type lease struct {
+	// announced is what the server says of itself.
+	announced presence.Server
+	until     time.Time
+	// failures counts vain dials in a row.
+	failures int
+	// since is when the server began to take work; zero while it takes none.
+	since time.Time
 }
 
-const (
-	defaultLease = 5
-	maxLease     = 60
-)
+// takesWork reports whether the server says that it does and can be reached.
+func (l *lease) takesWork() bool {
+	return l.announced.State.TakesWork() && l.failures < failureLimit
+}
 
-type lease struct {
-	server presence.Server
-	until  time.Time
+// settle keeps since in step with everything else.
+func (l *lease) settle(now time.Time) {
+	switch {
+	case !l.takesWork():
+		l.since = time.Time{}
+	case l.since.IsZero():
+		l.since = now
+	}
+}
+
+// server is what is told of the server to the fleet.
+func (l *lease) server() presence.Server {
+	s := l.announced
+	if s.State.TakesWork() && !l.takesWork() {
+		s.State = presence.Joining
+	}
+	if !l.since.IsZero() {
+		s.Since = l.since.UnixMilli()
+	}
+	return s
 }
 
 // Registry holds the leases. It is not safe for concurrent use and reads no
 // clock.
+//
+// Invariant: it holds at most presence.MaxServers leases.
 type Registry struct {
-	leases map[string]lease
+	leases map[string]*lease
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{leases: map[string]lease{}} }
+func NewRegistry() *Registry { return &Registry{leases: map[string]*lease{}} }
 
 // Put takes an announcement in and reports whether anything but the lease's
 // end changed.
 func (r *Registry) Put(now time.Time, a Announcement) (changed bool, err *result.Error) {
-	server, seconds, err := a.check()
+	server, length, err := a.check()
 	if err != nil {
 		return false, err
 	}
-	old, known := r.leases[a.Address]
-	server.Since = since(now, old.server, server.State)
-	r.leases[a.Address] = lease{server: server, until: now.Add(time.Duration(seconds) * time.Second)}
-	return !known || old.server != server, nil
-}
-
-// since keeps the time at which a server began to take work over its renewals.
-func since(now time.Time, old presence.Server, state presence.ServerState) int64 {
-	switch {
-	case !state.TakesWork():
-		return 0
-	case old.State.TakesWork():
-		return old.Since
+	l := r.leases[a.Address]
+	if l == nil {
+		if len(r.leases) >= presence.MaxServers {
+			return false, result.Errorf(result.AnnounceFull, "%d backend servers are announced here already", len(r.leases))
+		}
+		l = &lease{}
+		r.leases[a.Address] = l
 	}
-	return now.UnixMilli()
+	before := l.server()
+	l.announced, l.until = server, now.Add(length)
+	l.settle(now)
+	return l.server() != before, nil
 }
 
-func (a *Announcement) check() (presence.Server, int, *result.Error) {
-	states := map[string]presence.ServerState{
-		"": presence.Serving, "warming": presence.Warming,
-		"serving": presence.Serving, "draining": presence.Draining,
-	}
-	state, known := states[a.State]
-	seconds := a.LeaseSeconds
-	if seconds == 0 {
-		seconds = defaultLease
+// Dialled takes in whether a server could be reached, and reports whether that
+// changed what is told of it.
+func (r *Registry) Dialled(now time.Time, address string, reached bool) bool {
+	l := r.leases[address]
+	if l == nil {
+		return false
 	}
-	server := presence.Server{
-		Mesh: a.Mesh, Service: a.Service, Addr: a.Address,
-		Slots: a.Slots, Connections: a.Connections, State: state,
-	}
-	_, addrErr := netip.ParseAddrPort(a.Address)
-	switch {
-	case a.Mesh == "" || a.Service == "":
-		return server, 0, result.Errorf(result.AnnounceInvalid, "mesh and service are required")
-	case addrErr != nil:
-		return server, 0, result.Errorf(result.AnnounceInvalid, "address: want ip:port, got %q", a.Address)
-	case a.Slots < 1 || a.Connections < 1:
-		return server, 0, result.Errorf(result.AnnounceInvalid, "slots and connections must be 1 or more")
-	case !known:
-		return server, 0, result.Errorf(result.AnnounceInvalid, "state: want warming, serving or draining, got %q", a.State)
-	case seconds < 1 || seconds > maxLease:
-		return server, 0, result.Errorf(result.AnnounceInvalid, "lease_seconds: want 1 to %d, got %d", maxLease, a.LeaseSeconds)
+	before := l.server()
+	l.failures++
+	if reached {
+		l.failures = 0
 	}
-	return server, seconds, nil
+	l.settle(now)
+	return l.server() != before
 }
 
 // Delete withdraws a server and reports whether it was known.
@@ -126,7 +121,7 @@
 func (r *Registry) Servers() []presence.Server {
 	var servers []presence.Server
 	for _, address := range slices.Sorted(maps.Keys(r.leases)) {
-		servers = append(servers, r.leases[address].server)
+		servers = append(servers, r.leases[address].server())
 	}
 	return servers
 }
--- /dev/null
+++ b/internal/connection/announce/registry_test.go
@@ -0,0 +1,85 @@
+package announce
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+)
+
+// TestLeases plays the golden sessions of a registry; at is in seconds.
+func TestLeases(t *testing.T) {
+	r := NewRegistry()
+	states := []string{"joining", "warming", "serving", "draining"}
+	datadriven.RunTest(t, "testdata/leases", func(t *testing.T, d *datadriven.TestData) string {
+		var at int
+		var address, state string
+		d.ScanArgs(t, "at", &at)
+		d.MaybeScanArgs(t, "address", &address)
+		d.MaybeScanArgs(t, "state", &state)
+		now := time.Unix(int64(at), 0)
+		var changed bool
+		switch d.Cmd {
+		case "put":
+			var err error
+			a := Announcement{Mesh: "m", Service: "s", Address: address, State: state, Slots: 1, Connections: 1}
+			changed, refused := r.Put(now, a)
+			if refused != nil {
+				err = refused
+			}
+			return fmt.Sprintf("changed=%t error=%v\n%s", changed, err, show(r, states))
+		case "dial":
+			changed = r.Dialled(now, address, d.HasArg("reached"))
+		case "expire":
+			changed = r.Expire(now)
+		case "delete":
+			changed = r.Delete(address)
+		}
+		return fmt.Sprintf("changed=%t\n%s", changed, show(r, states))
+	})
+}
+
+func show(r *Registry, states []string) string {
+	var b strings.Builder
+	for _, s := range r.Servers() {
+		fmt.Fprintf(&b, "%s %s since=%ds\n", s.Addr, states[s.State], s.Since/1000)
+	}
+	return b.String()
+}
+
+// TestHandler gives the listener input that it must refuse.
+func TestHandler(t *testing.T) {
+	c := qt.New(t)
+	told := 0
+	s := NewServer(func([]presence.Server) { told++ })
+	request := func(method, from, target, body string) int {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(method, target, strings.NewReader(body))
+		r.RemoteAddr = from
+		s.Handler().ServeHTTP(w, r)
+		return w.Code
+	}
+	good := func(i int) string {
+		return fmt.Sprintf(`{"mesh":"m","service":"s","address":"10.0.0.1:%d","slots":1,"connections":1}`, 8000+i)
+	}
+	const here, there = "127.0.0.1:9", "10.0.0.2:9"
+	c.Assert(request(http.MethodPut, there, ServersPath, good(0)), qt.Equals, http.StatusForbidden)
+	for _, body := range []string{"", "{", good(0) + good(1), `{"unknown":1}`, strings.Repeat(" ", maxBody) + good(0), strings.Replace(good(0), "8000", "0", 1)} {
+		c.Assert(request(http.MethodPut, here, ServersPath, body), qt.Not(qt.Equals), http.StatusNoContent, qt.Commentf("%.80s", body))
+	}
+	c.Assert(request(http.MethodDelete, here, ServersPath, ""), qt.Not(qt.Equals), http.StatusNoContent)
+	c.Assert(told, qt.Equals, 0)
+	for i := range presence.MaxServers {
+		c.Assert(request(http.MethodPut, here, ServersPath, good(i)), qt.Equals, http.StatusNoContent)
+	}
+	c.Assert(request(http.MethodPut, here, ServersPath, good(presence.MaxServers)), qt.Equals, http.StatusTooManyRequests)
+	c.Assert(request(http.MethodPut, here, ServersPath, good(0)), qt.Equals, http.StatusNoContent)
+	c.Assert(told, qt.Equals, presence.MaxServers)
+}
--- a/internal/connection/announce/server.go
+++ b/internal/connection/announce/server.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
@@ -19,7 +23,10 @@
 
 const (
 	maxBody        = 16 << 10
+	bodyTimeout    = 5 * time.Second
 	expireInterval = 500 * time.Millisecond
+	dialInterval   = time.Second
+	dialTimeout    = 500 * time.Millisecond
 )
 
 // Server is the HTTP side of a Registry.
@@ -34,28 +41,78 @@
 	return &Server{registry: NewRegistry(), onChange: onChange}
 }
 
-// Handler returns the routes of the announcement listener.
+// Handler returns the routes of the announcement listener. It takes requests
+// from this instance only.
 func (s *Server) Handler() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc(ServersPath, s.put).Methods(http.MethodPut)
 	router.HandleFunc(ServersPath, s.delete).Methods(http.MethodDelete)
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !sameInstance(r) {
+			result.WriteHTTP(w, result.Errorf(result.AnnounceRemote, "from %s", r.RemoteAddr))
+			return
+		}
+		router.ServeHTTP(w, r)
+	})
+}
+
+// sameInstance reports whether a request comes from loopback or from the address
+// that it was sent to.
+func sameInstance(r *http.Request) bool {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	local, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if from.Addr().Unmap().IsLoopback() || local == nil {
+		return from.Addr().Unmap().IsLoopback()
+	}
+	to, err := netip.ParseAddrPort(local.String())
+	return err == nil && to.Addr().Unmap() == from.Addr().Unmap()
 }
 
-// Run drops expired leases until ctx ends.
+// Run drops expired leases and dials the servers until ctx ends.
 func (s *Server) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	dial := time.NewTicker(dialInterval)
+	defer dial.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case now := <-expire.C:
 			s.change(func() bool { return s.registry.Expire(now) })
+		case <-dial.C:
+			s.dialAll()
 		}
 	}
 }
 
+// dialAll dials every server, all at a time.
+func (s *Server) dialAll() {
+	s.mu.Lock()
+	servers := s.registry.Servers()
+	s.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, server := range servers {
+		wait.Go(func() {
+			reached := dial(server.Addr)
+			s.change(func() bool { return s.registry.Dialled(time.Now(), server.Addr, reached) })
+		})
+	}
+	wait.Wait()
+}
+
+func dial(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (s *Server) change(f func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -65,10 +122,8 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	var a Announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a); err != nil {
+	a, err := decode(w, r)
+	if err != nil {
 		result.WriteHTTP(w, result.Errorf(result.AnnounceInvalid, "body: %v", err))
 		return
 	}
@@ -85,8 +140,27 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// decode reads exactly one announcement.
+func decode(w http.ResponseWriter, r *http.Request) (Announcement, error) {
+	var a Announcement
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		return a, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return a, errors.New("more than one JSON value")
+	}
+	return a, nil
+}
+
 func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
 	address := r.URL.Query().Get("address")
+	if address == "" {
+		result.WriteHTTP(w, result.Errorf(result.AnnounceInvalid, "address: is required"))
+		return
+	}
 	s.change(func() bool { return s.registry.Delete(address) })
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -82,66 +82,136 @@
 	return n, err
 }
 
-// Pool keeps one control connection for each address it was asked to call.
+// Pool keeps one control connection for each address it was asked to call, and
+// closes those that are idle.
 type Pool struct {
 	traffic *Traffic
+	idle    time.Duration
 	mu      sync.Mutex
-	clients map[string]*rpc.Client
+	clients map[string]*client
 }
 
+// client is one control connection.
+type client struct {
+	*rpc.Client
+	// calls are under way; the client is idle while there are none.
+	calls int
+	// answered counts the answers that came.
+	answered uint64
+	// timer closes the client when it was idle for long.
+	timer *time.Timer
+}
+
+// poolIdle is how long an unused control connection stays open.
+const poolIdle = time.Minute
+
 // NewPool returns an empty pool that counts into traffic.
 func NewPool(traffic *Traffic) *Pool {
-	return &Pool{traffic: traffic, clients: map[string]*rpc.Client{}}
+	return &Pool{traffic: traffic, idle: poolIdle, clients: map[string]*client{}}
 }
 
 // Call does one RPC at addr ("ip:port"). Errors other than rpc.ServerError
-// close the connection; the next call dials anew.
+// close the connection; the next call dials anew. A call that times out closes
+// it only if nothing else was answered meanwhile: then the connection is dead,
+// not the call slow.
 func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
-	client, err := p.client(ctx, addr)
+	c, err := p.acquire(ctx, addr)
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	before := p.answers(c)
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		return p.settle(addr, client, call.Error)
+		p.release(addr, c, call.Error == nil)
+		return p.settle(addr, c, call.Error)
 	case <-ctx.Done():
-		p.drop(addr, client)
+		p.release(addr, c, false)
+		if p.answers(c) == before {
+			p.drop(addr, c)
+		}
 		return errors.Wrapf(ErrTimeout, "%s at %s", method, addr)
 	}
 }
 
-func (p *Pool) settle(addr string, client *rpc.Client, err error) error {
+func (p *Pool) settle(addr string, c *client, err error) error {
 	if err == nil {
 		return nil
 	}
 	var remote rpc.ServerError
 	if !errors.As(err, &remote) {
-		p.drop(addr, client)
+		p.drop(addr, c)
 	}
 	return err
 }
 
-func (p *Pool) client(ctx context.Context, addr string) (*rpc.Client, error) {
+func (p *Pool) answers(c *client) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.answered
+}
+
+// acquire returns the client of addr, marked as busy.
+func (p *Pool) acquire(ctx context.Context, addr string) (*client, error) {
 	p.mu.Lock()
-	client := p.clients[addr]
+	c := p.use(addr)
 	p.mu.Unlock()
-	if client != nil {
-		return client, nil
+	if c != nil {
+		return c, nil
 	}
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(conn)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if other := p.clients[addr]; other != nil {
-		_ = client.Close()
-		return other, nil
+	if c := p.use(addr); c != nil {
+		return c, conn.Close()
+	}
+	c = &client{Client: rpc.NewClient(conn), calls: 1}
+	p.clients[addr] = c
+	return c, nil
+}
+
+// use marks the client of addr as busy, if there is one; p.mu is held.
+func (p *Pool) use(addr string) *client {
+	c := p.clients[addr]
+	if c == nil {
+		return nil
+	}
+	c.calls++
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	return c
+}
+
+// release ends one use of a client and starts the time of idleness after the
+// last.
+func (p *Pool) release(addr string, c *client, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	if answered {
+		c.answered++
+	}
+	if c.calls > 0 || p.clients[addr] != c {
+		return
+	}
+	if c.timer == nil {
+		c.timer = time.AfterFunc(p.idle, func() { p.dropIdle(addr, c) })
+		return
+	}
+	c.timer.Reset(p.idle)
+}
+
+func (p *Pool) dropIdle(addr string, c *client) {
+	p.mu.Lock()
+	idle := c.calls == 0
+	p.mu.Unlock()
+	if idle {
+		p.drop(addr, c)
 	}
-	p.clients[addr] = client
-	return client, nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -176,31 +246,34 @@
 	return true
 }
 
-func (p *Pool) drop(addr string, client *rpc.Client) {
+func (p *Pool) drop(addr string, c *client) {
 	p.mu.Lock()
-	if p.clients[addr] == client {
+	if p.clients[addr] == c {
 		delete(p.clients, addr)
 	}
+	if c.timer != nil {
+		c.timer.Stop()
+	}
 	p.mu.Unlock()
-	_ = client.Close()
+	_ = c.Close()
 }
 
-// Forget closes the connection to addr, if there is one.
-func (p *Pool) Forget(addr string) {
+// Len is the number of open connections.
+func (p *Pool) Len() int {
 	p.mu.Lock()
-	client := p.clients[addr]
-	p.mu.Unlock()
-	if client != nil {
-		p.drop(addr, client)
-	}
+	defer p.mu.Unlock()
+	return len(p.clients)
 }
 
 // Close closes every connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, client := range p.clients {
-		_ = client.Close()
+	for addr, c := range p.clients {
+		if c.timer != nil {
+			c.timer.Stop()
+		}
+		_ = c.Close()
 		delete(p.clients, addr)
 	}
 }
--- /dev/null
+++ b/internal/connection/peer/pool_test.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+// Echo is a control service with a slow and a fast method.
+type Echo struct{ release chan struct{} }
+
+// Fast answers at once.
+func (e *Echo) Fast(in int, out *int) error { *out = in; return nil }
+
+// Slow answers when it is released.
+func (e *Echo) Slow(in int, out *int) error { <-e.release; *out = in; return nil }
+
+// TestPool lets one call time out beside others, and a connection fall idle.
+func TestPool(t *testing.T) {
+	c := qt.New(t)
+	echo := &Echo{release: make(chan struct{})}
+	control := rpc.NewServer()
+	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
+	var opened atomic.Int32
+	handler := Handler(control, http.NotFoundHandler(), &Traffic{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		opened.Add(1)
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	pool := NewPool(&Traffic{})
+	defer pool.Close()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	slow := make(chan error)
+	begun := make(chan struct{})
+	go func() {
+		close(begun)
+		var out int
+		slow <- pool.Call(ctx, addr, "Echo.Slow", 1, &out)
+	}()
+	<-begun
+	for pool.Len() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var out int
+	for range 3 {
+		c.Assert(pool.Call(context.Background(), addr, "Echo.Fast", 7, &out), qt.IsNil)
+	}
+	c.Assert(out, qt.Equals, 7)
+	cancel()
+	c.Assert(errors.Is(<-slow, ErrTimeout), qt.IsTrue)
+	pool.idle = time.Millisecond
+	c.Assert(pool.Call(context.Background(), addr, "Echo.Fast", 8, &out), qt.IsNil)
+	c.Assert(opened.Load(), qt.Equals, int32(1), qt.Commentf("the slow call must not close the connection"))
+	c.Assert(out, qt.Equals, 8)
+	close(echo.release)
+	for pool.Len() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -33,7 +33,7 @@
 // The timing of the control side.
 const (
 	tickInterval     = 100 * time.Millisecond
-	linkInterval     = time.Second
+	linkInterval     = 1200 * time.Millisecond
 	linkSilence      = 2500 * time.Millisecond
 	digestInterval   = time.Second
 	presenceInterval = time.Second
--- a/internal/process/mesh/members.go
+++ b/internal/process/mesh/members.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/process/membership"
@@ -25,7 +26,9 @@
 	changed   bool
 	published time.Time
 	// out holds what the present event sends, by receiver.
-	out      map[view.Node][]Item
+	out map[view.Node][]Item
+	// waiting holds what rides with the next batch to a receiver.
+	waiting  map[view.Node][]Item
 	links    []view.Node
 	conflict string
 }
@@ -34,7 +37,7 @@
 	core := membership.New(membership.Config{View: cfg.View, Presence: cfg.Presence})
 	return &members{
 		core: core, builder: directory.NewBuilder(empty, core.Presence().All()),
-		built: empty, out: map[view.Node][]Item{},
+		built: empty, out: map[view.Node][]Item{}, waiting: map[view.Node][]Item{},
 	}
 }
 
@@ -94,6 +97,7 @@
 		case a.Down != nil:
 			m.log.V(1).Info("link down", "node", a.Down.Node.Name, "failed", a.Down.Failed)
 			m.members.links = m.members.core.Links()
+			delete(m.members.waiting, a.Down.Node)
 			m.spread.LinkDown(a.Down.Node.Name)
 		case a.Change != nil:
 			m.members.builder.Apply(a.Change)
@@ -125,15 +129,28 @@
 	}
 }
 
-// flush hands over what an event sends, one batch for each receiver.
+// flush hands over what an event sends, one batch for each receiver. What can
+// wait rides with the next batch; a keep-alive comes within a second or so.
 func (m *Mesh) flush(now time.Time) {
 	for to, items := range m.members.out {
+		if !slices.ContainsFunc(items, urgent) {
+			m.members.waiting[to] = items[len(items)-1:]
+			continue
+		}
+		if waiting := m.members.waiting[to]; waiting != nil {
+			items = append(items, waiting...)
+			delete(m.members.waiting, to)
+		}
 		m.sender.Put(to.Addr, items...)
 		m.members.core.Sent(now, to.Name)
 	}
 	clear(m.members.out)
 }
 
+// urgent reports whether an item must leave at once; the routine comparison of
+// whole tables need not.
+func urgent(i Item) bool { return i.Presence == nil || !i.Presence.Routine() }
+
 func (m *Mesh) memberStatus(s *Status) {
 	s.Links = m.members.links
 	s.Nodes = m.members.core.Presence().Len()
--- a/internal/process/presence/message.go
+++ b/internal/process/presence/message.go
@@ -45,6 +45,11 @@
 	Want []ID
 }
 
+// Routine reports whether m is the periodic comparison of whole tables.
+func (m *Message) Routine() bool {
+	return m.Type == MsgDigest && len(m.Digest) == 1 && m.Digest[0].Level == 0
+}
+
 // Claim says that a daemon is gone.
 type Claim struct {
 	Stamp Stamp
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -102,6 +102,8 @@
 	PeerBusy Code = 310
 
 	AnnounceInvalid Code = 410
+	AnnounceFull    Code = 411
+	AnnounceRemote  Code = 412
 
 	UsageError  Code = 500
 	Unreachable Code = 501
@@ -153,6 +155,8 @@
 	OwnerLost:        {"OwnerLost", Unknown, http.StatusConflict, "The daemon that ran the first request under this idempotency key is lost; it is not run again."},
 	PeerBusy:         {"PeerBusy", NotRun, http.StatusTooManyRequests, "The daemon admits no more transfers now; come back later."},
 	AnnounceInvalid:  {"AnnounceInvalid", NotRun, http.StatusUnprocessableEntity, "The announcement has faults; each is listed."},
+	AnnounceFull:     {"AnnounceFull", NotRun, http.StatusTooManyRequests, "The daemon takes no more backend servers beside it."},
+	AnnounceRemote:   {"AnnounceRemote", NotRun, http.StatusForbidden, "The daemon takes announcements from its own instance only."},
 	UsageError:       {"UsageError", NotRun, http.StatusBadRequest, "The command line or the settings have faults."},
 	Unreachable:      {"Unreachable", NotRun, http.StatusServiceUnavailable, "No daemon answered at the given address."},
 	NotInForce:       {"NotInForce", Run, http.StatusGatewayTimeout, "The manifest was accepted, but was not in force on every daemon in the time given."},
