Pass a frozen backend server by after half a second

Cause: a server stopped by SIGSTOP answers nothing, so nothing told of it: each request sent there waited for its deadline, until three in a row had failed. Ruled out: ejection after the first missed deadline; one slow route would eject its servers. Change: the gate counts itself as full when no slot came back for 500 ms, or eight times the usual if that is more; a request that would have to queue there is refused at once as not run.

--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -85,6 +85,8 @@
 	queue    []Ticket // in order of arrival; len is at most cfg.QueueMax
 	draining bool
 	limit    limiter
+	// moved is when a slot was last returned, or the first was taken.
+	moved time.Time
 }
 
 // New returns a Core.
@@ -125,9 +127,14 @@
 // coldShare is the share of its slots that a server begins with.
 const coldShare = 0.25
 
-// Load is running and waiting requests per slot that may be used now.
+// Load is running and waiting requests per slot that may be used now; at least
+// 1 while the server stalls.
 func (c *Core) Load(now time.Time) float64 {
-	return float64(c.running+len(c.queue)) / float64(max(c.Limit(now), 1))
+	load := float64(c.running+len(c.queue)) / float64(max(c.Limit(now), 1))
+	if c.stalled(now) {
+		return max(load, 1)
+	}
+	return load
 }
 
 // Arrive decides on a new ticket, and with it perhaps on others: without a
@@ -141,7 +148,10 @@
 	}
 	t.arrived = now
 	if len(c.queue) == 0 && c.mayStart(now, &t) {
-		return []Decision{c.start(&t)}
+		return []Decision{c.start(now, &t)}
+	}
+	if c.stalled(now) {
+		return []Decision{c.refuse(t, result.Overloaded)}
 	}
 	if c.wait(now, &t) > t.Deadline.Sub(now) {
 		return []Decision{c.refuse(t, result.DeadlineTooShort)}
@@ -163,7 +173,23 @@
 	return c.running < c.Limit(now)
 }
 
-func (c *Core) start(t *Ticket) Decision {
+// The constants of stalled.
+const (
+	stallFactor = 8
+	stallMin    = 500 * time.Millisecond
+)
+
+// stalled reports whether no slot came back for much longer than a request
+// takes: the server is frozen, or works on long requests only, and waiting for
+// it is useless.
+func (c *Core) stalled(now time.Time) bool {
+	return c.running > 0 && now.Sub(c.moved) > max(stallMin, stallFactor*c.limit.service)
+}
+
+func (c *Core) start(now time.Time, t *Ticket) Decision {
+	if c.running == 0 {
+		c.moved = now
+	}
 	c.running++
 	c.alone = t.Alone
 	return Decision{ID: t.ID, Verdict: Start}
@@ -181,7 +207,7 @@
 func (c *Core) wait(now time.Time, t *Ticket) time.Duration {
 	ahead := 0
 	for i := range c.queue {
-		if before(now, &c.queue[i], t) {
+		if !before(now, t, &c.queue[i]) {
 			ahead++
 		}
 	}
@@ -222,6 +248,7 @@
 	if took > 0 {
 		c.limit.sample(now, took, c.running, c.cfg.Slots)
 	}
+	c.moved = now
 	c.running--
 	c.alone = false
 	return c.fill(now)
@@ -267,7 +294,7 @@
 			decisions = append(decisions, c.refuse(t, result.DeadlineTooShort))
 			continue
 		}
-		decisions = append(decisions, c.start(&t))
+		decisions = append(decisions, c.start(now, &t))
 	}
 	return decisions
 }
