--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -158,24 +158,23 @@
 	return d.awaitReady(ctx)
 }
 
-// current is the manifest in force, or nil; it waits for a leader first.
+// current is the manifest in force, or nil; it waits for the mesh to stand.
 func (d *devMesh) current(ctx context.Context) (*manifest.Manifest, error) {
 	var current *manifest.Manifest
-	err := d.eventually(ctx, "a leader of the sources", func() error {
+	err := d.eventually(ctx, "the mesh to stand", func() error {
 		status, err := d.client.Status(ctx)
 		if err != nil {
 			return err
 		}
-		if status.Source == nil || status.Source.Lead == "" {
-			return errors.New("none is elected")
-		}
-		if status.Source.Version > status.Mesh.Version {
-			return errors.New("its version is not in force yet")
+		nodes, err := d.client.Fleet(ctx)
+		if err != nil {
+			return err
 		}
-		if current, err = fetch(ctx, d.client, d.manifest.Mesh); err != nil {
+		if err := d.stands(&status, len(nodes)); err != nil {
 			return err
 		}
-		return nil
+		current, err = fetch(ctx, d.client, d.manifest.Mesh)
+		return err
 	})
 	if err != nil || current.Version == 0 {
 		return nil, err
@@ -183,6 +182,19 @@
 	return current, nil
 }
 
+// stands tells what the first daemon, which sees so many daemons, still lacks.
+func (d *devMesh) stands(s *operator.NodeStatus, seen int) error {
+	switch {
+	case s.Source == nil || s.Source.Lead == "":
+		return errors.New("no leader of the sources is elected")
+	case seen < len(d.mesh.Nodes):
+		return errors.Newf("only %d of %d daemons found each other", seen, len(d.mesh.Nodes))
+	case s.Source.Version > s.Mesh.Version:
+		return errors.Newf("version %d is not in force yet", s.Source.Version)
+	}
+	return nil
+}
+
 func (d *devMesh) apply(ctx context.Context) error {
 	raw, err := yaml.Marshal(d.manifest)
 	if err != nil {
@@ -284,7 +296,7 @@
 		fmt.Fprintln(d.out, "  "+d.curl(d.mesh.Nodes[i%len(d.mesh.Nodes)], &d.manifest.Routes[i]))
 	}
 	addr := d.mesh.Nodes[0].Operator
-	for _, command := range []string{"status", "history", "drain --node n1 --undo"} {
+	for _, command := range []string{"status", "history", "drain --node n1"} {
 		fmt.Fprintf(d.out, "  daisygate %s --operator %s\n", command, addr)
 	}
 	fmt.Fprintln(d.out, "\nInterrupt (Ctrl-C) ends it.")
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -14,15 +14,18 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/process/dev"
+	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/standin"
 )
 
@@ -46,6 +49,7 @@
 			"losing":    cmdLosing,
 			"hold":      cmdHold,
 			"until":     cmdUntil,
+			"load":      cmdLoad,
 			"normal":    cmdNormal,
 		},
 	})
@@ -57,6 +61,7 @@
 	token string
 	// release ends the request that hold began.
 	release context.CancelFunc
+	load    *load
 }
 
 // sessions holds the mesh of each script by its work folder.
@@ -101,8 +106,12 @@
 			if err != nil {
 				return err
 			}
-			if status.Source.Lead == "" {
-				return errors.Newf("%s knows no leader", status.Node)
+			nodes, err := s.client(i).Fleet(context.Background())
+			if err != nil {
+				return err
+			}
+			if status.Source.Lead == "" || len(nodes) < len(s.mesh.Nodes) {
+				return errors.Newf("%s knows leader %q and %d daemons", status.Node, status.Source.Lead, len(nodes))
 			}
 		}
 		return nil
@@ -125,7 +134,7 @@
 }
 
 // fileFlags are the flags whose value is a file of the script.
-var fileFlags = map[string]bool{"-f": true, "--token-file": true, "--settings": true}
+var fileFlags = map[string]bool{"-f": true, "--token-file": true, "--settings": true, "--data-dir": true}
 
 func invoke(ts *testscript.TestScript, args []string) (out, errOut bytes.Buffer, code int) {
 	args = append([]string(nil), args...)
@@ -283,6 +292,82 @@
 	})
 }
 
+// load sends requests to every daemon until it is stopped.
+type load struct {
+	stop   chan struct{}
+	wait   sync.WaitGroup
+	sent   atomic.Int64
+	failed atomic.Pointer[string]
+}
+
+// cmdLoad is "load PATH": requests to every daemon, each after the other, until
+// "load" without arguments, which fails if one was not run, or not once.
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	s := sessionOf(ts)
+	if len(args) == 0 {
+		s.endLoad(ts)
+		return
+	}
+	s.load = &load{stop: make(chan struct{})}
+	for _, n := range s.mesh.Nodes {
+		s.load.wait.Go(func() { s.load.work("http://"+n.Caller+args[0], n.Name) })
+	}
+}
+
+func (l *load) work(url, name string) {
+	for i := 0; ; i++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		if err := get(url, fmt.Sprintf("%s-%d", name, i)); err != nil {
+			text := err.Error()
+			l.failed.Store(&text)
+		}
+		l.sent.Add(1)
+	}
+}
+
+func get(url, id string) error {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(standin.HeaderID, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.Header.Get(result.HeaderOutcome) != result.Run.String() {
+		err = errors.Newf("%s %s", resp.Status, body)
+	}
+	return err
+}
+
+func (s *session) endLoad(ts *testscript.TestScript) {
+	close(s.load.stop)
+	s.load.wait.Wait()
+	if text := s.load.failed.Load(); text != nil {
+		ts.Fatalf("a request was not run: %s", *text)
+	}
+	runs := 0
+	for _, b := range s.mesh.Servers {
+		for id, n := range b.Runs() {
+			runs++
+			if n != 1 {
+				ts.Fatalf("request %s ran %d times", id, n)
+			}
+		}
+	}
+	if int64(runs) != s.load.sent.Load() {
+		ts.Fatalf("%d requests, %d ran", s.load.sent.Load(), runs)
+	}
+	ts.Logf("%d requests, each run once", runs)
+}
+
 func (s *session) running(ts *testscript.TestScript) int {
 	sum := 0
 	for _, n := range s.mesh.Nodes {
@@ -327,3 +412,38 @@
 	text = blanks.ReplaceAllString(text, "  ")
 	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
 }
+
+// TestProgress shows a line in place on a terminal, and elsewhere only on
+// change.
+func TestProgress(t *testing.T) {
+	c := qt.New(t)
+	for _, row := range []struct {
+		terminal bool
+		want     string
+	}{
+		{false, "1 of 2\n2 of 2\n"},
+		{true, "\r\x1b[K1 of 2\r\x1b[K2 of 2\r\x1b[K"},
+	} {
+		var out bytes.Buffer
+		p := &progress{w: &out, terminal: row.terminal}
+		for _, there := range []int{1, 1, 2, 2} {
+			p.show("%d of 2", there)
+		}
+		p.end()
+		c.Check(out.String(), qt.Equals, row.want)
+	}
+}
+
+// TestExitCodes holds the table whole: each code once, in order, and none
+// given that it lacks.
+func TestExitCodes(t *testing.T) {
+	c := qt.New(t)
+	for i, e := range ExitCodes {
+		c.Check(e.Code, qt.Equals, i)
+		c.Check(e.Meaning, qt.Matches, "[A-Z].*\\.")
+	}
+	for code := range result.Codes() {
+		got := exitCode(result.Errorf(code, ""))
+		c.Check(got > ExitOK && got < len(ExitCodes), qt.IsTrue, qt.Commentf("%s gives %d", code, got))
+	}
+}
--- a/internal/process/dev/dev.go
+++ b/internal/process/dev/dev.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -202,6 +203,7 @@
 			Announcement: announce.Announcement{
 				Mesh: s.Mesh, Service: s.Service, Slots: serverSlots, Connections: serverConnections,
 			},
+			Crash:  cutConnection,
 			Answer: fmt.Sprintf("answered by service %s beside daemon %s\n", s.Service, m.Nodes[s.Node].Name),
 		})
 		if err != nil {
@@ -213,6 +215,10 @@
 	return nil
 }
 
+// cutConnection is how a stand-in crashes that shares its process with a mesh:
+// the request's connection ends without an answer.
+func cutConnection() { panic(http.ErrAbortHandler) }
+
 // note keeps the first failure.
 func (m *Mesh) note(err error) {
 	m.mu.Lock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -49,6 +49,8 @@
 	Announcement announce.Announcement
 	// Answer is sent back when the request has no body to echo.
 	Answer string
+	// Crash is what HeaderCrash does; nil ends the process.
+	Crash func()
 }
 
 // Server is one running stand-in.
@@ -71,6 +73,9 @@
 	}
 	s := &Server{cfg: cfg, listener: listener, runs: map[string]int{}}
 	s.cfg.Announcement.Address = listener.Addr().String()
+	if s.cfg.Crash == nil {
+		s.cfg.Crash = func() { os.Exit(3) }
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(RunsPath, s.serveRuns)
 	mux.HandleFunc("/", s.serve)
@@ -159,7 +164,7 @@
 	s.begin(r.Header.Get(HeaderID))
 	defer s.running.Add(-1)
 	if r.Header.Get(HeaderCrash) != "" {
-		os.Exit(3)
+		s.cfg.Crash()
 	}
 	if delay, err := time.ParseDuration(r.Header.Get(HeaderDelay)); err == nil {
 		select {
