--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// cmdSettle waits until every daemon has the newest version, both links and
+// cmdSettle waits until every daemon and source has the newest version, both links and
 // sees every backend server.
 func cmdSettle(ts *testscript.TestScript, _ bool, _ []string) {
 	s := sessionOf(ts)
@@ -218,7 +218,7 @@
 			servers := 0
 			for _, n := range nodes {
 				servers += len(n.Servers)
-				if !n.Ready || n.Stale || n.Links < 2 || n.Version != nodes[0].Version {
+				if !n.Ready || n.Stale || n.Links < 2 || n.Version != nodes[0].Version || n.Source.Version != n.Version {
 					return errors.Newf("%+v", n)
 				}
 			}
@@ -380,7 +380,7 @@
 
 var (
 	dates     = regexp.MustCompile(`\d{4}-\d\d-\d\dT[\d:.]+Z`)
-	durations = regexp.MustCompile(`\b\d+(\.\d+)?(ms|µs|s)\b`)
+	durations = regexp.MustCompile(`\bafter (\d+(\.\d+)?(ms|µs|s))+`)
 	contents  = regexp.MustCompile(`\b[0-9a-f]{16}\b`)
 	// causes match what the system says of a lost connection.
 	causes = regexp.MustCompile(`before the answer came \(.*\)`)
@@ -405,7 +405,7 @@
 		text = strings.ReplaceAll(text, losing, "<losing>")
 	}
 	text = dates.ReplaceAllString(text, "<date>")
-	text = durations.ReplaceAllString(text, "<time>")
+	text = durations.ReplaceAllString(text, "after <time>")
 	text = contents.ReplaceAllString(text, "<content>")
 	text = causes.ReplaceAllString(text, "before the answer came (<cause>)")
 	text = roles.ReplaceAllString(text, "<role>  <term>  <commit>")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -9,6 +9,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/process/source"
 )
 
 // statusReport is what status prints.
@@ -30,7 +32,7 @@
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show what is in force where, who lags and why",
-		Long: `Shows the sources (role, term, commit, failure), and for each daemon the version
+		Long: `Shows the sources (role, term, commit, failure, repair of a lost disk), and for each daemon the version
 in force, its links, its backend servers, and why it lags if it does.`,
 		Example: "  daisygate status --operator 127.0.0.1:7400\n  daisygate status --lagging -o json",
 		Args:    cobra.NoArgs,
@@ -81,7 +83,7 @@
 	for _, n := range r.Fleet {
 		if s := n.Source; s != nil {
 			sources = append(sources, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s",
-				n.Node, n.Domain, s.Role, s.Term, s.Commit, s.Version, sourceState(n)))
+				n.Node, n.Domain, s.Role, s.Term, s.Commit, s.Version, sourceState(s)))
 		}
 		daemons = append(daemons, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%s",
 			n.Node, n.Domain, n.Version, n.Links, len(n.Servers), nodeState(n, r.Version)))
@@ -96,9 +98,19 @@
 	}
 }
 
-func sourceState(n operator.FleetNode) string {
-	if n.Source.Failure != "" {
-		return "accepts nothing: " + n.Source.Failure
+// sourceState is "ok", or what a source cannot do and why.
+func sourceState(s *source.Status) string {
+	switch {
+	case s.Failure != "":
+		return "accepts nothing: " + s.Failure
+	case s.Repair.State == replica.RepairAsking:
+		return "repair: empty data folder, waits for all other sources, no vote"
+	case s.Repair.State == replica.RepairLearning:
+		return fmt.Sprintf("repair: holds %d of %d, no vote yet", s.Repair.Have, s.Repair.Need)
+	case s.Lead == "":
+		return "knows no leader"
+	case s.Repair.State == replica.RepairDone:
+		return "ok, repair done"
 	}
 	return "ok"
 }
--- a/internal/process/dev/dev.go
+++ b/internal/process/dev/dev.go
@@ -181,13 +181,17 @@
 	return nil
 }
 
+// sources is the number of sources of a mesh: odd, for an even one survives no
+// more losses than one less.
+func sources(nodes int) int { return min((nodes-1)|1, nodes, maxSources) }
+
 func (m *Mesh) settings(cfg Config, n Node) settings.Settings {
 	set := settings.Defaults()
 	set.Node, set.Domain = n.Name, n.Domain
 	set.DataDir = filepath.Join(cfg.DataDir, n.Name)
 	set.Listen = settings.Listen{Caller: n.Caller, Announce: n.Announce, Peer: n.Peer, Operator: n.Operator}
 	set.Operator.TokenFile = cfg.TokenFile
-	for _, o := range m.Nodes[:min(len(m.Nodes), maxSources)] {
+	for _, o := range m.Nodes[:sources(len(m.Nodes))] {
 		set.Seeds = append(set.Seeds, o.Peer)
 		set.Source.Members = append(set.Source.Members, settings.Member{Node: o.Name, Peer: o.Peer})
 	}
