--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -20,7 +20,6 @@
 	sourceDeliver = "Source.Deliver"
 	sourcePropose = "Source.Propose"
 	sourceSubmit  = "Source.Submit"
-	sourceHistory = "Source.History"
 	nodeStatus    = "Node.Status"
 )
 
@@ -80,18 +79,6 @@
 	return err
 }
 
-// History returns the accepted manifests.
-func (s *sourceService) History(_ Empty, history *[]source.Accepted) error {
-	if s.d.source == nil {
-		return errNotSource
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
-	defer cancel()
-	var err error
-	*history, err = s.d.source.History(ctx)
-	return err
-}
-
 type nodeService struct{ d *Daemon }
 
 // Status returns the status of this daemon.
@@ -143,21 +130,6 @@
 	return "", false
 }
 
-// History implements operator.Backend.
-func (d *Daemon) History(ctx context.Context) ([]source.Accepted, error) {
-	if d.source != nil {
-		return d.source.History(ctx)
-	}
-	err := errors.New("no sources in the settings")
-	for _, member := range d.set.Source.Members {
-		var history []source.Accepted
-		if err = d.pool.Call(ctx, member.Peer, sourceHistory, Empty{}, &history); err == nil {
-			return history, nil
-		}
-	}
-	return nil, err
-}
-
 // NodeStatus implements operator.Backend.
 func (d *Daemon) NodeStatus() operator.NodeStatus {
 	status := operator.NodeStatus{
