--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -176,13 +177,8 @@
 }
 
 func (cl *cluster) status(n *node) (operator.NodeStatus, error) {
-	var status operator.NodeStatus
-	resp, err := http.Get("http://" + n.operator + operator.StatusPath)
-	if err != nil {
-		return status, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return status, json.NewDecoder(resp.Body).Decode(&status)
+	client := operator.Client{Addr: n.operator, HTTP: http.DefaultClient}
+	return client.Status(context.Background())
 }
 
 func (b *backend) runs(c *qt.C) map[string]int {
