--- a/internal/process/quorum/node.go
+++ b/internal/process/quorum/node.go
@@ -20,8 +20,9 @@
 	answer func(R, error)
 }
 
-// A snapshot replaces the log after so many entries, or when the log on disk
-// is larger than compactBytes and twice the last snapshot.
+// A snapshot replaces the log when the log has grown by as much as the last
+// snapshot and by compactAfter entries or compactBytes: so a snapshot costs each
+// entry no more than its own size, however large the state is.
 const (
 	compactAfter = 256
 	compactBytes = 4 << 20
@@ -215,7 +216,11 @@
 
 func (n *Node[R]) compactDue() bool {
 	entries := n.core.Applied() - n.core.SnapshotIndex()
-	return entries >= compactAfter || n.disk.Size() > compactBytes+2*int64(n.snapshotBytes)
+	grown := n.disk.Size() - int64(n.snapshotBytes)
+	if entries >= compactAfter {
+		return grown > int64(n.snapshotBytes)
+	}
+	return grown > compactBytes+int64(n.snapshotBytes)
 }
 
 // Status returns what this member knows of its group.
