--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -72,6 +72,7 @@
 	s.group, err = quorum.Open(quorum.Config{
 		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "claims"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed,
+		Idempotent: true,
 	}, claims.New(claims.DefaultLimits()), s, d.log.WithName("claims"))
 	return s, err
 }
