--- a/internal/version/fleet/delta.go
+++ b/internal/version/fleet/delta.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -21,8 +23,11 @@
 	Changes []Change `cbor:"4,keyasint"`
 }
 
-// ErrGap is returned by Apply for a delta that starts from another version.
-var ErrGap = errors.New("delta starts from another version")
+// ErrGap is returned by Apply for a delta that starts from a later version.
+var ErrGap = errors.New("delta starts from a later version")
+
+// ErrOld is returned by Apply for a delta that leads back.
+var ErrOld = errors.New("delta leads to a lower version")
 
 // ErrHash is returned by Apply for a delta whose result has another hash.
 var ErrHash = errors.New("delta does not end in the announced hash")
@@ -47,19 +52,21 @@
 // Snapshot returns the delta that leads from nothing to s.
 func (s *State) Snapshot() *Delta { return Diff(Empty(), s) }
 
-// Apply returns the state after d, or ErrGap or ErrHash; s stays as it is.
+// Apply returns the state after d, or ErrOld, ErrGap or ErrHash; s stays as it
+// is. A delta applies to every version from From up to To: what it sets is
+// final at To, and the hash tells if that left a difference.
 func (s *State) Apply(d *Delta) (*State, error) {
+	if d.To < s.Version {
+		return nil, errors.Wrapf(ErrOld, "at %d, delta to %d", s.Version, d.To)
+	}
 	base := s
 	if d.From == 0 {
 		base = Empty()
 	}
-	if d.From != base.Version {
+	if base.Version < d.From {
 		return nil, errors.Wrapf(ErrGap, "at %d, delta from %d to %d", s.Version, d.From, d.To)
 	}
-	next := &State{Version: d.To, resources: make(map[Key][]byte, len(base.resources)), hash: base.hash}
-	for k, v := range base.resources {
-		next.resources[k] = v
-	}
+	next := &State{Version: d.To, resources: maps.Clone(base.resources), hash: base.hash}
 	for _, c := range d.Changes {
 		if old, ok := next.resources[c.Key]; ok {
 			next.hash -= resourceHash(c.Key, old)
