Spread versions along a tree that each receiver chooses

Cause: in the first cut both ends of a link could prune it, so that heartbeats had to be flooded on every link; a restarted daemon was ready as soon as any heartbeat named no higher version, also one of a deposed leader; and nobody counted how far a version had come.

Change: each daemon takes as its one parent the link with the fewest hops to the leader, shown by the sequenced heartbeat, and says so in its digests; versions are pushed from parent to child, all else is digests. A parent that is behind gives way to the link that brought the newest heartbeat first. What is missed is pulled: at once from the parent, after 200 ms from others, one transfer at a time, large ones in chunks, refused with a time to come back when too many run. After a start a daemon asks the leader, up the tree and in one question for all below a node, what is committed; the leader answers only once a majority has acknowledged it after the question came. Without a leader for 10 s it goes by the highest version of all its links and says "peers". Counts of the daemons in force come up with the digests and down with the heartbeat, with a sum of name hashes by which a double count shows. States are compiled before they count as installed. The mesh's status tells parent, depth, confirmation, divergence and the count; a stale daemon asks the view for another link.

Ruled out: Plumtree's own prune, which both ends may send at once (sources that publish together cut every link among themselves); two advancing heartbeats as the sign of freshness, which a thawed relay can replay.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -35,16 +35,13 @@
 	tickInterval     = 100 * time.Millisecond
 	linkInterval     = 1200 * time.Millisecond
 	linkSilence      = 2500 * time.Millisecond
-	digestInterval   = time.Second
 	presenceInterval = time.Second
 	suspectFor       = 1500 * time.Millisecond
 	forgetAfter      = 2 * time.Hour
 	probeInterval    = 10 * time.Second
-	beatInterval     = time.Second
 	staleAfter       = 5 * time.Second
 	activeLinks      = 5
 	maxLinks         = 7
-	deltaHistory     = 64
 
 	sourceTick           = 50 * time.Millisecond
 	sourceElectionTicks  = 10
@@ -151,13 +148,13 @@
 			Self: d.self, Seeds: d.seeds(), Active: activeLinks, Max: maxLinks,
 			Silence: linkSilence, Interval: linkInterval, Seed: seed,
 		},
-		Spread: spread.Config{DigestInterval: digestInterval, StaleAfter: staleAfter, History: deltaHistory},
+		Spread: spread.Config{Self: d.set.Node, Seed: seed, StaleAfter: staleAfter},
 		Presence: presence.Config{
 			Self: d.self, Incarnation: incarnation, DigestInterval: presenceInterval, SuspectFor: suspectFor,
 			ForgetAfter: forgetAfter, ProbeInterval: probeInterval, Seed: seed,
 		},
 		Probe:        peer.Reachable,
-		TickInterval: tickInterval, Beat: d.leads, BeatInterval: beatInterval,
+		TickInterval: tickInterval, Lead: d.lead,
 	}, d.items, d.log.WithName("mesh"))
 	if err != nil {
 		return err
@@ -201,13 +198,6 @@
 	return names
 }
 
-func (d *Daemon) leads() (uint64, bool) {
-	if d.source == nil {
-		return 0, false
-	}
-	return d.source.Leads()
-}
-
 // Ready reports whether a version confirmed by the leader is in force here.
 func (d *Daemon) Ready() bool {
 	s := d.mesh.Status()
--- a/internal/process/mesh/members.go
+++ b/internal/process/mesh/members.go
@@ -98,7 +98,7 @@
 			m.log.V(1).Info("link down", "node", a.Down.Node.Name, "failed", a.Down.Failed)
 			m.members.links = m.members.core.Links()
 			delete(m.members.waiting, a.Down.Node)
-			m.spread.LinkDown(a.Down.Node.Name)
+			m.doSpread(m.spread.LinkDown(a.Down.Node.Name))
 		case a.Change != nil:
 			m.members.builder.Apply(a.Change)
 			m.members.changed = true
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -49,21 +49,16 @@
 	TickInterval time.Duration
 	// Probe is called in a goroutine of its own.
 	Probe Prober
-	// Beat returns the term and whether this node leads the sources; the
-	// heartbeat is sent each BeatInterval while it does.
-	Beat         func() (term uint64, leads bool)
-	BeatInterval time.Duration
+	// Lead returns what this node knows of its leadership of the sources, or
+	// nil while it does not lead.
+	Lead func(now time.Time) *spread.Lead
 }
 
 // Status is what a daemon tells of its control side.
 type Status struct {
-	Version   uint64           `json:"version"`
-	Hash      uint64           `json:"hash"`
-	Heartbeat spread.Heartbeat `json:"heartbeat"`
-	Stale     bool             `json:"stale"`
-	Confirmed bool             `json:"confirmed"`
-	Links     []view.Node      `json:"links"`
-	Nodes     int              `json:"nodes"`
+	VersionStatus
+	Links []view.Node `json:"links"`
+	Nodes int         `json:"nodes"`
 	// Conflict is the address of another live daemon that has this one's name,
 	// "unknown" when it could not be told; empty when there was none.
 	Conflict string `json:"conflict,omitempty"`
@@ -78,7 +73,7 @@
 	members  *members
 	spread   *spread.Core
 	current  *snapshot.Snapshot
-	lastBeat time.Time
+	versions versions
 	changed  bool
 
 	ops       chan func(now time.Time)
@@ -143,18 +138,9 @@
 	}
 }
 
-// Publish spreads a state that this node learned as a source.
-func (m *Mesh) Publish(state *fleet.State) {
-	m.ops <- func(time.Time) { m.doSpread(m.spread.Publish(state)) }
-}
-
 func (m *Mesh) tick(now time.Time) {
 	m.doMembers(now, m.members.core.Tick(now))
-	m.doSpread(m.spread.Tick(now))
-	if term, leads := m.cfg.Beat(); leads && now.Sub(m.lastBeat) >= m.cfg.BeatInterval {
-		m.lastBeat = now
-		m.doSpread(m.spread.Beat(now, term))
-	}
+	m.doSpread(m.spread.Tick(now, m.cfg.Lead(now)))
 	m.publishStatus(now)
 }
 
@@ -173,32 +159,6 @@
 	}
 }
 
-func (m *Mesh) doSpread(actions []spread.Action) {
-	for _, a := range actions {
-		switch {
-		case a.Send != nil:
-			m.put(a.Send.To, Item{Spread: &a.Send.Message})
-		case a.Install != nil:
-			m.install(a.Install)
-		case a.Rejected != nil:
-			m.log.Error(a.Rejected, "version not applied")
-		}
-	}
-}
-
-// install compiles off to the side; a state that does not compile leaves the
-// version in force as it is.
-func (m *Mesh) install(state *fleet.State) {
-	next, err := snapshot.Compile(state)
-	if err != nil {
-		m.log.Error(err, "version does not compile", "version", state.Version)
-		return
-	}
-	m.current = next
-	m.changed = true
-	m.log.Info("version in force", "version", state.Version)
-}
-
 // put queues an item for a linked daemon until the event is over.
 func (m *Mesh) put(node string, item Item) {
 	if to, linked := m.members.core.Link(node); linked {
@@ -212,11 +172,7 @@
 }
 
 func (m *Mesh) publishStatus(now time.Time) {
-	beat, _ := m.spread.Heartbeat()
-	s := Status{
-		Version: m.current.Version, Hash: m.current.Hash, Heartbeat: beat,
-		Stale: m.spread.Stale(now), Confirmed: m.spread.Confirmed(),
-	}
+	s := Status{VersionStatus: m.versionStatus(now)}
 	m.memberStatus(&s)
 	m.status.Store(&s)
 }
--- /dev/null
+++ b/internal/process/spread/driver_test.go
@@ -0,0 +1,338 @@
+package spread_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/rpc"
+	"slices"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/process/spread"
+	"github.com/daisygate/daisygate/internal/process/view"
+	"github.com/daisygate/daisygate/internal/version/fleet"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+const (
+	step  = 5 * time.Millisecond
+	lease = time.Second
+	// detect is how long a link is dead before its ends are told.
+	detect = 2500 * time.Millisecond
+)
+
+// node is one daemon of the driver. A restart makes a new core; only have, the
+// log of a source, survives.
+type node struct {
+	name          string
+	core          *spread.Core
+	dead, frozen  bool
+	source        bool
+	have          int
+	links         map[string]bool
+	sent, packets int
+	// highest is the highest version of all lives, floor that before this one.
+	highest, floor uint64
+	at             time.Duration
+	phase          time.Duration
+	seeks          int
+}
+
+type packet struct {
+	at       time.Duration
+	from, to string
+	m        spread.Message
+}
+
+// net drives cores in memory: time moves in steps, every delay is drawn from
+// the seed, and the sources are a plain list of accepted states.
+type network struct {
+	cfg    spread.Config
+	rand   *rand.Rand
+	now    time.Duration
+	nodes  map[string]*node
+	order  []*node
+	wires  [][2]string                 // the edges, in order
+	edges  map[[2]string]time.Duration // when the edge was last whole
+	cut    map[string]int              // group of each node; 0 by default
+	flight []packet
+	log    []*fleet.State
+	// lead leads in term and reached a majority at quorum last; deposed still
+	// believes in its Lead until deposedEnd.
+	lead       string
+	term       uint64
+	quorum     time.Duration
+	deposed    string
+	oldLead    spread.Lead
+	deposedEnd time.Duration
+	fault      func(p packet) []time.Duration
+	trace      func(format string, args ...any)
+	failure    error
+	size       func(m spread.Message) int
+}
+
+var epoch = time.Unix(1e9, 0)
+
+func newNetwork(seed uint64, size, degree int, cfg spread.Config) *network {
+	n := &network{
+		cfg: cfg, rand: rand.New(rand.NewPCG(seed, 7)), nodes: map[string]*node{},
+		edges: map[[2]string]time.Duration{}, cut: map[string]int{},
+		log: []*fleet.State{fleet.Empty()}, trace: func(string, ...any) {}, size: func(spread.Message) int { return 0 },
+	}
+	for i := range size {
+		name := fmt.Sprintf("n%03d", i)
+		n.nodes[name] = &node{name: name, source: i < 3, links: map[string]bool{}, phase: time.Duration(n.rand.IntN(20)) * step}
+		n.order = append(n.order, n.nodes[name])
+		n.boot(n.nodes[name])
+	}
+	names := slices.Sorted(maps.Keys(n.nodes))
+	for i, a := range names {
+		for range (degree + 1) / 2 {
+			// A ring keeps the graph whole; the other edges are random.
+			b := names[(i+1)%size]
+			if n.edges[edge(a, b)] != 0 {
+				b = names[n.rand.IntN(size)]
+			}
+			if a != b {
+				n.edges[edge(a, b)] = 1
+			}
+		}
+	}
+	n.wires = slices.SortedFunc(maps.Keys(n.edges), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) })
+	return n
+}
+
+func edge(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+// sizer returns the encoded size of a message in an envelope of its own, with
+// the headers of the call and of its answer, on a connection in use.
+func sizer() func(spread.Message) int {
+	type item struct{ Spread *spread.Message }
+	type envelope struct {
+		From  view.Node
+		Items []item
+	}
+	var buf bytes.Buffer
+	enc := gob.NewEncoder(&buf)
+	size := func(m spread.Message) int {
+		buf.Reset()
+		from := view.Node{Name: "n000", Addr: "127.0.0.1:40000", Domain: "d1"}
+		_ = enc.Encode(rpc.Request{ServiceMethod: "Mesh.Deliver", Seq: 1000})
+		_ = enc.Encode(envelope{From: from, Items: []item{{&m}}})
+		_ = enc.Encode(rpc.Response{ServiceMethod: "Mesh.Deliver", Seq: 1000})
+		return buf.Len()
+	}
+	all := spread.Message{Digest: &spread.Digest{InForce: &spread.InForce{}, Report: &spread.Report{}, Confirmed: &spread.Confirmed{}},
+		Chunk: &spread.Chunk{}, Pull: &spread.Pull{}, Busy: &spread.Busy{}}
+	size(all)
+	return size
+}
+
+func (n *network) boot(d *node) {
+	cfg := n.cfg
+	cfg.Self, cfg.Seed = d.name, n.rand.Uint64()
+	d.core = spread.New(cfg, fleet.Empty())
+	d.dead, d.frozen, d.floor = false, false, d.highest
+	if n.deposed == d.name {
+		n.deposed = ""
+	}
+	clear(d.links)
+	if d.source && d.have > 0 {
+		n.do(d, d.core.Publish(n.log[d.have]))
+	}
+}
+
+func (n *network) reach(a, b *node) bool {
+	return !a.dead && !b.dead && !a.frozen && !b.frozen && n.cut[a.name] == n.cut[b.name]
+}
+
+// accept adds a version through the leader; false while there is none.
+func (n *network) accept(change func(m *manifest.Manifest)) bool {
+	l := n.nodes[n.lead]
+	if l == nil || !n.majority(l) || l.have != len(n.log)-1 {
+		return false
+	}
+	m := &manifest.Manifest{Mesh: "m", Version: 1, Services: []manifest.Service{{Name: "s"}}}
+	if len(n.log) > 1 {
+		m, _ = n.log[len(n.log)-1].Manifest("m")
+	}
+	m.Version++
+	change(m)
+	next, err := n.log[len(n.log)-1].Accept(m)
+	if err != nil {
+		panic(err)
+	}
+	n.log = append(n.log, next)
+	n.replicate()
+	return true
+}
+
+// replicate brings every source that the leader reaches up to date.
+func (n *network) replicate() {
+	for _, d := range n.sorted() {
+		if d.source && d.have < len(n.log)-1 && n.reach(d, n.nodes[n.lead]) {
+			d.have = len(n.log) - 1
+			n.do(d, d.core.Publish(n.log[d.have]))
+		}
+	}
+}
+
+func (n *network) sorted() []*node { return n.order }
+
+func (n *network) majority(of *node) bool {
+	count := 0
+	for _, d := range n.nodes {
+		if d.source && n.reach(of, d) {
+			count++
+		}
+	}
+	return count >= 2
+}
+
+// elect moves the leadership when the leader has lost its majority for half a
+// lease; the old one goes on for two more with the quorum that it had.
+func (n *network) elect() {
+	if l := n.nodes[n.lead]; l != nil && n.majority(l) && l.have == len(n.log)-1 {
+		n.quorum = n.now
+		n.replicate()
+		return
+	}
+	if n.lead != "" && n.now-n.quorum < lease/2 {
+		return
+	}
+	for _, d := range n.sorted() {
+		if d.source && n.majority(d) && d.have == len(n.log)-1 {
+			if old := n.nodes[n.lead]; old != nil && old != d {
+				n.deposed, n.oldLead, n.deposedEnd = n.lead, n.newLead(old), n.now+2*lease
+			}
+			n.lead, n.quorum = d.name, n.now
+			n.term++
+			return
+		}
+	}
+}
+
+func (n *network) newLead(d *node) spread.Lead {
+	return spread.Lead{Term: n.term, Version: uint64(d.have), Quorum: epoch.Add(n.quorum)}
+}
+
+func (n *network) leadOf(d *node) *spread.Lead {
+	switch {
+	case d.name == n.lead && n.now-n.quorum < lease:
+		lead := n.newLead(d)
+		return &lead
+	case d.name == n.deposed && n.now < n.deposedEnd:
+		return &n.oldLead
+	}
+	return nil
+}
+
+func (n *network) run(d time.Duration) {
+	for end := n.now + d; n.now < end; {
+		n.now += step
+		n.elect()
+		if n.now%(20*step) == 0 {
+			n.relink()
+		}
+		n.deliver()
+		for _, d := range n.sorted() {
+			if d.dead || d.frozen || (n.now+d.phase)%(100*time.Millisecond) != 0 {
+				continue
+			}
+			n.do(d, d.core.Tick(epoch.Add(n.now), n.leadOf(d)))
+		}
+	}
+}
+
+// relink tells both ends of links that came or have been dead for long.
+func (n *network) relink() {
+	for _, e := range n.wires {
+		a, b := n.nodes[e[0]], n.nodes[e[1]]
+		whole := n.reach(a, b)
+		if whole {
+			n.edges[e] = n.now
+		}
+		lost := !whole && n.now-n.edges[e] > detect
+		for _, p := range [][2]*node{{a, b}, {b, a}} {
+			self, other := p[0], p[1]
+			switch {
+			case self.dead || self.frozen || (!whole && !lost) || self.links[other.name] == whole:
+			case whole:
+				self.links[other.name] = true
+				n.do(self, self.core.LinkUp(other.name))
+			default:
+				delete(self.links, other.name)
+				n.do(self, self.core.LinkDown(other.name))
+			}
+		}
+	}
+}
+
+func (n *network) deliver() {
+	var later, now []packet
+	for _, p := range n.flight {
+		if p.at > n.now || n.nodes[p.to].frozen {
+			later = append(later, p)
+		} else {
+			now = append(now, p)
+		}
+	}
+	n.flight = later
+	for _, p := range now {
+		if to := n.nodes[p.to]; !to.dead && n.cut[p.from] == n.cut[p.to] {
+			n.do(to, to.core.Receive(epoch.Add(n.now), p.from, p.m))
+		}
+	}
+}
+
+// do carries out actions and holds each installed version against the log.
+func (n *network) do(d *node, actions []spread.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Send != nil:
+			p := packet{at: n.now + step, from: d.name, to: a.Send.To, m: a.Send.Message}
+			d.sent += n.size(p.m)
+			d.packets++
+			delays := []time.Duration{0}
+			if n.fault != nil {
+				delays = n.fault(p)
+			}
+			for _, delay := range delays {
+				p.at = n.now + step + delay
+				n.flight = append(n.flight, p)
+			}
+			n.traceMessage(p)
+		case a.Install != nil:
+			v := a.Install.Version
+			if v != d.core.State().Version || v >= uint64(len(n.log)) || a.Install.Hash != n.log[v].Hash() {
+				n.failure = fmt.Errorf("%s installed %d, which was never accepted so", d.name, v)
+			}
+			if d.core.Confirmed() != spread.Unconfirmed && v < d.highest && d.core.Confirmed() == spread.ByQuorum {
+				n.failure = fmt.Errorf("%s went back from %d to %d", d.name, d.highest, v)
+			}
+			d.highest, d.at = max(d.highest, v), n.now
+		case a.Rejected != nil:
+			n.trace("%s rejects: %v", d.name, a.Rejected)
+		case a.Diverged != nil:
+			n.trace("%s differs from %s at version %d", d.name, a.Diverged.Node, a.Diverged.Version)
+		case a.Seek:
+			d.seeks++
+		}
+	}
+	if d.core.Confirmed() == spread.ByQuorum && d.core.State().Version < d.floor {
+		n.failure = fmt.Errorf("%s is ready at %d and had %d before its restart", d.name, d.core.State().Version, d.floor)
+	}
+}
+
+func (n *network) traceMessage(p packet) {
+	switch {
+	case p.m.Chunk != nil:
+		n.trace("%s -> %s chunk to %d: %d+%d of %d bytes", p.from, p.to, p.m.Chunk.Version, p.m.Chunk.Offset, len(p.m.Chunk.Data), p.m.Chunk.Size)
+	case p.m.Pull != nil:
+		n.trace("%s -> %s pull after %d full=%v offset=%d", p.from, p.to, p.m.Pull.Version, p.m.Pull.Full, p.m.Pull.Offset)
+	case p.m.Busy != nil:
+		n.trace("%s -> %s busy", p.from, p.to)
+	}
+}
