--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -168,7 +168,7 @@
 		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Pin: pin,
 	})
 	x.course = course
-	last := refuse(result.NoBackendServer, "service "+target.Key.String())
+	var last *refusal
 	for number := 0; action.Kind == flow.Try; number++ {
 		start := time.Now()
 		resp, refused := x.attempt(ctx, action.Candidate)
@@ -184,6 +184,9 @@
 	if action.Code == result.NoBackendServer && time.Since(x.g.started) < learning {
 		return nil, &refusal{Error: result.Errorf(result.NotReady, "this daemon has just started and knows no server of %s yet", target.Key), back: retryAfterBusy}
 	}
+	if last == nil {
+		last = refuse(result.NoBackendServer, "service "+target.Key.String())
+	}
 	if action.Kind == flow.Answer && action.Code != last.Code {
 		last = refuse(action.Code, action.Code.Meaning())
 	}
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -89,13 +89,21 @@
 }
 
 func durationOf(h http.Header, name string) (time.Duration, bool) {
-	n, err := strconv.ParseInt(h.Get(name), 10, 64)
+	values := h[name]
+	if len(values) == 0 {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(values[0], 10, 64)
 	const most = int64(24 * time.Hour / time.Microsecond)
 	return time.Duration(n) * time.Microsecond, err == nil && n > 0 && n <= most
 }
 
 func numberOf(h http.Header, name string) (int, bool) {
-	n, err := strconv.Atoi(h.Get(name))
+	values := h[name]
+	if len(values) == 0 {
+		return 0, false
+	}
+	n, err := strconv.Atoi(values[0])
 	return n, err == nil && n >= 0
 }
 
