Choose servers by what is in progress, without load riding on answers

Change: the load of a server is this daemon's own requests in progress per slot; beside this daemon it is what the gate counts. The header Daisygate-Load is gone.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -243,7 +243,6 @@
 	if failure != nil {
 		return nil, classify(ctx, failure, result.DaemonRefused)
 	}
-	x.course.report(to, resp.Header.Get(headerLoad))
 	if code := resp.Header.Get(result.HeaderResult); code != "0" {
 		return nil, readRefusal(resp, code)
 	}
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -27,7 +27,6 @@
 	headerPriority = prefix + "Priority"
 	headerFresh    = prefix + "Fresh"
 	headerAlone    = prefix + "Alone"
-	headerLoad     = prefix + "Load"
 )
 
 // depthMax is the deepest chain of calls; a deeper one is taken for a loop.
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/result"
@@ -27,7 +26,6 @@
 	}
 	k.hooked.HTTP, k.hooked.Body, k.body = r, body.small, body
 	resp, refused := g.serve(ctx, k)
-	g.setLoad(w.Header(), k.addr)
 	g.setClose(w.Header())
 	if refused != nil {
 		code = refused.Code
@@ -60,12 +58,6 @@
 	return k, timeout, stall, nil
 }
 
-func (g *Gateway) setLoad(h http.Header, addr string) {
-	if load, ok := g.LocalLoad(addr); ok {
-		h[headerLoad] = []string{strconv.FormatFloat(load, 'f', 3, 64)}
-	}
-}
-
 // setClose asks the other side of a connection to leave it, once this daemon
 // leaves.
 func (g *Gateway) setClose(h http.Header) {
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -77,14 +76,3 @@
 	}
 	return c.call.Refused(now, rand.Uint64(), r.Code, r.back)
 }
-
-// report takes in the load that came with an answer.
-func (c *course) report(from *directory.Candidate, text string) {
-	load, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		return
-	}
-	c.service.mu.Lock()
-	defer c.service.mu.Unlock()
-	c.service.core.Table.Report(time.Now(), from, load)
-}
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -3,9 +3,10 @@
 // then anywhere; within such a tier the less loaded of two random servers
 // (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
 //
-// The load of a server is what the daemon beside it last told with an answer,
-// which fades with its age, and what this daemon sent since. A server that
-// cannot be reached or fails is ejected for a while that grows.
+// The load of a server is what this daemon has in progress there; of one beside
+// it, what its gate counts. Load riding on answers was measured and left out: a
+// daemon of a large fleet hears of one server too seldom. A server that cannot
+// be reached or fails is ejected for a while that grows.
 //
 // The package does no I/O and reads no clock.
 package balance
@@ -21,10 +22,6 @@
 	// full is the load from which a near server is passed over for a farther
 	// one.
 	full = 0.9
-	// fade is the age at which a reported load counts for nothing.
-	fade = 2 * time.Second
-	// maxLoad bounds what is believed of a report.
-	maxLoad = 16
 	// coldShare is the share of its work that a server begins with.
 	coldShare = 0.1
 	// draws is how often a tier is drawn from before it is searched.
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -24,12 +24,7 @@
 type server struct {
 	// outstanding is the attempts of this daemon in progress, never below 0.
 	outstanding int
-	// reported is the load told at reportedAt, when told attempts of this
-	// daemon were in progress.
-	reported   float64
-	reportedAt time.Time
-	told       int
-	fullUntil  time.Time
+	fullUntil   time.Time
 	// failures and ejections count those in a row.
 	failures, ejections int
 	ejectedUntil        time.Time
@@ -38,9 +33,7 @@
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
 func (s *server) load(now time.Time, slots int) float64 {
-	fresh := max(0, 1-float64(now.Sub(s.reportedAt))/float64(fade))
-	unseen := float64(s.outstanding) - fresh*float64(s.told)
-	load := fresh*s.reported + max(0, unseen)/float64(max(slots, 1))
+	load := float64(s.outstanding) / float64(max(slots, 1))
 	if now.Before(s.fullUntil) {
 		return max(load, full)
 	}
@@ -72,15 +65,6 @@
 	}
 }
 
-// Report takes in the load that came with an answer, in requests per slot.
-func (t *Table) Report(now time.Time, c *directory.Candidate, load float64) {
-	s := t.servers[c.Server.Addr]
-	if s == nil || !(load >= 0) {
-		return
-	}
-	s.reported, s.reportedAt, s.told = min(load, maxLoad), now, s.outstanding
-}
-
 // Ended notes that an attempt at c is over.
 func (t *Table) Ended(now time.Time, c *directory.Candidate, end End) {
 	s := t.servers[c.Server.Addr]
