Show a daemon from outside, and bound what its listeners take in

Cause: no metrics, spans or health; listeners without a bound on connections, errors of net/http without a code, control messages of up to 1 GiB taken, two processes on one data folder possible. Change: - telemetry: metrics in a set of each daemon (calls by route and code, latency, attempts, retries, refusals, slots, queue, control bytes, versions, staleness, links, listeners, source, process), label sets bounded to 4096; spans for each hop to a file as JSON lines, W3C trace context, flushed at the stop, no tracer at all when off; logs that write one message ten times an interval at most and tell how many were held back. - /healthz, /readyz (says why not) without a token, /metrics behind it. - connection/limit: a listener that answers a connection above its limit at once with 503, Retry-After and code 251, cuts who reads no answer, and numbers the errors that net/http writes before any handler (219, 250). Callers' limit is lowered at the start where the open files would not leave the peers theirs. - peer: a control message above the limit ends its connection on its length. - data folder locked (flock); one provision step that gives everything back when it fails; stop times from the settings. Ruled out: netutil.LimitListener (leaves connections hanging, and not declared); zap's sampler (loses the number held back); a handler for 400 and 431 (net/http has none).

--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -19,7 +19,9 @@
 	StatusPath    = "/v1/status"
 	FleetPath     = "/v1/fleet"
 	HistoryPath   = "/v1/history"
-	DrainPath     = "/v1/drain"
+	// MetricsPath is where the metrics are, in the Prometheus text format.
+	MetricsPath = "/metrics"
+	DrainPath   = "/v1/drain"
 )
 
 // NodeStatus is what one daemon tells of itself.
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/daisygate/daisygate/internal/result"
 )
 
 // RPCPath is where control connections are opened.
@@ -28,9 +30,19 @@
 // may have been carried out.
 var ErrTimeout = errors.New("peer call timed out")
 
-// Traffic counts the control bytes of this process.
+// Traffic counts the control bytes of this process, and bounds its messages.
 type Traffic struct {
 	Sent, Received atomic.Uint64
+	// MaxMessage is the largest control message taken, in bytes; 0 stands for
+	// DefaultMaxMessage.
+	MaxMessage int
+}
+
+func (t *Traffic) maxMessage() uint64 {
+	if t.MaxMessage == 0 {
+		return DefaultMaxMessage
+	}
+	return uint64(t.MaxMessage)
 }
 
 // Handler joins control and forwarded calls on one listener.
@@ -41,7 +53,7 @@
 			return
 		}
 		if r.URL.Path != RPCPath && r.RequestURI != RPCPath {
-			http.Error(w, "unknown control path", http.StatusNotFound)
+			result.WriteHTTP(w, result.Errorf(result.NotControl, "CONNECT %s", r.RequestURI))
 			return
 		}
 		serveControl(w, control, traffic)
@@ -59,24 +71,33 @@
 		_ = conn.Close()
 		return
 	}
-	control.ServeConn(&countedConn{Conn: conn, traffic: traffic})
+	control.ServeConn(newControlConn(conn, traffic))
 }
 
-// countedConn counts the bytes of a connection.
-type countedConn struct {
+// controlConn counts the bytes of a connection and bounds the messages that
+// come on it.
+type controlConn struct {
 	net.Conn
 	traffic *Traffic
+	frames  frames
+}
+
+func newControlConn(conn net.Conn, traffic *Traffic) *controlConn {
+	return &controlConn{Conn: conn, traffic: traffic, frames: frames{max: traffic.maxMessage()}}
 }
 
 // Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
+func (c *controlConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.traffic.Received.Add(uint64(n))
+	if bad := c.frames.advance(p[:n]); bad != nil {
+		return 0, bad
+	}
 	return n, err
 }
 
 // Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
+func (c *controlConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.traffic.Sent.Add(uint64(n))
 	return n, err
@@ -233,7 +254,7 @@
 		return nil, errors.CombineErrors(errors.Newf("open control: %s", resp.Status), conn.Close())
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return &countedConn{Conn: conn, traffic: p.traffic}, nil
+	return newControlConn(conn, p.traffic), nil
 }
 
 // Reachable reports whether anyone listens at addr.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -7,8 +7,8 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/rpc"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +18,7 @@
 
 	"github.com/daisygate/daisygate/internal/connection/announce"
 	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/connection/limit"
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/connection/peer"
 	"github.com/daisygate/daisygate/internal/process/mesh"
@@ -27,6 +28,8 @@
 	"github.com/daisygate/daisygate/internal/process/settings"
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/process/spread"
+	"github.com/daisygate/daisygate/internal/process/storage"
+	"github.com/daisygate/daisygate/internal/process/telemetry"
 	"github.com/daisygate/daisygate/internal/process/view"
 )
 
@@ -49,11 +52,6 @@
 
 	submitTimeout = 10 * time.Second
 	outboxLimit   = 4096
-	// leaveDelay is how long a leaving daemon keeps answering "not run" while
-	// the fleet learns that it leaves.
-	leaveDelay = time.Second
-	// stopTimeout bounds the wait for requests in progress.
-	stopTimeout = 5 * time.Minute
 )
 
 // Daemon is one running daemon.
@@ -80,7 +78,16 @@
 	token string
 
 	listeners map[string]net.Listener
-	self      view.Node
+	// limits are the bounds around listeners, of the same names.
+	limits map[string]*limit.Listener
+	self   view.Node
+
+	metrics *telemetry.Metrics
+	// traces is nil while no spans are written.
+	traces *telemetry.Traces
+	// lock is nil on an instance without a data folder.
+	lock    *storage.Lock
+	leaving atomic.Bool
 }
 
 // New opens the listeners and the data folder. Run serves.
@@ -89,26 +96,48 @@
 // NewOn is New on listeners that are open already, by name; those missing are
 // opened as the settings say. The daemon owns them from here on.
 func NewOn(set settings.Settings, log logr.Logger, open map[string]net.Listener) (*Daemon, error) {
-	d := &Daemon{set: set, log: log.WithValues("node", set.Node), traffic: &peer.Traffic{}, listeners: map[string]net.Listener{}, drains: newDrains()}
+	d := &Daemon{
+		set: set, log: log.WithValues("node", set.Node), drains: newDrains(),
+		traffic:   &peer.Traffic{MaxMessage: set.Limits.ControlBytes},
+		listeners: map[string]net.Listener{}, limits: map[string]*limit.Listener{},
+	}
 	maps.Copy(d.listeners, open)
+	if err := d.provision(); err != nil {
+		return nil, errors.CombineErrors(err, d.release())
+	}
+	return d, nil
+}
+
+// provision takes what the daemon needs of its instance, and builds it.
+func (d *Daemon) provision() error {
 	var err error
-	if d.token, err = operator.ListenerToken(set.Listen.Operator, set.Operator.TokenFile); err != nil {
-		d.closeListeners()
-		return nil, err
+	if d.token, err = operator.ListenerToken(d.set.Listen.Operator, d.set.Operator.TokenFile); err != nil {
+		return err
+	}
+	if d.set.DataDir != "" {
+		if d.lock, err = storage.LockDir(d.set.DataDir); err != nil {
+			return err
+		}
 	}
-	d.pool = peer.NewPool(d.traffic)
 	if err := d.listen(); err != nil {
-		d.closeListeners()
-		return nil, err
+		return err
+	}
+	if err := d.observe(); err != nil {
+		return err
 	}
-	d.self = view.Node{Name: set.Node, Addr: d.Addr("peer"), Region: set.Region, Domain: set.Domain}
+	d.pool = peer.NewPool(d.traffic)
+	d.self = view.Node{Name: d.set.Node, Addr: d.Addr("peer"), Region: d.set.Region, Domain: d.set.Domain}
 	d.items = peer.NewOutbox(outboxLimit, d.sendItems)
 	d.messages = peer.NewOutbox(outboxLimit, d.sendMessages)
-	if err := d.build(); err != nil {
-		d.closeListeners()
-		return nil, err
-	}
-	return d, nil
+	return d.build()
+}
+
+// release gives back what provision took.
+func (d *Daemon) release() error {
+	d.closeListeners()
+	ctx, cancel := context.WithTimeout(context.Background(), spanFlushTimeout)
+	defer cancel()
+	return errors.CombineErrors(d.traces.Close(ctx), d.lock.Close())
 }
 
 func (d *Daemon) listen() error {
@@ -126,6 +155,7 @@
 		}
 		d.listeners[name] = listener
 	}
+	d.bound()
 	return nil
 }
 
@@ -165,7 +195,7 @@
 	}
 	d.gateway = gateway.New(gateway.Config{
 		Self: d.set.Node, Domain: d.set.Domain, Region: d.set.Region, QueuePerSlot: d.set.Limits.QueuePerSlot,
-		Directory: d.mesh.Directory, Ready: d.Ready,
+		Directory: d.mesh.Directory, Ready: d.Ready, Observer: d.metrics, Tracer: d.tracer(),
 		Claims: d.claims.once, Suspects: newSuspects(d),
 	}, d.log.WithName("gateway"))
 	d.servers = announce.NewServer(d.setServers)
@@ -217,9 +247,9 @@
 	}
 	servers := d.httpServers()
 	for name, server := range servers {
-		group.Go(func() error { return ignoreClosed(server.Serve(d.listeners[name])) })
+		group.Go(func() error { return ignoreClosed(server.Serve(d.limits[name])) })
 	}
-	d.log.Info("serving", "caller", d.Addr("caller"), "announce", d.Addr("announce"), "peer", d.Addr("peer"), "operator", d.Addr("operator"))
+	d.logStart()
 	select {
 	case <-ctx.Done():
 	case <-groupCtx.Done():
@@ -233,7 +263,7 @@
 	d.messages.Close()
 	d.claims.messages.Close()
 	d.pool.Close()
-	return err
+	return errors.CombineErrors(err, d.release())
 }
 
 // stop leaves the fleet first, then waits for what is in progress. New callers
@@ -241,11 +271,12 @@
 // close it with their next answer, because http.Server drops a request that it
 // reads after Shutdown began.
 func (d *Daemon) stop(servers map[string]*http.Server) {
+	d.leaving.Store(true)
 	d.gateway.Leave()
 	d.mesh.Leave()
 	_ = d.listeners["caller"].Close()
-	time.Sleep(leaveDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	time.Sleep(d.set.Stop.LeaveDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), d.set.Stop.Timeout)
 	defer cancel()
 	for _, name := range []string{"caller", "announce", "operator", "peer"} {
 		if err := servers[name].Shutdown(ctx); err != nil {
@@ -261,26 +292,3 @@
 	}
 	return err
 }
-
-func (d *Daemon) httpServers() map[string]*http.Server {
-	control := rpc.NewServer()
-	registerControl(control, d)
-	handlers := map[string]http.Handler{
-		"caller":   http.HandlerFunc(d.gateway.ServeCaller),
-		"announce": d.servers.Handler(),
-		"peer":     peer.Handler(control, http.HandlerFunc(d.gateway.ServePeer), d.traffic),
-		"operator": operator.Handler(operator.Config{
-			Token: d.token, ManifestBytes: d.set.Limits.ManifestBytes, SubmitTimeout: submitTimeout,
-		}, d),
-	}
-	servers := map[string]*http.Server{}
-	for name, handler := range handlers {
-		servers[name] = &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: d.set.Limits.HeaderTimeout,
-			IdleTimeout:       d.set.Limits.IdleTimeout,
-			MaxHeaderBytes:    d.set.Limits.HeaderBytes,
-		}
-	}
-	return servers
-}
--- /dev/null
+++ b/internal/process/daemon/listeners.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"net/http"
+	"net/rpc"
+	"syscall"
+
+	"github.com/daisygate/daisygate/internal/connection/limit"
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/connection/peer"
+	"github.com/daisygate/daisygate/internal/process/telemetry"
+)
+
+const (
+	// spareFiles are the open files kept for everything but connections.
+	spareFiles = 256
+	// minCallerConnections is what callers get, however few files there are.
+	minCallerConnections = 64
+)
+
+// bound puts the limits of the settings around the listeners.
+func (d *Daemon) bound() {
+	limits := d.set.Limits
+	files, err := openFiles()
+	if err != nil {
+		d.log.Error(err, "number of open files unknown")
+	}
+	callers := callerConnections(limits.CallerConnections, limits.PeerConnections+limits.AnnounceConnections+limits.OperatorConnections, files)
+	if callers < limits.CallerConnections {
+		d.log.Info("caller connections lowered to the open files of this process",
+			"setting", limits.CallerConnections, "limit", callers, "open_files", files)
+	}
+	connections := map[string]int{
+		"caller": callers, "announce": limits.AnnounceConnections,
+		"peer": limits.PeerConnections, "operator": limits.OperatorConnections,
+	}
+	for name, most := range connections {
+		d.limits[name] = limit.New(d.listeners[name], limit.Config{Connections: most, StallTimeout: limits.StallTimeout})
+	}
+}
+
+// callerConnections is how many connections callers may hold when the process
+// may open so many files: a call takes two, and the listeners that keep the
+// fleet together are not to run short for callers' sake. files 0 is unknown.
+func callerConnections(wanted, others, files int) int {
+	if files == 0 {
+		return wanted
+	}
+	return min(wanted, max((files-spareFiles-others)/2, minCallerConnections))
+}
+
+// openFiles is the most files this process may open.
+func openFiles() (int, error) {
+	var most syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &most); err != nil {
+		return 0, err
+	}
+	return int(min(most.Cur, 1<<30)), nil
+}
+
+func (d *Daemon) httpServers() map[string]*http.Server {
+	control := rpc.NewServer()
+	registerControl(control, d)
+	handlers := map[string]http.Handler{
+		"caller":   http.HandlerFunc(d.gateway.ServeCaller),
+		"announce": d.servers.Handler(),
+		"peer":     peer.Handler(control, http.HandlerFunc(d.gateway.ServePeer), d.traffic),
+		"operator": telemetry.WithHealth(d.traced(operator.Handler(operator.Config{
+			Token: d.token, ManifestBytes: d.set.Limits.ManifestBytes, SubmitTimeout: submitTimeout, Metrics: d.metrics,
+		}, d)), d.NotReady),
+	}
+	servers := map[string]*http.Server{}
+	for name, handler := range handlers {
+		servers[name] = &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: d.set.Limits.HeaderTimeout,
+			IdleTimeout:       d.set.Limits.IdleTimeout,
+			MaxHeaderBytes:    d.set.Limits.HeaderBytes,
+			ErrorLog:          serverLog(d.log.WithName(name)),
+		}
+	}
+	return servers
+}
--- /dev/null
+++ b/internal/process/daemon/observe.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	stdlog "log"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/process/telemetry"
+)
+
+// spanFlushTimeout bounds the writing of the last spans.
+const spanFlushTimeout = 5 * time.Second
+
+// hopOperator is the span of a request of an operator.
+const hopOperator gateway.Hop = "operator"
+
+// observe opens the metrics and the spans.
+func (d *Daemon) observe() error {
+	began := time.Now()
+	d.metrics = telemetry.NewMetrics(func() telemetry.State { return d.state(time.Since(began)) })
+	var err error
+	d.traces, err = telemetry.OpenTraces(d.set.Trace, d.set.Node, d.set.Domain, d.log.WithName("trace"))
+	return err
+}
+
+// tracer is nil while no spans are written, so that calls cost none.
+func (d *Daemon) tracer() gateway.Tracer {
+	if d.traces == nil {
+		return nil
+	}
+	return d.traces
+}
+
+// traced begins a span for each request of an operator.
+func (d *Daemon) traced(next http.Handler) http.Handler {
+	if d.traces == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r, span := d.traces.Arrive(r, hopOperator)
+		span.Set("http.path", r.URL.Path)
+		defer func() { span.End(telemetry.CodeOf(w.Header())) }()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// logStart tells what people need to know of a process that begins.
+func (d *Daemon) logStart() {
+	s := &d.set
+	d.log.Info("serving",
+		"revision", revision(), "region", s.Region, "domain", s.Domain, "source", s.IsSource(), "data_dir", s.DataDir,
+		"caller", d.Addr("caller"), "announce", d.Addr("announce"), "peer", d.Addr("peer"), "operator", d.Addr("operator"),
+		"token", d.token != "", "trace_file", s.Trace.File, "trace_ratio", s.Trace.SampleRatio)
+}
+
+// revision is the commit this binary was built from, as far as it is known.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
+
+// NotReady says why this daemon should get no requests, or "".
+func (d *Daemon) NotReady() string {
+	s := d.mesh.Status()
+	switch {
+	case d.leaving.Load():
+		return "this daemon is stopping"
+	case s.Version == 0:
+		return "no version has reached this daemon yet"
+	case !d.Ready():
+		return "the version at hand is not yet confirmed as the newest that was accepted"
+	default:
+		return ""
+	}
+}
+
+// state is what the metrics tell of this daemon.
+func (d *Daemon) state(uptime time.Duration) telemetry.State {
+	control := d.mesh.Status()
+	state := telemetry.State{
+		Uptime: uptime, Ready: d.NotReady() == "", Stale: control.Stale, Leaving: d.leaving.Load(),
+		Version: control.Version, Committed: control.Heartbeat.Version,
+		Links: len(control.Links), Nodes: control.Nodes,
+		ControlSent: d.traffic.Sent.Load(), ControlReceived: d.traffic.Received.Load(),
+		Backends: d.gateway.Occupancy(),
+	}
+	state.Servers = len(state.Backends)
+	for name, l := range d.limits {
+		state.Listeners = append(state.Listeners, telemetry.ListenerState{Name: name, Open: l.Open(), Limit: l.Limit(), Refused: l.Refused()})
+	}
+	if d.source != nil {
+		s := d.source.Status()
+		state.Source = &telemetry.SourceState{
+			Role: s.Role, Term: s.Term, Commit: s.Commit, Syncs: s.Syncs, LogBytes: s.LogBytes, Failed: s.Failure != "",
+		}
+	}
+	return state
+}
+
+// serverLog takes in what net/http logs of single connections: detail, for
+// anyone who can reach a listener can cause it.
+func serverLog(log logr.Logger) *stdlog.Logger {
+	return stdlog.New(logWriter{log}, "", 0)
+}
+
+type logWriter struct{ log logr.Logger }
+
+// Write implements io.Writer.
+func (w logWriter) Write(p []byte) (int, error) {
+	w.log.V(1).Info("connection failed", "detail", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -50,8 +50,8 @@
 	// Announce takes the announcements of backend servers. It is a loopback
 	// address unless AnnounceRemote is set: who can reach it can draw requests.
 	Announce string `yaml:"announce"`
-	// AnnounceRemote allows Announce to be another than a loopback address.
-	// Default false.
+	// AnnounceRemote allows Announce to be another than a loopback address;
+	// servers of other instances are refused there all the same. Default false.
 	AnnounceRemote bool `yaml:"announce_remote"`
 	// Peer takes what other daemons send; it is the address they dial.
 	Peer string `yaml:"peer"`
@@ -93,8 +93,9 @@
 	Level int `yaml:"level"`
 	// Format is "json" or "text". Default "json".
 	Format string `yaml:"format"`
-	// RepeatInterval is how long a message that repeats is held back; the next
-	// one tells how many were. 0s holds nothing back. Default 10s.
+	// RepeatInterval is the time in which one message is written ten times at
+	// most; the first after it tells how many were held back. 0s holds nothing
+	// back. Default 10s.
 	RepeatInterval time.Duration `yaml:"repeat_interval"`
 }
 
@@ -117,7 +118,7 @@
 	// IdleTimeout closes idle connections. Default 90s.
 	IdleTimeout time.Duration `yaml:"idle_timeout"`
 	// StallTimeout cuts a request or answer of which no byte could be read or
-	// written for this long. Default 60s.
+	// written for this long. Default 5m.
 	StallTimeout time.Duration `yaml:"stall_timeout"`
 	// CallerConnections is the most connections from callers. One more is
 	// answered with 503 and closed. Default 10000.
@@ -159,7 +160,7 @@
 			HeaderBytes:         64 << 10,
 			HeaderTimeout:       5 * time.Second,
 			IdleTimeout:         90 * time.Second,
-			StallTimeout:        time.Minute,
+			StallTimeout:        5 * time.Minute,
 			CallerConnections:   10000,
 			PeerConnections:     10000,
 			AnnounceConnections: 256,
--- a/internal/process/telemetry/log.go
+++ b/internal/process/telemetry/log.go
@@ -1,8 +1,12 @@
 // Package telemetry builds what lets people see a daemon from outside:
-// structured logs, metrics and traces.
+// structured logs, metrics, traces and health. The packages that decide know
+// nothing of it: they are asked through callbacks, or tell an observer.
 package telemetry
 
 import (
+	"os"
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zapr"
@@ -14,17 +18,30 @@
 
 // NewLog builds the logger that the settings ask for; it writes to stderr.
 func NewLog(cfg settings.Log) (logr.Logger, error) {
-	zapCfg := zap.NewProductionConfig()
-	zapCfg.Sampling = nil
-	zapCfg.Level = zap.NewAtomicLevelAt(zapcore.Level(-cfg.Level))
-	zapCfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	zapCfg.DisableStacktrace = true
-	if cfg.Format == "text" {
-		zapCfg.Encoding = "console"
-	}
-	logger, err := zapCfg.Build()
+	return newLog(cfg, zapcore.Lock(os.Stderr))
+}
+
+func newLog(cfg settings.Log, out zapcore.WriteSyncer) (logr.Logger, error) {
+	encoder, err := newEncoder(cfg.Format)
 	if err != nil {
-		return logr.Discard(), errors.Wrap(err, "build log")
+		return logr.Discard(), err
+	}
+	core := zapcore.NewCore(encoder, out, zap.NewAtomicLevelAt(zapcore.Level(-cfg.Level)))
+	if cfg.RepeatInterval > 0 {
+		core = newRepeats(core, cfg.RepeatInterval, time.Now)
+	}
+	return zapr.NewLogger(zap.New(core)), nil
+}
+
+func newEncoder(format string) (zapcore.Encoder, error) {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	switch format {
+	case settings.LogJSON:
+		return zapcore.NewJSONEncoder(cfg), nil
+	case settings.LogText:
+		return zapcore.NewConsoleEncoder(cfg), nil
+	default:
+		return nil, errors.Newf("log format %q", format)
 	}
-	return zapr.NewLogger(logger), nil
 }
--- /dev/null
+++ b/internal/process/telemetry/state.go
@@ -0,0 +1,107 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/daisygate/daisygate/internal/connection/gateway"
+)
+
+// State is what a daemon tells of itself at a scrape.
+type State struct {
+	// Uptime is the time since the daemon began.
+	Uptime time.Duration
+	// Ready, Stale and Leaving are as at /readyz.
+	Ready, Stale, Leaving bool
+	// Version is the fleet version in force here, Committed the newest that the
+	// sources' heartbeat told of.
+	Version, Committed uint64
+	// Links counts the links to other daemons, Nodes the daemons known, Servers
+	// the backend servers beside this daemon.
+	Links, Nodes, Servers int
+	// ControlSent and ControlReceived are control bytes since the start.
+	ControlSent, ControlReceived uint64
+	// Backends is how full the backend servers beside this daemon are.
+	Backends []gateway.Occupancy
+	// Listeners is the connections of each listener.
+	Listeners []ListenerState
+	// Source is nil on a daemon that is no source.
+	Source *SourceState
+}
+
+// ListenerState is the connections of one listener.
+type ListenerState struct {
+	Name        string
+	Open, Limit int
+	// Refused counts the connections turned away since the start.
+	Refused uint64
+}
+
+// SourceState is the replicated log of a source.
+type SourceState struct {
+	Role         string
+	Term, Commit uint64
+	// Syncs counts disk syncs since the start.
+	Syncs    uint64
+	LogBytes int64
+	// Failed is set while the source can't write.
+	Failed bool
+}
+
+// sourceRoles are the values of the role label.
+var sourceRoles = []string{"follower", "pre-candidate", "candidate", "leader", "learner"}
+
+func (s State) write(w io.Writer) {
+	metrics.WriteGaugeFloat64(w, "daisygate_uptime_seconds", s.Uptime.Seconds())
+	flag(w, "daisygate_ready", s.Ready)
+	flag(w, "daisygate_stale", s.Stale)
+	flag(w, "daisygate_leaving", s.Leaving)
+	metrics.WriteGaugeUint64(w, "daisygate_version_in_force", s.Version)
+	metrics.WriteGaugeUint64(w, "daisygate_version_committed", s.Committed)
+	metrics.WriteGaugeUint64(w, "daisygate_links", uint64(s.Links))
+	metrics.WriteGaugeUint64(w, "daisygate_nodes_known", uint64(s.Nodes))
+	metrics.WriteGaugeUint64(w, "daisygate_backend_servers", uint64(s.Servers))
+	metrics.WriteCounterUint64(w, `daisygate_control_bytes_total{direction="sent"}`, s.ControlSent)
+	metrics.WriteCounterUint64(w, `daisygate_control_bytes_total{direction="received"}`, s.ControlReceived)
+	for _, b := range s.Backends {
+		writeBackend(w, b)
+	}
+	for _, l := range s.Listeners {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("daisygate_listener_connections{listener=%q}", l.Name), uint64(l.Open))
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("daisygate_listener_connections_limit{listener=%q}", l.Name), uint64(l.Limit))
+		metrics.WriteCounterUint64(w, fmt.Sprintf("daisygate_listener_refused_total{listener=%q}", l.Name), l.Refused)
+	}
+	if s.Source != nil {
+		s.Source.write(w)
+	}
+}
+
+func writeBackend(w io.Writer, b gateway.Occupancy) {
+	label := fmt.Sprintf("{server=%q}", b.Server)
+	metrics.WriteGaugeUint64(w, "daisygate_backend_slots_in_use"+label, uint64(b.Running))
+	metrics.WriteGaugeUint64(w, "daisygate_backend_slots_limit"+label, uint64(b.Slots))
+	metrics.WriteGaugeUint64(w, "daisygate_backend_queue_length"+label, uint64(b.Queued))
+	metrics.WriteGaugeFloat64(w, "daisygate_backend_load_per_slot"+label, b.Load)
+}
+
+func (s *SourceState) write(w io.Writer) {
+	for _, role := range sourceRoles {
+		flag(w, fmt.Sprintf("daisygate_source_role{role=%q}", role), s.Role == role)
+	}
+	metrics.WriteGaugeUint64(w, "daisygate_source_term", s.Term)
+	metrics.WriteGaugeUint64(w, "daisygate_source_commit_index", s.Commit)
+	metrics.WriteCounterUint64(w, "daisygate_source_syncs_total", s.Syncs)
+	metrics.WriteGaugeUint64(w, "daisygate_source_log_bytes", uint64(s.LogBytes))
+	flag(w, "daisygate_source_failed", s.Failed)
+}
+
+func flag(w io.Writer, name string, on bool) {
+	value := uint64(0)
+	if on {
+		value = 1
+	}
+	metrics.WriteGaugeUint64(w, name, value)
+}
--- /dev/null
+++ b/internal/process/telemetry/telemetry_test.go
@@ -0,0 +1,106 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+func TestLogLine(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	log, err := newLog(settings.Log{Format: settings.LogJSON, Level: 1}, zapcore.AddSync(&out))
+	c.Assert(err, qt.IsNil)
+	log = log.WithValues("node", "a").WithName("mesh")
+	log.V(1).Info("link up", "peer", "b")
+	log.V(2).Info("not at this level")
+	var line map[string]any
+	c.Assert(json.Unmarshal(out.Bytes(), &line), qt.IsNil)
+	c.Assert(line["node"], qt.Equals, "a")
+	c.Assert(line["logger"], qt.Equals, "mesh")
+	c.Assert(line["msg"], qt.Equals, "link up")
+}
+
+// TestRepeatsAreHeldBack holds that one message can't fill the log, that others
+// are written meanwhile, and that the number held back is told.
+func TestRepeatsAreHeldBack(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	s := repeatState{messages: map[repeatKey]*repeatCount{}}
+	loud, quiet := repeatKey{message: "loud"}, repeatKey{message: "quiet"}
+	written := 0
+	for range 1000 {
+		if _, write := s.count(loud, now, time.Second); write {
+			written++
+		}
+	}
+	c.Assert(written, qt.Equals, repeatBurst)
+	_, write := s.count(quiet, now, time.Second)
+	c.Assert(write, qt.IsTrue)
+	heldBack, write := s.count(loud, now.Add(time.Second), time.Second)
+	c.Assert(write, qt.IsTrue)
+	c.Assert(heldBack, qt.Equals, 1000-repeatBurst)
+}
+
+// TestMetrics holds the names of the metrics, and that two daemons of a process
+// don't share them.
+func TestMetrics(t *testing.T) {
+	c := qt.New(t)
+	state := State{
+		Ready: true, Version: 7, Committed: 9, ControlSent: 5,
+		Backends:  []gateway.Occupancy{{Server: "10.0.0.1:80", Running: 3, Slots: 20, Queued: 2}},
+		Listeners: []ListenerState{{Name: "caller", Open: 4, Limit: 10, Refused: 1}},
+		Source:    &SourceState{Role: "leader", Commit: 12, Syncs: 34},
+	}
+	m, other := NewMetrics(func() State { return state }), NewMetrics(func() State { return State{} })
+	m.Done(gateway.Done{Mesh: "a", Route: "r", Code: result.OK, Duration: 2 * time.Millisecond})
+	m.Done(gateway.Done{Mesh: "a", Route: "r", Code: result.Overloaded, Duration: time.Millisecond})
+	m.Attempt(gateway.Attempt{Mesh: "a", Route: "r", Number: 1, Code: result.DaemonRefused})
+	m.Refused(gateway.Refused{Code: result.Overloaded})
+	for i := range maxSeries + 10 {
+		m.Done(gateway.Done{Mesh: "many", Route: strconv.Itoa(i)})
+	}
+	text := scrape(m)
+	for _, line := range []string{
+		`daisygate_calls_total{mesh="a",route="r",code="000"} 1`,
+		`daisygate_calls_total{mesh="a",route="r",code="212"} 1`,
+		`daisygate_calls_total{mesh="other",route="other",code="000"} 12`,
+		`daisygate_call_duration_seconds_bucket{mesh="a",route="r",le="0.001"} 1`,
+		`daisygate_call_duration_seconds_count{mesh="a",route="r"} 2`,
+		`daisygate_attempts_total{code="218"} 1`,
+		`daisygate_retries_total{mesh="a",route="r"} 1`,
+		`daisygate_gate_refusals_total{code="212"} 1`,
+		`daisygate_backend_slots_in_use{server="10.0.0.1:80"} 3`,
+		`daisygate_backend_queue_length{server="10.0.0.1:80"} 2`,
+		`daisygate_listener_refused_total{listener="caller"} 1`,
+		`daisygate_control_bytes_total{direction="sent"} 5`,
+		`daisygate_version_in_force 7`,
+		`daisygate_version_committed 9`,
+		`daisygate_ready 1`,
+		`daisygate_source_role{role="leader"} 1`,
+		`daisygate_source_syncs_total 34`,
+	} {
+		c.Check(strings.Contains(text, "\n"+line+"\n") || strings.HasPrefix(text, line+"\n"), qt.IsTrue, qt.Commentf("%s", line))
+	}
+	c.Assert(strings.Contains(text, "\ngo_goroutines "), qt.IsTrue)
+	c.Assert(strings.Contains(text, "\nprocess_resident_memory_bytes "), qt.IsTrue)
+	c.Assert(strings.Contains(scrape(other), "daisygate_calls_total"), qt.IsFalse)
+}
+
+func scrape(m *Metrics) string {
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return w.Body.String()
+}
--- /dev/null
+++ b/internal/process/telemetry/trace.go
@@ -0,0 +1,139 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// tracerName names the instrumentation in each span.
+const tracerName = "github.com/daisygate/daisygate"
+
+// Traces writes a span for each hop to a file, one JSON object a line. It
+// implements gateway.Tracer. The trace context travels between processes in the
+// traceparent header (W3C Trace Context).
+type Traces struct {
+	provider *sdktrace.TracerProvider
+	tracer   trace.Tracer
+	context  propagation.TraceContext
+	file     *os.File
+}
+
+// OpenTraces opens the file that the settings name; without one it returns nil,
+// and nothing is spent on spans. The file is appended to.
+func OpenTraces(cfg settings.Trace, node, domain string, log logr.Logger) (*Traces, error) {
+	if cfg.File == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(cfg.File, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o640)
+	if err != nil {
+		return nil, errors.Wrap(err, "trace.file")
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "trace exporter"), file.Close())
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(loggedExporter{exporter, log}),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(cfg.SampleRatio))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "daisygate"),
+			attribute.String("service.instance.id", node),
+			attribute.String("daisygate.domain", domain),
+		)),
+	)
+	return &Traces{provider: provider, tracer: provider.Tracer(tracerName), file: file}, nil
+}
+
+// Close writes what was not yet written and closes the file. A nil Traces has
+// nothing to close.
+func (t *Traces) Close(ctx context.Context) error {
+	if t == nil {
+		return nil
+	}
+	return errors.CombineErrors(t.provider.Shutdown(ctx), t.file.Close())
+}
+
+// Arrive implements gateway.Tracer.
+func (t *Traces) Arrive(r *http.Request, hop gateway.Hop) (*http.Request, gateway.Span) {
+	parent := t.context.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, s := t.tracer.Start(parent, string(hop), trace.WithSpanKind(trace.SpanKindServer))
+	return r.WithContext(ctx), span{s}
+}
+
+// Send implements gateway.Tracer.
+func (t *Traces) Send(ctx context.Context, hop gateway.Hop, header http.Header) gateway.Span {
+	ctx, s := t.tracer.Start(ctx, string(hop), trace.WithSpanKind(trace.SpanKindClient))
+	t.context.Inject(ctx, propagation.HeaderCarrier(header))
+	return span{s}
+}
+
+// Within begins a span of work in this process, such as a commit. It may be
+// called on a nil Traces.
+func (t *Traces) Within(ctx context.Context, name string) (context.Context, gateway.Span) {
+	if t == nil {
+		return ctx, noSpan{}
+	}
+	ctx, s := t.tracer.Start(ctx, name)
+	return ctx, span{s}
+}
+
+// span joins gateway.Span to a span of OpenTelemetry.
+type span struct{ trace.Span }
+
+// Set implements gateway.Span.
+func (s span) Set(key, value string) { s.SetAttributes(attribute.String(key, value)) }
+
+// End implements gateway.Span.
+func (s span) End(code result.Code) {
+	s.SetAttributes(attribute.Int("daisygate.code", int(code)))
+	if code.Outcome() != result.Run {
+		s.SetStatus(codes.Error, code.String())
+	}
+	s.Span.End()
+}
+
+type noSpan struct{}
+
+func (noSpan) Set(string, string) {}
+func (noSpan) End(result.Code)    {}
+
+// loggedExporter logs a failed export, which the SDK would tell only a handler
+// that all daemons of a process share.
+type loggedExporter struct {
+	sdktrace.SpanExporter
+	log logr.Logger
+}
+
+// ExportSpans implements sdktrace.SpanExporter.
+func (e loggedExporter) ExportSpans(ctx context.Context, spans []sdktrace.ReadOnlySpan) error {
+	if err := e.SpanExporter.ExportSpans(ctx, spans); err != nil {
+		e.log.Error(err, "spans lost", "spans", len(spans))
+	}
+	return nil
+}
+
+// CodeOf is the result code in the header of an answer. An answer without one
+// counts as OK.
+func CodeOf(h http.Header) result.Code {
+	code, err := strconv.ParseUint(h.Get(result.HeaderResult), 10, 16)
+	if err != nil {
+		return result.OK
+	}
+	return result.Code(code)
+}
--- a/internal/result/http.go
+++ b/internal/result/http.go
@@ -48,3 +48,11 @@
 	h.Set(HeaderResult, strconv.Itoa(int(c)))
 	h.Set(HeaderOutcome, c.Outcome().String())
 }
+
+// Refuse answers every request with one code, for a router's unknown paths and
+// methods.
+func Refuse(code Code) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		WriteHTTP(w, Errorf(code, "%s %s", r.Method, r.URL.Path))
+	})
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -99,7 +99,11 @@
 	ClaimsUnavailable Code = 243
 	BackendCrashed    Code = 244
 
-	PeerBusy Code = 310
+	HeaderTooLarge     Code = 250
+	TooManyConnections Code = 251
+
+	PeerBusy   Code = 310
+	NotControl Code = 311
 
 	AnnounceInvalid Code = 410
 	AnnounceFull    Code = 411
@@ -133,8 +137,8 @@
 	NotSource:        {"NotSource", NotRun, http.StatusMisdirectedRequest, "This daemon is no source and knows none that answers."},
 	Unauthorized:     {"Unauthorized", NotRun, http.StatusUnauthorized, "The operator token is missing or wrong."},
 	InputTooLarge:    {"InputTooLarge", NotRun, http.StatusRequestEntityTooLarge, "The input is larger than this listener's limit."},
-	UnknownResource:  {"UnknownResource", NotRun, http.StatusNotFound, "The operator API knows no such path, mesh, daemon or backend server."},
-	WrongMethod:      {"WrongMethod", NotRun, http.StatusMethodNotAllowed, "The operator API does not take this method at this path."},
+	UnknownResource:  {"UnknownResource", NotRun, http.StatusNotFound, "This listener knows no such path, mesh, daemon or backend server."},
+	WrongMethod:      {"WrongMethod", NotRun, http.StatusMethodNotAllowed, "This listener does not take this method at this path."},
 	TooManyRequests:  {"TooManyRequests", NotRun, http.StatusTooManyRequests, "The operator API of this daemon admits no more requests now; come back later."},
 	VersionNotHeld:   {"VersionNotHeld", NotRun, http.StatusNotFound, "The content of this accepted version is no longer held; only the version in force is."},
 	NodeUnreachable:  {"NodeUnreachable", Unknown, http.StatusBadGateway, "The daemon that was named did not answer; the order may have been carried out and is safe to repeat."},
@@ -167,6 +171,10 @@
 	ClaimsFull:        {"ClaimsFull", NotRun, http.StatusServiceUnavailable, "The sources hold as many idempotency keys as they may; come back when older ones have expired."},
 	ClaimsUnavailable: {"ClaimsUnavailable", NotRun, http.StatusServiceUnavailable, "No majority of sources can record the idempotency key now; this sending was not run. What an earlier one did is told when they are back."},
 	BackendCrashed:    {"BackendCrashed", Unknown, http.StatusBadGateway, "The backend server crashed while the request was in progress; it may have run."},
+
+	HeaderTooLarge:     {"HeaderTooLarge", NotRun, http.StatusRequestHeaderFieldsTooLarge, "The request line and header are larger than this listener's limit."},
+	TooManyConnections: {"TooManyConnections", NotRun, http.StatusServiceUnavailable, "This listener has as many connections as it takes."},
+	NotControl:         {"NotControl", NotRun, http.StatusBadRequest, "The connection is neither a daemon's control connection nor a call that a daemon passed on."},
 }
 
 // Codes returns every defined code with its name and meaning, in no order.
