Measure recovery: a herd's return, a source's repair, leaves and deaths

Cause: nothing measured how the fleet comes back, nor how soon a leaving server or a dead daemon gets no new work.

Ruled out: asking each daemon over the operator API for what it knows (50 requests a second and a question to every daemon for each); so the daemons that watch share this process, and the one that is killed is a process of its own.

Change: bench recovery kills and starts half of a fleet of processes at once and counts the connections at the sources (/proc/net/tcp) beside both baselines; takes a source's disk and waits for its vote, then kills another source and has a change accepted; times a draining server and a killed daemon until no directory of the fleet lists the server. daemon.Directory gives the directory to whoever runs a daemon in process. bench bytes counts idle connections at a source.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -145,6 +145,9 @@
 	return nil
 }
 
+// SourceAddrs implements fleet.System.
+func (s *System) SourceAddrs() []string { return []string{s.listener.Addr().String()} }
+
 // Close implements fleet.System.
 func (s *System) Close() {
 	s.source.close()
--- a/bench/bytes.go
+++ b/bench/bytes.go
@@ -121,6 +121,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s, %d daemons", s.Name(), s.Size())
 	}
+	connections, err := fleet.Connections(s.SourceAddrs())
+	if err != nil {
+		return err
+	}
+	r.report.Add("idle, connections at a source", s.Name(), float64(s.Size()), report.Count, float64(largest(connections)))
 	b.addIdle(r.report, s, idle)
 	b.addChanges(r.report, s, idle, busy)
 	return b.addMemory(r.report, s)
@@ -143,9 +148,9 @@
 	seconds := idle.took.Seconds()
 	sources, daemons := idle.split(s)
 	rep.Add("idle, received, mean daemon", s.Name(), at, report.BytesPerSec, mean(daemons, received)/seconds)
-	rep.Add("idle, received, max daemon", s.Name(), at, report.BytesPerSec, most(daemons, received)/seconds)
+	rep.Add("idle, received, max daemon", s.Name(), at, report.BytesPerSec, mostOf(daemons, received)/seconds)
 	rep.Add("idle, sent, mean daemon", s.Name(), at, report.BytesPerSec, mean(daemons, sent)/seconds)
-	rep.Add("idle, sent, max source", s.Name(), at, report.BytesPerSec, most(sources, sent)/seconds)
+	rep.Add("idle, sent, max source", s.Name(), at, report.BytesPerSec, mostOf(sources, sent)/seconds)
 	rep.Add("idle, processor, mean daemon", s.Name(), at, report.CorePercent, 100*idle.processor.Seconds()/seconds/at)
 }
 
@@ -155,10 +160,10 @@
 	changes := float64(b.changes)
 	sources, daemons := above.split(s)
 	rep.Add("received a change, mean daemon", s.Name(), at, report.Bytes, mean(daemons, received)/changes)
-	rep.Add("received a change, max daemon", s.Name(), at, report.Bytes, most(daemons, received)/changes)
-	rep.Add("received a change, max source", s.Name(), at, report.Bytes, most(sources, received)/changes)
+	rep.Add("received a change, max daemon", s.Name(), at, report.Bytes, mostOf(daemons, received)/changes)
+	rep.Add("received a change, max source", s.Name(), at, report.Bytes, mostOf(sources, received)/changes)
 	rep.Add("sent a change, all sources", s.Name(), at, report.Bytes, mean(sources, sent)*float64(len(sources))/changes)
-	rep.Add("sent a change, max source", s.Name(), at, report.Bytes, most(sources, sent)/changes)
+	rep.Add("sent a change, max source", s.Name(), at, report.Bytes, mostOf(sources, sent)/changes)
 	rep.Add("processor a change, mean daemon", s.Name(), at, report.Milliseconds, report.Millis(above.processor)/changes/at)
 }
 
--- a/bench/callfleet.go
+++ b/bench/callfleet.go
@@ -123,7 +123,7 @@
 	for member := range f.processes.Size() {
 		for _, path := range []string{pathLocal, pathRemote, pathPool, pathUrgent} {
 			for load.Ask(ctx, f.client, f.url(member, path)) != nil {
-				if !sleep(ctx, submitPause) {
+				if !sleep(ctx, askPause) {
 					return errors.Newf("daemon %d does not answer on %s", member, path)
 				}
 			}
@@ -132,7 +132,7 @@
 	return nil
 }
 
-const submitPause = 20 * time.Millisecond
+const askPause = 20 * time.Millisecond
 
 func (f *callFleet) settings(member int) settings.Settings { return f.processes.Settings(member) }
 
--- a/bench/calls.go
+++ b/bench/calls.go
@@ -61,34 +61,12 @@
 		return err
 	}
 	defer f.close()
-	parts := []struct {
-		name    string
-		measure func(context.Context, *run, *callFleet) error
-	}{
-		{partLatency, c.measureLatency}, {partRamp, c.measureRamp},
-		{partOverload, c.measureOverload}, {partKill, c.measureKills},
-	}
-	for _, part := range parts {
-		if c.skips(part.name) {
-			continue
-		}
-		if err := part.measure(ctx, r, f); err != nil {
-			return err
-		}
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
-		}
-	}
-	return nil
-}
-
-func (c *calls) skips(part string) bool {
-	for _, name := range c.skip {
-		if name == part {
-			return true
-		}
-	}
-	return false
+	return measureParts(ctx, c.skip, []part{
+		{partLatency, func() error { return c.measureLatency(ctx, r, f) }},
+		{partRamp, func() error { return c.measureRamp(ctx, r, f) }},
+		{partOverload, func() error { return c.measureOverload(ctx, r, f) }},
+		{partKill, func() error { return c.measureKills(ctx, r, f) }},
+	})
 }
 
 // capacity is the most calls a second that the slots of the pool can run.
--- a/bench/fleet/announcer.go
+++ b/bench/fleet/announcer.go
@@ -36,16 +36,18 @@
 type Announcer struct {
 	fleet    Announced
 	services int
-	http     *http.Client
-	stop     context.CancelFunc
-	wait     sync.WaitGroup
+	// first is the number of the first member's server.
+	first int
+	http  *http.Client
+	stop  context.CancelFunc
+	wait  sync.WaitGroup
 }
 
-// NewAnnouncer announces a server beside each daemon, the services dealt round,
-// and renews the leases until Close.
-func NewAnnouncer(f Announced, services int) *Announcer {
+// NewAnnouncer announces a server beside each daemon, the services dealt round
+// from the one numbered first, and renews the leases until Close.
+func NewAnnouncer(f Announced, services, first int) *Announcer {
 	ctx, stop := context.WithCancel(context.Background())
-	a := &Announcer{fleet: f, services: services, http: &http.Client{Timeout: announceTimeout}, stop: stop}
+	a := &Announcer{fleet: f, services: services, first: first, http: &http.Client{Timeout: announceTimeout}, stop: stop}
 	a.wait.Go(func() { a.renew(ctx) })
 	return a
 }
@@ -65,9 +67,10 @@
 
 // Announce puts the server beside a member into a state.
 func (a *Announcer) Announce(ctx context.Context, member int, state string) error {
+	server := a.first + member
 	raw, err := json.Marshal(announce.Announcement{
-		Mesh: MeshName, Service: ServiceName(member % a.services),
-		Address: fmt.Sprintf("127.1.%d.%d:8000", member/250, member%250+1),
+		Mesh: MeshName, Service: ServiceName(server % a.services),
+		Address: fmt.Sprintf("127.1.%d.%d:8000", server/nodesPerBlock, server%nodesPerBlock+1),
 		Slots:   announcedSlots, Connections: announcedConnections, State: state, LeaseSeconds: leaseSeconds,
 	})
 	if err != nil {
--- a/bench/fleet/layout.go
+++ b/bench/fleet/layout.go
@@ -26,6 +26,9 @@
 	Domains int
 	// Dir is where data folders, settings and logs go.
 	Dir string
+	// Outside is how many of the last daemons a Shared fleet leaves to processes
+	// of their own (Shared.StartOutside).
+	Outside int
 }
 
 // The addresses of nodes are 127.A.B.C: A by process, B by fleet, C by node.
@@ -88,7 +91,7 @@
 	}
 	for i := range nodes {
 		nodes[i].Source.Members = membersOf(nodes)
-		nodes[i].Seeds = seedsOf(nodes)
+		nodes[i].Seeds = sourceAddrs(nodes)
 	}
 	return nodes, nil
 }
@@ -101,10 +104,11 @@
 	return members
 }
 
-func seedsOf(nodes []settings.Settings) []string {
-	var seeds []string
+// sourceAddrs returns the peer addresses of the sources.
+func sourceAddrs(nodes []settings.Settings) []string {
+	var addrs []string
 	for _, n := range nodes[:sourceCount] {
-		seeds = append(seeds, n.Listen.Peer)
+		addrs = append(addrs, n.Listen.Peer)
 	}
-	return seeds
+	return addrs
 }
--- a/bench/fleet/processes.go
+++ b/bench/fleet/processes.go
@@ -80,8 +80,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return startProcesses(program, o.Dir, nodes, newOperators(nodes))
+}
+
+func startProcesses(program, dir string, nodes []settings.Settings, operators *operators) (*Processes, error) {
 	p := &Processes{
-		program: program, dir: o.Dir, nodes: nodes, operators: newOperators(nodes),
+		program: program, dir: dir, nodes: nodes, operators: operators,
 		http: &http.Client{Timeout: statusTimeout},
 	}
 	for range nodes {
@@ -153,6 +157,9 @@
 // Sources implements System.
 func (p *Processes) Sources() int { return sourceCount }
 
+// SourceAddrs implements System.
+func (p *Processes) SourceAddrs() []string { return sourceAddrs(p.nodes) }
+
 // Submit implements System.
 func (p *Processes) Submit(ctx context.Context, m *manifest.Manifest) (uint64, error) {
 	return p.operators.submit(ctx, m)
@@ -197,6 +204,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.before = p.Usage(member)
+	m.asked = time.Time{}
 	p.kill(m)
 	return p.start(member)
 }
--- a/bench/fleet/shared.go
+++ b/bench/fleet/shared.go
@@ -13,8 +13,10 @@
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
-// Shared is a fleet of daemons that share this process.
+// Shared is a fleet of daemons that share this process. Its members are those
+// daemons alone, without any outside of it.
 type Shared struct {
+	dir       string
 	nodes     []settings.Settings
 	members   []*sharedMember
 	operators *operators
@@ -36,11 +38,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Shared{nodes: nodes, operators: newOperators(nodes)}
-	for range nodes {
+	s := &Shared{dir: o.Dir, nodes: nodes, operators: newOperators(nodes)}
+	for range o.Size - o.Outside {
 		s.members = append(s.members, &sharedMember{})
 	}
-	for i := range nodes {
+	for i := range s.members {
 		if err := s.start(i); err != nil {
 			s.Close()
 			return nil, err
@@ -49,6 +51,11 @@
 	return s, nil
 }
 
+// StartOutside starts the daemons that were left outside of this process.
+func (s *Shared) StartOutside(program string) (*Processes, error) {
+	return startProcesses(program, s.dir, s.nodes[len(s.members):], s.operators)
+}
+
 func (s *Shared) start(i int) error {
 	d, err := daemon.New(s.nodes[i], logr.Discard())
 	if err != nil {
@@ -85,6 +92,9 @@
 // Sources implements System.
 func (s *Shared) Sources() int { return sourceCount }
 
+// SourceAddrs implements System.
+func (s *Shared) SourceAddrs() []string { return sourceAddrs(s.nodes) }
+
 // Submit implements System.
 func (s *Shared) Submit(ctx context.Context, m *manifest.Manifest) (uint64, error) {
 	return s.operators.submit(ctx, m)
--- a/bench/fleet/system.go
+++ b/bench/fleet/system.go
@@ -25,6 +25,8 @@
 	Size() int
 	// Sources is how many of the members, the first ones, take in changes.
 	Sources() int
+	// SourceAddrs are the sources' addresses for control connections.
+	SourceAddrs() []string
 	// Submit hands in a manifest and returns once it is accepted, with the
 	// version that members report when it is in force.
 	Submit(ctx context.Context, m *manifest.Manifest) (uint64, error)
@@ -39,7 +41,7 @@
 	Close()
 }
 
-// pollEvery is how often WaitVersion looks.
+// pollEvery is how often WaitEach looks.
 const pollEvery = time.Millisecond
 
 // Members returns the numbers of all members.
@@ -52,14 +54,20 @@
 }
 
 // WaitVersion waits until the given members have a version or ctx ends, and
-// returns those that still lack it. seen, if not nil, is called once for each
-// member with the time at which it was found to have the version.
+// returns those that still lack it. seen is as for WaitEach.
 func WaitVersion(ctx context.Context, s System, members []int, version uint64, seen func(member int, at time.Time)) []int {
+	return WaitEach(ctx, members, func(member int) bool { return s.Version(member) >= version }, seen)
+}
+
+// WaitEach waits until a condition held once for each of the given members or
+// ctx ends, and returns those for which it did not. seen, if not nil, is called
+// once for each other member with the time at which it was found to hold.
+func WaitEach(ctx context.Context, members []int, condition func(member int) bool, seen func(member int, at time.Time)) []int {
 	waiting := slices.Clone(members)
 	for {
 		left := waiting[:0]
 		for _, member := range waiting {
-			if s.Version(member) < version {
+			if !condition(member) {
 				left = append(left, member)
 				continue
 			}
--- a/bench/systems.go
+++ b/bench/systems.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	if announced, ok := system.(fleet.Announced); ok {
-		announcer := fleet.NewAnnouncer(announced, shape.Services)
+		announcer := fleet.NewAnnouncer(announced, shape.Services, 0)
 		defer announcer.Close()
 		if !sleep(ctx, r.settle) {
 			return context.Cause(ctx)
--- a/bench/usage.go
+++ b/bench/usage.go
@@ -85,10 +85,10 @@
 	return sum / float64(max(1, len(members)))
 }
 
-func most(members []fleet.Usage, of func(fleet.Usage) float64) float64 {
-	largest := 0.0
+func mostOf(members []fleet.Usage, of func(fleet.Usage) float64) float64 {
+	most := 0.0
 	for _, m := range members {
-		largest = max(largest, of(m))
+		most = max(most, of(m))
 	}
-	return largest
+	return most
 }
