Prove the source by golden sessions and by stateful fuzzing

Change: seven sessions (election, lost answer, racing operators, lost disk and a second loss, partition of the leader, full disk, torn and damaged log) and TestFaults: 3 and 5 sources over the real log format in memory folders that lose what was not synced; cuts, delays, duplicates, reorders, crashes, full disks, lost disks one at a time; the oracle is the plain list of accepted versions.

--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -27,6 +27,8 @@
 	// fault is the first broken promise.
 	fault string
 	seed  uint64
+	// compactAfter is passed to each node.
+	compactAfter uint64
 }
 
 type testMember struct {
@@ -34,12 +36,14 @@
 	dir     *memDir
 	node    *quorum.Node[Answer]
 	machine *machine
+	// checked is the fleet version up to which the oracle was asked.
+	checked uint64
 	// lost is set from the loss of the disk until the member votes again.
 	lost bool
 }
 
-func newTestCluster(n int) *testCluster {
-	c := &testCluster{members: map[string]*testMember{}, cut: map[[2]string]bool{}}
+func newTestCluster(n int, compactAfter uint64) *testCluster {
+	c := &testCluster{compactAfter: compactAfter, members: map[string]*testMember{}, cut: map[[2]string]bool{}}
 	for i := range n {
 		id := string(rune('a' + i))
 		c.ids = append(c.ids, id)
@@ -60,10 +64,11 @@
 		return err
 	}
 	c.seed++
+	m.checked = 0
 	m.machine = newMachine(logr.Discard(), func(*fleet.State) {})
-	m.node, err = quorum.NewNode(replica.Config{
+	m.node, err = quorum.NewNode(quorum.NodeConfig{CompactAfter: c.compactAfter, Config: replica.Config{
 		ID: id, Members: c.ids, ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
-	}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
+	}}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
 	return err
 }
 
@@ -107,14 +112,18 @@
 	if status.Repair.State == replica.RepairDone || status.Repair.State == replica.RepairNone {
 		m.lost = false
 	}
-	for i, line := range m.machine.all() {
-		if i == len(c.accepted) {
+	if m.machine.state.Version == m.checked {
+		return
+	}
+	for _, line := range m.machine.all() {
+		if line.Fleet == uint64(len(c.accepted))+1 {
 			c.accepted = append(c.accepted, line)
 		}
-		if c.accepted[i] != line {
-			c.blame("%s has %+v as fleet version %d, accepted was %+v", m.id, line, i+1, c.accepted[i])
+		if line.Fleet > m.checked && c.accepted[line.Fleet-1] != line {
+			c.blame("%s has %+v, accepted was %+v", m.id, line, c.accepted[line.Fleet-1])
 		}
 	}
+	m.checked = m.machine.state.Version
 }
 
 func (c *testCluster) blame(format string, args ...any) {
--- a/internal/process/source/fuzz_test.go
+++ b/internal/process/source/fuzz_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/daisygate/daisygate/internal/process/replica"
 )
 
 // TestMain fixes the seed, so that each run tries the same sequences; pass
@@ -36,14 +38,22 @@
 	t *rapid.T
 	// versions is the highest version submitted of each mesh.
 	versions map[string]uint64
+	// held are messages that travel for long.
+	held []replica.Message
 }
 
+// fuzzCompactAfter makes snapshots frequent.
+const fuzzCompactAfter = 5
+
 func faults(t *rapid.T, n int) {
-	f := &faulty{testCluster: newTestCluster(n), t: t, versions: map[string]uint64{}}
-	f.run(60)
+	f := &faulty{testCluster: newTestCluster(n, fuzzCompactAfter), t: t, versions: map[string]uint64{}}
+	if rapid.Bool().Draw(t, "started") {
+		f.run(60)
+	}
 	actions := []func(){
-		f.submitSome, f.submitSome, f.deliverSome, f.deliverSome, f.deliverSome, f.tickSome, f.tickSome, f.runSome,
-		f.dropSome, f.toggleLink, f.crashOne, f.startAll, f.loseOne, f.fillDisk,
+		f.submitSome, f.submitSome, f.deliverSome, f.deliverSome, f.deliverTo, f.deliverTo, f.campaign, f.campaign,
+		f.runSome, f.runSome, f.dropSome, f.partition, f.partition, f.healLinks, f.crashOne, f.startAll, f.startAll,
+		f.loseOne, f.fillDisk, f.hold, f.release,
 	}
 	for range rapid.IntRange(20, 120).Draw(t, "steps") {
 		actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
@@ -77,8 +87,8 @@
 		}
 	}
 	f.up(func(m *testMember) {
-		if m.lost || len(m.machine.all()) != len(f.accepted) {
-			f.t.Fatalf("%s is behind: %d of %d, %+v", m.id, len(m.machine.all()), len(f.accepted), m.node.Status())
+		if version := m.machine.state.Version; m.lost || version != uint64(len(f.accepted)) {
+			f.t.Fatalf("%s is behind: %d of %d, %+v", m.id, version, len(f.accepted), m.node.Status())
 		}
 	})
 	if f.fault != "" {
@@ -86,15 +96,16 @@
 	}
 }
 
+// pick draws a member, the leader more often than others.
 func (f *faulty) pick() *testMember {
+	if leader := f.leader(); leader != nil && rapid.IntRange(0, 2).Draw(f.t, "leader") == 0 {
+		return leader
+	}
 	return f.members[rapid.SampledFrom(f.ids).Draw(f.t, "member")]
 }
 
 func (f *faulty) submitSome() {
 	m := f.pick()
-	if leader := f.leader(); leader != nil && rapid.Bool().Draw(f.t, "to leader") {
-		m = leader
-	}
 	if m.node == nil {
 		return
 	}
@@ -116,7 +127,31 @@
 	}
 }
 
-func (f *faulty) tickSome() {
+// hold keeps copies of what is under way, for release to bring them late.
+func (f *faulty) hold() {
+	if rapid.Bool().Draw(f.t, "moved") {
+		f.held, f.net = append(f.held, f.net...), nil
+		return
+	}
+	f.held = append(f.held, f.net...)
+}
+
+func (f *faulty) release() { f.net, f.held = append(f.net, f.held...), nil }
+
+// deliverTo delivers what waits for one member, in order.
+func (f *faulty) deliverTo() {
+	to := f.pick().id
+	for i := 0; i < len(f.net); {
+		if f.net[i].To != to {
+			i++
+			continue
+		}
+		f.deliver(i, false)
+	}
+}
+
+// campaign lets time pass at one member only.
+func (f *faulty) campaign() {
 	m := f.pick()
 	for range rapid.IntRange(1, 25).Draw(f.t, "ticks") {
 		if m.node != nil {
@@ -134,11 +169,21 @@
 	}
 }
 
-func (f *faulty) toggleLink() {
-	a, b := f.pick().id, f.pick().id
-	f.setLink(a, b, !f.cut[[2]string{a, b}])
+// partition parts the sources in two.
+func (f *faulty) partition() {
+	side := map[string]bool{}
+	for _, id := range f.ids {
+		side[id] = rapid.Bool().Draw(f.t, "side")
+	}
+	for _, a := range f.ids {
+		for _, b := range f.ids {
+			f.setLink(a, b, side[a] != side[b])
+		}
+	}
 }
 
+func (f *faulty) healLinks() { clear(f.cut) }
+
 func (f *faulty) crashOne() {
 	f.crash(f.pick().id, rapid.IntRange(0, 200).Draw(f.t, "torn"), rapid.Bool().Draw(f.t, "old names"))
 }
@@ -172,7 +217,7 @@
 // TestAnswerBeforeCommit holds that a cut-off leader accepts nothing.
 func TestAnswerBeforeCommit(t *testing.T) {
 	c := qt.New(t)
-	cl := newTestCluster(3)
+	cl := newTestCluster(3, 0)
 	cl.run(60)
 	leader := cl.leader()
 	cl.isolate(leader.id, true)
--- /dev/null
+++ b/internal/process/source/golden_test.go
@@ -0,0 +1,193 @@
+package source
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// TestSessions replays whole sessions of a group of sources; testdata holds
+// what each member tells and what operators are answered.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		s := &session{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			out := s.command(t, d)
+			if s.cluster.fault != "" {
+				t.Fatal(s.cluster.fault)
+			}
+			return out
+		})
+	})
+}
+
+type session struct {
+	cluster *testCluster
+	// pending are submits whose answers were not shown, in order.
+	pending []*Answer
+}
+
+// command runs one directive; bare letters name members.
+func (s *session) command(t *testing.T, d *datadriven.TestData) string {
+	var ids []string
+	for _, arg := range d.CmdArgs {
+		if len(arg.Vals) == 0 && len(arg.Key) == 1 {
+			ids = append(ids, arg.Key)
+		}
+	}
+	switch d.Cmd {
+	case "cluster":
+		var n int
+		d.ScanArgs(t, "n", &n)
+		s.cluster = newTestCluster(n, 0)
+		if d.HasArg("without") {
+			var id string
+			d.ScanArgs(t, "without", &id)
+			s.cluster.crash(id, 0, true)
+		}
+		s.cluster.run(30)
+	case "run":
+		var ticks int
+		d.ScanArgs(t, "ticks", &ticks)
+		s.cluster.run(ticks)
+	case "submit":
+		if len(ids) == 0 {
+			ids = []string{s.cluster.leader().id}
+		}
+		return s.submit(t, d, ids[0])
+	case "answers":
+		return s.answers()
+	case "deliver", "drop":
+		s.messages(d.Cmd, ids)
+	default:
+		return s.each(t, d, ids)
+	}
+	return s.status()
+}
+
+// messages delivers, in order, or drops what waits for the members.
+func (s *session) messages(cmd string, ids []string) {
+	for _, id := range ids {
+		for i := 0; i < len(s.cluster.net); {
+			if s.cluster.net[i].To != id {
+				i++
+				continue
+			}
+			s.cluster.cut[[2]string{s.cluster.net[i].From, id}] = cmd == "drop"
+			s.cluster.deliver(i, false)
+		}
+		s.cluster.isolate(id, false)
+	}
+}
+
+// each does something to each of the members and shows them all.
+func (s *session) each(t *testing.T, d *datadriven.TestData, ids []string) string {
+	for _, id := range ids {
+		m := s.cluster.members[id]
+		switch d.Cmd {
+		case "cut":
+			s.cluster.isolate(id, true)
+		case "heal":
+			s.cluster.isolate(id, false)
+		case "crash":
+			s.cluster.crash(id, 0, false)
+		case "lose-disk":
+			s.cluster.loseDisk(id)
+		case "fill-disk":
+			m.dir.full = true
+		case "append-garbage":
+			m.dir.names["log"].data = append(m.dir.names["log"].data, magicGarbage...)
+		case "damage":
+			var offset int
+			d.ScanArgs(t, "offset", &offset)
+			m.dir.names["log"].data[offset] ^= 1
+		case "start":
+			if err := s.cluster.start(id); err != nil {
+				return err.Error()
+			}
+		default:
+			t.Fatalf("unknown directive %s", d.Cmd)
+		}
+	}
+	return s.status()
+}
+
+// magicGarbage begins like a record and is none.
+const magicGarbage = "\xd5DG1\x10\x00\x00\x00torn"
+
+func (s *session) submit(t *testing.T, d *datadriven.TestData, at string) string {
+	var mesh, content string
+	var version uint64
+	d.ScanArgs(t, "mesh", &mesh)
+	d.ScanArgs(t, "version", &version)
+	d.ScanArgs(t, "content", &content)
+	m := testManifest(mesh, version, content)
+	if d.HasArg("host") {
+		m.Hosts = make([]string, 1)
+		d.ScanArgs(t, "host", &m.Hosts[0])
+	}
+	times := 1
+	if d.HasArg("times") {
+		d.ScanArgs(t, "times", &times)
+	}
+	for i := range times {
+		s.submitOne(at, m, version+uint64(i))
+	}
+	if !d.HasArg("wait") {
+		return "pending"
+	}
+	s.cluster.run(1)
+	return s.answers()
+}
+
+func (s *session) submitOne(at string, m *manifest.Manifest, version uint64) {
+	copied := *m
+	copied.Version = version
+	s.pending = append(s.pending, s.cluster.submit(s.cluster.members[at], &copied))
+	if version%10 == 0 {
+		s.cluster.run(1)
+	}
+}
+
+// answers shows the last answer of a submit and forgets all.
+func (s *session) answers() string {
+	if len(s.pending) == 0 {
+		return "none"
+	}
+	a := s.pending[len(s.pending)-1]
+	s.pending = nil
+	if a.Code == 0 {
+		return "no answer yet"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s fleet=%d", a.Code, a.Fleet)
+	if a.Winner != nil {
+		fmt.Fprintf(&b, " winner=%s/%d fleet=%d", a.Winner.Mesh, a.Winner.Version, a.Winner.Fleet)
+	}
+	if a.Detail != "" {
+		fmt.Fprintf(&b, " (%s)", a.Detail)
+	}
+	return b.String()
+}
+
+func (s *session) status() string {
+	var b strings.Builder
+	for _, id := range s.cluster.ids {
+		m := s.cluster.members[id]
+		if m.node == nil {
+			fmt.Fprintf(&b, "%s down\n", id)
+			continue
+		}
+		st := m.node.Status()
+		fmt.Fprintf(&b, "%s %s term=%d lead=%s commit=%d version=%d repair=%s", id, st.Role, st.Term, st.Lead, st.Commit, m.machine.state.Version, st.Repair.State)
+		if st.Failure != "" {
+			fmt.Fprintf(&b, " failure=%q", st.Failure)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
