--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -172,7 +172,7 @@
 		return Answer{Code: result.VersionConflict, Winner: first}, true
 	}
 	if newest := m.newest(mf.Mesh); newest != nil && mf.Version < newest.Version {
-		return Answer{Code: result.VersionOld, Winner: newest}, true
+		return Answer{Code: result.VersionOld, Winner: newest, Detail: m.forgotten(mf)}, true
 	}
 	if clash := m.routes.clash(mf); clash != nil {
 		return Answer{Code: result.RouteConflict, Winner: m.newest(clash.mesh), Detail: clash.String()}, true
@@ -180,6 +180,15 @@
 	return Answer{}, false
 }
 
+// forgotten says so when the version may have been accepted, too long ago.
+func (m *machine) forgotten(mf *manifest.Manifest) string {
+	lines := m.history[mf.Mesh]
+	if len(lines) < historyLimit || mf.Version > lines[0].Version {
+		return ""
+	}
+	return "it is older than the kept history, which does not tell whether it was accepted"
+}
+
 func (m *machine) newest(mesh string) *Accepted {
 	lines := m.history[mesh]
 	if len(lines) == 0 {
