--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -27,8 +27,9 @@
 	// fault is the first broken promise.
 	fault string
 	seed  uint64
-	// compactAfter is passed to each node.
+	// compactAfter and historyLimit are passed to each node.
 	compactAfter uint64
+	historyLimit int
 }
 
 type testMember struct {
@@ -66,6 +67,9 @@
 	c.seed++
 	m.checked = 0
 	m.machine = newMachine(logr.Discard(), func(*fleet.State) {})
+	if c.historyLimit > 0 {
+		m.machine.limit = c.historyLimit
+	}
 	m.node, err = quorum.NewNode(quorum.NodeConfig{CompactAfter: c.compactAfter, Config: replica.Config{
 		ID: id, Members: c.ids, ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
 	}}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
--- a/internal/process/source/golden_test.go
+++ b/internal/process/source/golden_test.go
@@ -44,6 +44,11 @@
 		var n int
 		d.ScanArgs(t, "n", &n)
 		s.cluster = newTestCluster(n, 0)
+		if d.HasArg("history") {
+			d.ScanArgs(t, "history", &s.cluster.historyLimit)
+			s.cluster.compactAfter = uint64(s.cluster.historyLimit)
+			s.restartAll(t)
+		}
 		if d.HasArg("without") {
 			var id string
 			d.ScanArgs(t, "without", &id)
@@ -69,6 +74,15 @@
 	return s.status()
 }
 
+func (s *session) restartAll(t *testing.T) {
+	for _, id := range s.cluster.ids {
+		s.cluster.crash(id, 0, false)
+		if err := s.cluster.start(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // messages delivers, in order, or drops what waits for the members.
 func (s *session) messages(cmd string, ids []string) {
 	for _, id := range ids {
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -52,7 +52,9 @@
 	// history of each mesh, oldest first.
 	history map[string][]Accepted
 	routes  routeIndex
-	log     logr.Logger
+	// limit is the most lines kept of one mesh.
+	limit int
+	log   logr.Logger
 	// onState is called with each new state.
 	onState func(*fleet.State)
 }
@@ -60,7 +62,7 @@
 func newMachine(log logr.Logger, onState func(*fleet.State)) *machine {
 	return &machine{
 		state: fleet.Empty(), history: map[string][]Accepted{}, routes: routeIndex{},
-		log: log, onState: onState,
+		limit: historyLimit, log: log, onState: onState,
 	}
 }
 
@@ -156,8 +158,8 @@
 
 func (m *machine) remember(line Accepted) {
 	lines := append(m.history[line.Mesh], line)
-	if len(lines) > historyLimit {
-		lines = slices.Clone(lines[len(lines)-historyLimit:])
+	if len(lines) > m.limit {
+		lines = slices.Clone(lines[len(lines)-m.limit:])
 	}
 	m.history[line.Mesh] = lines
 }
@@ -183,7 +185,7 @@
 // forgotten says so when the version may have been accepted, too long ago.
 func (m *machine) forgotten(mf *manifest.Manifest) string {
 	lines := m.history[mf.Mesh]
-	if len(lines) < historyLimit || mf.Version > lines[0].Version {
+	if len(lines) < m.limit || mf.Version > lines[0].Version {
 		return ""
 	}
 	return "it is older than the kept history, which does not tell whether it was accepted"
