--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -73,10 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := NewNode(NodeConfig{Config: replica.Config{
+	node, err := NewNode(replica.Config{
 		ID: cfg.ID, Members: cfg.Members,
 		ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks, Seed: cfg.Seed,
-	}}, restored, disk, machine, transport.Send, log)
+	}, restored, disk, machine, transport.Send, log)
 	if err != nil {
 		return nil, errors.CombineErrors(err, disk.Close())
 	}
--- a/internal/process/quorum/node.go
+++ b/internal/process/quorum/node.go
@@ -28,18 +28,9 @@
 	compactBytes = 4 << 20
 )
 
-// NodeConfig is fixed for the life of a Node.
-type NodeConfig struct {
-	replica.Config
-	// CompactAfter is the number of entries after which a snapshot replaces
-	// them; 0 means 256.
-	CompactAfter uint64
-}
-
 // Node is one member of a group, driven synchronously. It is not safe for
 // concurrent use.
 type Node[R any] struct {
-	cfg     NodeConfig
 	core    *replica.Core
 	disk    Storage
 	machine StateMachine[R]
@@ -52,27 +43,30 @@
 	// observedTerm and observedLead are what a failed member hears of.
 	observedTerm uint64
 	observedLead string
+	// compactAfter is the number of entries that may call for a snapshot.
+	compactAfter uint64
 	// snapshotBytes is the size of the last snapshot.
 	snapshotBytes int
 }
 
 // NewNode joins what was restored from disk to the state machine.
-func NewNode[R any](cfg NodeConfig, restored replica.Restored, disk Storage, machine StateMachine[R],
+func NewNode[R any](cfg replica.Config, restored replica.Restored, disk Storage, machine StateMachine[R],
 	send func(to string, messages []replica.Message), log logr.Logger) (*Node[R], error) {
-	if cfg.CompactAfter == 0 {
-		cfg.CompactAfter = compactAfter
-	}
 	if restored.Snapshot.Index > 0 {
 		if err := machine.Restore(restored.Snapshot.Data); err != nil {
 			return nil, err
 		}
 	}
 	return &Node[R]{
-		cfg: cfg, core: replica.New(cfg.Config, restored), disk: disk, machine: machine, send: send, log: log,
+		compactAfter: compactAfter, core: replica.New(cfg, restored), disk: disk, machine: machine, send: send, log: log,
 		waiters: map[uint64]waiter[R]{}, snapshotBytes: len(restored.Snapshot.Data),
 	}, nil
 }
 
+// SetCompactAfter sets the number of entries after which a snapshot may replace
+// them; 256 unless set.
+func (n *Node[R]) SetCompactAfter(entries uint64) { n.compactAfter = entries }
+
 // Tick advances time by one unit.
 func (n *Node[R]) Tick() {
 	if n.failed == nil {
@@ -229,7 +223,7 @@
 func (n *Node[R]) compactDue() bool {
 	entries := n.core.Applied() - n.core.SnapshotIndex()
 	grown := n.disk.Size() - int64(n.snapshotBytes)
-	if entries >= n.cfg.CompactAfter {
+	if entries >= n.compactAfter {
 		return grown > int64(n.snapshotBytes)
 	}
 	return grown > compactBytes+int64(n.snapshotBytes)
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -70,9 +70,12 @@
 	if c.historyLimit > 0 {
 		m.machine.limit = c.historyLimit
 	}
-	m.node, err = quorum.NewNode(quorum.NodeConfig{CompactAfter: c.compactAfter, Config: replica.Config{
+	m.node, err = quorum.NewNode(replica.Config{
 		ID: id, Members: c.ids, ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
-	}}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
+	}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
+	if err == nil && c.compactAfter > 0 {
+		m.node.SetCompactAfter(c.compactAfter)
+	}
 	return err
 }
 
