Tell a reused key by the body too

Cause: a key was claimed before the request's small body was read, so a key used anew for another body of the same length got the first request's answer. Ruled out: hashing large bodies (they are streamed, and the claim must come first). Test: TestResendGetsFirstAnswer sends "transfer RACE" after "transfer race"; before it was told 000 OK with the first answer.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -47,9 +47,8 @@
 		return
 	}
 	defer g.exit(x.route.Mesh)
-	if x.admitted() {
-		x.run()
-	}
+	x.hooked = &Request{Mesh: x.route.Mesh, Service: x.route.Service, Repeatable: x.route.Repeatable, HTTP: x.r}
+	x.run()
 }
 
 // refuse gives the final answer without a run.
@@ -88,18 +87,12 @@
 	return nil
 }
 
-// admitted asks the hooks; without true, the caller is answered.
-func (x *exchange) admitted() bool {
-	x.hooked = &Request{Mesh: x.route.Mesh, Service: x.route.Service, Repeatable: x.route.Repeatable, HTTP: x.r}
-	return x.claim()
-}
-
 // run takes the request to its one final answer.
 func (x *exchange) run() {
 	settlement := Settlement{Code: result.AnswerLost}
 	defer func() { x.settle(settlement) }()
 	parent := x.r.Context()
-	if x.claimed {
+	if x.keyed() {
 		parent = context.WithoutCancel(parent)
 	}
 	ctx, win, cancel := newWindow(parent, time.Until(x.deadline))
@@ -107,18 +100,20 @@
 	x.window = win
 	body, err := newRequestBody(x.w, x.r, win, x.route.Timeout)
 	if err != nil {
-		settlement.Code = result.BadRequest
 		x.refuse(refuse(result.BadRequest, "the body did not come whole: "+err.Error()))
 		return
 	}
 	x.body = body
 	pin, refused := x.screen()
 	if refused != nil {
-		settlement.Code = refused.Code
 		x.refuse(refused)
 		body.settle()
 		return
 	}
+	if !x.claim() {
+		body.settle()
+		return
+	}
 	resp, refused := x.dispatch(ctx, pin)
 	if refused != nil {
 		settlement.Code = refused.Code
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -21,7 +21,7 @@
 	// Repeatable is known to the first daemon only.
 	Repeatable bool
 	HTTP       *http.Request
-	// Body is the whole body if it is small, else nil; Suspects see it.
+	// Body is the whole body if it is small, else nil.
 	Body []byte
 	// Alone is set once the request runs with no other beside it.
 	Alone bool
@@ -136,10 +136,14 @@
 	return g.cfg.Suspects.Begin(addr, r)
 }
 
+func (x *exchange) keyed() bool {
+	return x.g.cfg.Claims != nil && x.r.Header.Get(HeaderIdempotencyKey) != ""
+}
+
 // claim asks for the claim of a request with a key. proceed is false when the
 // caller was answered here.
 func (x *exchange) claim() (proceed bool) {
-	if x.g.cfg.Claims == nil || x.r.Header.Get(HeaderIdempotencyKey) == "" {
+	if !x.keyed() {
 		return true
 	}
 	verdict := x.g.cfg.Claims.Claim(x.r.Context(), x.hooked)
--- a/internal/connection/gateway/once.go
+++ b/internal/connection/gateway/once.go
@@ -85,7 +85,7 @@
 		return verdictOf(once.Unavailable())
 	}
 	c := claims.Command{
-		Kind: claims.KindClaim, ID: once.NewID(r.Mesh, key), Fingerprint: fingerprintOf(r.HTTP),
+		Kind: claims.KindClaim, ID: once.NewID(r.Mesh, key), Fingerprint: fingerprintOf(r),
 		Token: once.Token{Node: o.cfg.Node, Incarnation: o.cfg.Incarnation, Seq: o.seq.Add(1)},
 	}
 	// The claim goes on when its caller leaves: its end must be known.
@@ -113,10 +113,10 @@
 	}
 }
 
-func fingerprintOf(r *http.Request) uint64 {
+func fingerprintOf(r *Request) uint64 {
 	identity := once.Request{
-		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
-		ContentType: r.Header.Get("Content-Type"), ContentLength: r.ContentLength,
+		Method: r.HTTP.Method, Path: r.HTTP.URL.Path, Query: r.HTTP.URL.RawQuery,
+		ContentType: r.HTTP.Header.Get("Content-Type"), ContentLength: r.HTTP.ContentLength, Body: r.Body,
 	}
 	return identity.Fingerprint()
 }
--- a/internal/request/once/claim.go
+++ b/internal/request/once/claim.go
@@ -55,10 +55,12 @@
 	ContentType         string
 	// ContentLength is in bytes, -1 when it is not known beforehand.
 	ContentLength int64
+	// Body is the whole body if it is small, else nil: a large one has not been
+	// read when the key is claimed.
+	Body []byte
 }
 
-// Fingerprint hashes the request. The body is left out: it has not been read
-// when the key is claimed.
+// Fingerprint hashes the request.
 func (r *Request) Fingerprint() uint64 {
 	d := xxhash.New()
 	for _, part := range []string{r.Method, r.Path, r.Query, r.ContentType} {
@@ -68,6 +70,7 @@
 	var size [8]byte
 	binary.LittleEndian.PutUint64(size[:], uint64(r.ContentLength))
 	_, _ = d.Write(size[:])
+	_, _ = d.Write(r.Body)
 	return d.Sum64()
 }
 
--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -122,7 +122,7 @@
 			return nil
 		})
 	}
-	other := send(ctx, cl.nodes[2], http.MethodPost, "/transfers", "another body", map[string]string{"Idempotency-Key": "race"})
+	other := send(ctx, cl.nodes[2], http.MethodPost, "/transfers", "transfer RACE", map[string]string{"Idempotency-Key": "race"})
 	c.Assert(other.must(result.KeyReused), qt.IsNil)
 	c.Assert(cl.runsOf("race"), qt.Equals, 1)
 
