Hold news that can wait for a tick, and not send it back

Cause: in a storm each record left in an envelope of its own on every link, and crossed the same record on its way back. Change: a record that takes no work away waits for the next tick, goes in one message for each link, and not to neighbours that sent the same meanwhile. TestJoinStorm, the spread of links over domains and the overlay of each side of a cut are checked now.

--- a/internal/process/membership/golden_test.go
+++ b/internal/process/membership/golden_test.go
@@ -67,6 +67,9 @@
 		var region string
 		d.ScanArgs(s.t, "region", &region)
 		s.cut = func(a, b view.Node) bool { return (a.Region == region) != (b.Region == region) }
+	case "isolate":
+		name := s.node(d).node.Name
+		s.cut = func(a, b view.Node) bool { return (a.Name == name) != (b.Name == name) }
 	case "heal":
 		s.cut = func(_, _ view.Node) bool { return false }
 	case "old-copy":
--- a/internal/process/membership/scale_test.go
+++ b/internal/process/membership/scale_test.go
@@ -57,6 +57,44 @@
 	}
 }
 
+// TestJoinStorm starts a fleet at once, through one seed: it gets no more links
+// than any other daemon, and refers the rest on.
+func TestJoinStorm(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []int{12, 50, 200} {
+		s := newSim(1, 1)
+		for range size {
+			s.start(s.add(min(size/3, 5)), 0)
+		}
+		took := s.until(30*time.Second, 500*time.Millisecond, func() bool { return s.check() == nil })
+		c.Assert(s.agree(), qt.IsNil)
+		seed, all := s.nodes[0].joins, 0
+		for _, n := range s.nodes {
+			all += n.joins
+		}
+		c.Logf("%d daemons agree after %s: %d joins at the seed, %d at all, %d envelopes at the seed", size, took, seed, all, s.nodes[0].received)
+		c.Assert(seed < 4*size, qt.IsTrue)
+		c.Assert(s.spread(), qt.IsNil)
+	}
+}
+
+// spread wants links within the domain, the region and beyond, at every daemon.
+func (s *sim) spread() error {
+	s.run(20 * time.Second)
+	for _, n := range s.nodes {
+		var counts [3]int
+		for _, l := range n.core.Links() {
+			counts[n.node.ScopeOf(l)]++
+		}
+		for scope, count := range counts {
+			if _, possible := n.core.Presence().Pick(view.Scope(scope)); possible && count == 0 {
+				return fmt.Errorf("%s has no link in scope %d: %v", n.node.Name, scope, n.core.Links())
+			}
+		}
+	}
+	return nil
+}
+
 // TestPropagation measures how long a draining backend server and a dead
 // daemon's backend servers stay candidates anywhere.
 func TestPropagation(t *testing.T) {
@@ -161,6 +199,10 @@
 	c.Assert(sides(), qt.IsTrue)
 	s.run(cutTime)
 	c.Assert(sides(), qt.IsTrue)
+	for _, in := range []bool{true, false} {
+		side := slices.DeleteFunc(s.live(), func(n *simNode) bool { return (n.node.Region == "r1") != in })
+		c.Assert(s.checkOverlay(side), qt.IsNil)
+	}
 	s.measure = true
 	s.reset()
 	s.cut = func(_, _ view.Node) bool { return false }
--- a/internal/process/membership/sim_test.go
+++ b/internal/process/membership/sim_test.go
@@ -61,6 +61,8 @@
 	received int
 	bytes    int
 	conflict int
+	// joins counts the joins received.
+	joins int
 }
 
 // sim drives cores over an in-memory network in virtual time.
@@ -235,6 +237,9 @@
 	var actions []membership.Action
 	for _, i := range items {
 		if i.View != nil {
+			if i.View.Type == view.MsgJoin {
+				to.joins++
+			}
 			actions = append(actions, to.core.ReceiveView(s.now, from.node.Name, *i.View)...)
 		}
 		if i.Presence != nil {
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -38,6 +38,7 @@
 	// suspects are the entries with suspected set.
 	suspects map[ID]bool
 	next     time.Time
+	news     news
 	pull     pull
 	probing  probing
 	takeover takeover
@@ -50,6 +51,7 @@
 	c := &Core{
 		cfg: cfg, id: IDOf(cfg.Self.Name), rand: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		table: newTable(), links: map[string]bool{}, suspects: map[ID]bool{},
+		news: news{known: map[ID]map[string]bool{}},
 	}
 	c.self = Record{Node: cfg.Self, Incarnation: cfg.Incarnation, Seq: 1}
 	c.storeSelf()
@@ -214,24 +216,32 @@
 const repairNews = 8
 
 func (c *Core) receiveRecords(now time.Time, from string, m Message) []Action {
-	var fresh []Record
+	var fresh []*Change
 	var actions []Action
 	for i := range m.Records {
 		r := &m.Records[i]
 		change, reply := c.merge(now, from, r)
 		if change != nil {
 			actions = append(actions, Action{Change: change})
-			fresh = append(fresh, *r)
+			fresh = append(fresh, change)
 		}
 		actions = append(actions, reply...)
 	}
 	if m.Repair && (len(fresh) > repairNews || !c.pull.done) {
 		return actions
 	}
-	if len(fresh) == 0 {
+	var atOnce []Record
+	for _, change := range fresh {
+		if urgent(change) {
+			atOnce = append(atOnce, *change.New)
+			continue
+		}
+		c.news.hold(IDOf(change.New.Node.Name), from)
+	}
+	if len(atOnce) == 0 {
 		return actions
 	}
-	return append(actions, c.broadcast(Message{Type: MsgRecords, Records: fresh}, from)...)
+	return append(actions, c.broadcast(Message{Type: MsgRecords, Records: atOnce}, from)...)
 }
 
 // merge takes a record in if it is newer; else the sender may need to learn
@@ -248,6 +258,9 @@
 		delete(c.suspects, s.ID)
 		return c.table.set(r, s), nil
 	}
+	if s == e.stamp {
+		c.news.seen(s.ID, from)
+	}
 	if e.state != alive {
 		return nil, []Action{c.send(from, Message{Type: MsgSuspect, Claims: []Claim{c.claim(now, e)}})}
 	}
@@ -262,7 +275,7 @@
 // Tick drops suspects whose time is over, and sends digests, pulls and probes
 // when they are due.
 func (c *Core) Tick(now time.Time) []Action {
-	actions := c.expire(now)
+	actions := append(c.expire(now), c.passOn()...)
 	if len(c.links) == 0 {
 		return actions
 	}
--- a/internal/process/presence/repair.go
+++ b/internal/process/presence/repair.go
@@ -154,16 +154,16 @@
 			}
 		}
 	}
-	return c.sendRecords(to, records)
+	return c.sendRecords(to, records, true)
 }
 
 // batchRecords bounds the records of one message.
 const batchRecords = 64
 
-func (c *Core) sendRecords(to string, records []Record) []Action {
+func (c *Core) sendRecords(to string, records []Record, repair bool) []Action {
 	var actions []Action
 	for batch := range slices.Chunk(records, batchRecords) {
-		actions = append(actions, c.send(to, Message{Type: MsgRecords, Repair: true, Records: batch}))
+		actions = append(actions, c.send(to, Message{Type: MsgRecords, Repair: repair, Records: batch}))
 	}
 	return actions
 }
@@ -188,5 +188,5 @@
 			records = append(records, e.current())
 		}
 	}
-	return c.sendRecords(from, records)
+	return c.sendRecords(from, records, true)
 }
