Give a busy backend server longer to be reached

Change: 2 s, and the leases expire on time meanwhile. Conclusion: a refused dial still counts at once, only silence gets longer.

--- a/internal/connection/announce/server.go
+++ b/internal/connection/announce/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +27,8 @@
 	bodyTimeout    = 5 * time.Second
 	expireInterval = 500 * time.Millisecond
 	dialInterval   = time.Second
-	dialTimeout    = 500 * time.Millisecond
+	// dialTimeout is long: a busy instance is no dead server.
+	dialTimeout = 2 * time.Second
 )
 
 // Server is the HTTP side of a Registry.
@@ -34,6 +36,8 @@
 	mu       sync.Mutex
 	registry *Registry
 	onChange func([]presence.Server)
+	// dialling is set while dials are under way.
+	dialling atomic.Bool
 }
 
 // NewServer returns a server that calls onChange with each new set of servers.
@@ -86,13 +90,16 @@
 		case now := <-expire.C:
 			s.change(func() bool { return s.registry.Expire(now) })
 		case <-dial.C:
-			s.dialAll()
+			if s.dialling.CompareAndSwap(false, true) {
+				go s.dialAll()
+			}
 		}
 	}
 }
 
 // dialAll dials every server, all at a time.
 func (s *Server) dialAll() {
+	defer s.dialling.Store(false)
 	s.mu.Lock()
 	servers := s.registry.Servers()
 	s.mu.Unlock()
