Ask the sources for their term before saying what is committed

Cause: the leader's daemon answered "this version is committed" from the time of its own last quorum check, taken as at most 1.25 s ago. A leader that was stopped for a while, or whose disk stalled, takes itself for the leader for longer, and could tell a restarted daemon on its side a version lower than it had had.

Change: when a daemon asks, the leader asks the other sources for their term, and answers once a majority, itself included, still has its own: the read index of Ongaro's thesis. A source without a vote counts for nothing. A new leader answers after a second in its term, when the entry that begins it is applied.

Ruled out: polling all the time (the sources' idle bytes); a barrier through the log (a sync on each source for each daemon that restarts).

Tests: TestLeadershipNeedsMajority; with the comparison of terms taken out it fails at "b silent, c in term 4", where a new quorum is claimed.

Conclusion: what is left to time is the second after an election; it could go if the replicated group told that the first entry of its term is applied.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -67,8 +67,10 @@
 	mesh    *mesh.Mesh
 	gateway *gateway.Gateway
 	source  *source.Source
-	servers *announce.Server
-	claims  *claimSide
+	// leadership is set once source is open.
+	leadership *leadership
+	servers    *announce.Server
+	claims     *claimSide
 
 	// incarnation is the start of this process in Unix milliseconds.
 	incarnation uint64
@@ -206,6 +208,7 @@
 		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "source"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed, Idempotent: true,
 	}, transport{d}, d.log.WithName("source"), d.mesh.Publish)
+	d.leadership = d.newLeadership()
 	return err
 }
 
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -50,8 +50,8 @@
 	// Probe is called in a goroutine of its own.
 	Probe Prober
 	// Lead returns what this node knows of its leadership of the sources, or
-	// nil while it does not lead.
-	Lead func(now time.Time) *spread.Lead
+	// nil while it does not lead; asked tells that a newer Quorum is wanted.
+	Lead func(now time.Time, asked bool) *spread.Lead
 }
 
 // Status is what a daemon tells of its control side.
@@ -140,7 +140,7 @@
 
 func (m *Mesh) tick(now time.Time) {
 	m.doMembers(now, m.members.core.Tick(now))
-	m.doSpread(m.spread.Tick(now, m.cfg.Lead(now)))
+	m.doSpread(m.spread.Tick(now, m.cfg.Lead(now, m.spread.Asked())))
 	m.publishStatus(now)
 }
 
--- a/internal/process/spread/confirm.go
+++ b/internal/process/spread/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -58,6 +59,12 @@
 	return c.confirm.by
 }
 
+// Asked reports whether a question waits for the leader's answer here.
+func (c *Core) Asked() bool {
+	waits := func(l *link) bool { return l.asks.ask != 0 && l.asks.answer == nil }
+	return c.confirm.outstanding() != 0 || slices.ContainsFunc(c.links, waits)
+}
+
 func (c *Core) takeAsk(l *link, ask uint64) {
 	if ask == l.asks.ask {
 		// The answer may have been lost.
--- a/internal/process/spread/types.go
+++ b/internal/process/spread/types.go
@@ -24,9 +24,8 @@
 	Term uint64
 	// Version is the newest committed fleet version.
 	Version uint64
-	// Quorum is a time such that a majority of the sources has acknowledged
-	// this leader in a round that began at Quorum or later. A leader that no
-	// longer reaches a majority must stop to offer a Lead.
+	// Quorum is when the last round began in which a majority of the sources
+	// had this term; zero if there was none.
 	Quorum time.Time
 }
 
