--- a/internal/connection/gateway/gateway_test.go
+++ b/internal/connection/gateway/gateway_test.go
@@ -46,9 +46,11 @@
 	route := func(path string, timeout time.Duration, repeatable bool) manifest.Route {
 		return manifest.Route{Name: path, Path: path, Service: "s", Timeout: timeout, Repeatable: repeatable, Retries: 2}
 	}
+	first, again := route("/first", 2*time.Second, true), route("/again", 2*time.Second, true)
+	first.Priority, again.Priority = 0, 5
 	state, err := fleet.Empty().Accept(&manifest.Manifest{
 		Mesh: "m", Version: 1, Services: []manifest.Service{{Name: "s"}},
-		Routes: []manifest.Route{route("/", 20*time.Second, false), route("/short", shortTimeout, false), route("/again", 20*time.Second, true)},
+		Routes: []manifest.Route{route("/", 20*time.Second, false), route("/short", shortTimeout, false), first, again},
 	})
 	c.Assert(err, qt.IsNil)
 	f.snap, err = snapshot.Compile(state)
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -4,8 +4,8 @@
 //
 // A waiting request goes by its class, its priority less one for every
 // agingStep that it waited, and within a class by its deadline; so no class
-// waits for ever. A full queue turns its last away, which need not be the
-// newest. What could not start before its deadline, going by the measured
+// waits for ever. A full queue refuses a newcomer, or turns away its last for
+// one of a better class. What could not start before its deadline, going by the measured
 // service time, is refused at once.
 //
 // The package does no I/O and reads no clock.
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
 // agingStep is the waiting time that raises a ticket by one class.
@@ -156,6 +157,9 @@
 	if c.wait(now, &t) > t.Deadline.Sub(now) {
 		return []Decision{c.refuse(t, result.DeadlineTooShort)}
 	}
+	if len(c.queue) >= c.room(t.Priority) && !c.worseWaits(now, &t) {
+		return []Decision{c.refuse(t, result.Overloaded)}
+	}
 	c.queue = append(c.queue, t)
 	decisions := c.fill(now)
 	if len(c.queue) > c.cfg.QueueMax {
@@ -166,6 +170,21 @@
 	return decisions
 }
 
+// keptFree is the part of the queue that the worst class leaves free.
+const keptFree = 4
+
+// room is the queue's length from which a newcomer of the class is refused,
+// unless a worse class waits. The worse the class, the more it leaves free for
+// better ones: so these seldom have to turn away what has waited, and a refusal
+// comes at once.
+func (c *Core) room(class int) int {
+	return c.cfg.QueueMax - c.cfg.QueueMax*class/(keptFree*manifest.LowestPriority)
+}
+
+func (c *Core) worseWaits(now time.Time, t *Ticket) bool {
+	return slices.ContainsFunc(c.queue, func(w Ticket) bool { return w.class(now) > t.class(now) })
+}
+
 func (c *Core) mayStart(now time.Time, t *Ticket) bool {
 	if c.alone || (t.Alone && c.running > 0) {
 		return false
