Hold streams of 1 GiB through stops by a test

Cause: nothing held that bodies stream with flat memory, and that no change, drain or planned stop cuts them. Found: the echo came back 262,145 bytes short as a whole answer. The stand-in lost them: net/http reads away up to 256 KiB of a request's body before an answer, unless the handler asks for full duplex. The daemons ask; the stand-in does now. Figures (go test -v -run Streaming ./test/e2e, twice): 1 GiB up and 1 GiB back through two daemons, with a new version in force and SIGTERM to the backend server and both daemons on the way; peak memory grew by 1.3 and 1.5 MiB (first daemon), 0.7 and 1.4 MiB (second).

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -179,6 +179,8 @@
 		_, _ = io.WriteString(w, s.cfg.Answer)
 		return
 	}
+	// Without it net/http reads away up to 256 KiB of the body before the answer.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	_, _ = io.Copy(w, r.Body)
 }
 
--- a/test/e2e/call_test.go
+++ b/test/e2e/call_test.go
@@ -286,3 +286,70 @@
 		return nil
 	})
 }
+
+// streamed is the size of one body in TestStreaming.
+const streamed = 1 << 30
+
+// memoryGrowth is how much a daemon's peak memory may grow by one body each way.
+const memoryGrowth = 32 << 10 // KiB
+
+// peakMemory is the most resident memory of a process so far, in KiB.
+func (p *process) peakMemory(c *qt.C) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	c.Assert(err, qt.IsNil)
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, err := strconv.Atoi(strings.Fields(rest)[0])
+			c.Assert(err, qt.IsNil)
+			return kib
+		}
+	}
+	c.Fatal("no VmHWM")
+	return 0
+}
+
+// TestStreaming sends 1 GiB through two daemons and back, with flat memory,
+// while the configuration changes and the server and both daemons are stopped.
+func TestStreaming(t *testing.T) {
+	c := qt.New(t)
+	raw, err := os.ReadFile("../../examples/ahnenbach.yaml")
+	c.Assert(err, qt.IsNil)
+	cl := newCluster(c, 3)
+	b := cl.addBackend(cl.nodes[1], "tree", "tree\n")
+	cl.addBackend(cl.nodes[2], "archive", "archive\n")
+	text := string(raw)
+	cl.eventually("manifest", func() error { return cl.apply(cl.manifest("one.yaml", text), "0") })
+	cl.eventually("the upload's route", func() error { return get(cl.nodes[0], "/tree/1", "", "tree\n") })
+	cl.settled(cl.nodes[0])
+	before := []int{cl.nodes[0].process.peakMemory(c), cl.nodes[1].process.peakMemory(c)}
+	grown := make([]int, len(before))
+	reader, writer := io.Pipe()
+	go func() {
+		part := make([]byte, 1<<20)
+		for i := range streamed / len(part) {
+			if i == streamed/len(part)/4 {
+				two := strings.Replace(text, "version: 1", "version: 2", 1)
+				c.Check(cl.apply(cl.manifest("two.yaml", strings.Replace(two, "path: /chronicles", "path: /elsewhere", 1)), "30"), qt.IsNil)
+				for _, p := range []*process{b.process, cl.nodes[0].process, cl.nodes[1].process} {
+					c.Check(p.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+				}
+			}
+			_, _ = writer.Write(part)
+		}
+		time.Sleep(2 * time.Second) // past the daemons' delay of leaving
+		for i, from := range before {
+			grown[i] = cl.nodes[i].process.peakMemory(c) - from
+		}
+		_ = writer.Close()
+	}()
+	resp, err := http.Post("http://"+cl.nodes[0].caller+"/chronicles/1", "", reader)
+	c.Assert(err, qt.IsNil)
+	n, err := io.Copy(io.Discard, resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, int64(streamed))
+	for i, from := range before {
+		c.Logf("peak memory of %s grew by %d KiB from %d", cl.nodes[i].name, grown[i], from)
+		c.Check(grown[i] < memoryGrowth, qt.IsTrue)
+		_ = cl.nodes[i].process.cmd.Wait() // both leave when the transfer is over
+	}
+}
