Count a large fleet by its own tree, ask every daemon only when told to

Ruled out: the tree's count alone; it comes with the heartbeat, so that a change in force on three daemons after 10 ms would be reported after up to 1.6 s.

Change: up to 64 daemons every one is asked, as before.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -23,8 +23,6 @@
 	// doubles from one to the other.
 	pollFirst = 50 * time.Millisecond
 	pollMost  = time.Second
-	// laggardsNamed bounds the daemons named in an error.
-	laggardsNamed = 5
 )
 
 // applied is what apply prints.
@@ -109,12 +107,12 @@
 	if a.wait <= 0 {
 		return out.print(w, done, func(io.Writer) {})
 	}
-	nodes, err := a.awaitInForce(ctx, answer.Fleet)
+	daemons, err := a.awaitInForce(ctx, answer.Fleet)
 	a.progress.end()
 	if err != nil {
 		return err
 	}
-	done.InForce, done.Daemons, done.Seconds = len(nodes), len(nodes), time.Since(begin).Seconds()
+	done.InForce, done.Daemons, done.Seconds = daemons, daemons, time.Since(begin).Seconds()
 	return out.print(w, done, func(w io.Writer) {
 		fmt.Fprintf(w, "in force on all %d daemons after %s\n", done.Daemons, time.Since(begin).Round(time.Millisecond))
 	})
@@ -172,50 +170,28 @@
 		w.Mesh, w.Version, w.Content, w.Fleet, w.Time.Format(time.RFC3339))
 }
 
-// awaitInForce looks at the fleet until every daemon has the version.
-func (a *applier) awaitInForce(ctx context.Context, version uint64) ([]operator.FleetNode, error) {
+// awaitInForce looks at the fleet until every daemon has the version, and
+// returns how many there are.
+func (a *applier) awaitInForce(ctx context.Context, version uint64) (int, error) {
 	interval := pollFirst
-	var nodes []operator.FleetNode
+	seen := tally{version: version}
 	for {
-		seen, err := a.client.Fleet(ctx)
+		fleet, err := a.client.Fleet(ctx, false)
+		if err != nil && !resendable(err) {
+			return 0, err
+		}
 		if err == nil {
-			nodes = seen
-		} else if !resendable(err) {
-			return nil, err
+			seen = count(&fleet, version)
+			a.progress.show("in force on %d of %d daemons", seen.there, seen.daemons)
 		}
-		lagging := behind(nodes, version)
-		a.progress.show("in force on %d of %d daemons", len(nodes)-len(lagging), len(nodes))
-		if err == nil && len(nodes) > 0 && len(lagging) == 0 {
-			return nodes, nil
+		if seen.everywhere {
+			return seen.daemons, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, notInForce(nodes, lagging, version)
+			return 0, seen.pending()
 		case <-time.After(interval):
 		}
 		interval = min(2*interval, pollMost)
 	}
 }
-
-// behind are the daemons that do not have the version in force.
-func behind(nodes []operator.FleetNode, version uint64) []operator.FleetNode {
-	list := []operator.FleetNode{}
-	for _, n := range nodes {
-		if n.Version < version {
-			list = append(list, n)
-		}
-	}
-	return list
-}
-
-func notInForce(nodes, lagging []operator.FleetNode, version uint64) error {
-	var reasons []string
-	for _, n := range lagging[:min(len(lagging), laggardsNamed)] {
-		reasons = append(reasons, fmt.Sprintf("\n  %s (%s): %s", n.Node, n.Domain, lagReason(n, version)))
-	}
-	if more := len(lagging) - len(reasons); more > 0 {
-		reasons = append(reasons, fmt.Sprintf("\n  and %d more", more))
-	}
-	return result.Errorf(result.NotInForce, "accepted as fleet version %d, in force on %d of %d daemons so far; not on%s",
-		version, len(nodes)-len(lagging), len(nodes), strings.Join(reasons, ""))
-}
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -166,11 +166,11 @@
 		if err != nil {
 			return err
 		}
-		nodes, err := d.client.Fleet(ctx)
+		fleet, err := d.client.Fleet(ctx, false)
 		if err != nil {
 			return err
 		}
-		if err := d.stands(&status, len(nodes)); err != nil {
+		if err := d.stands(&status, fleet.Daemons); err != nil {
 			return err
 		}
 		current, err = fetch(ctx, d.client, d.manifest.Mesh)
--- /dev/null
+++ b/internal/cli/fake_test.go
@@ -0,0 +1,55 @@
+package cli
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/process/mesh"
+	"github.com/daisygate/daisygate/internal/process/quorum"
+	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// fakeFleet is a daemon that sees a fleet in which some daemons lag for good.
+type fakeFleet struct {
+	operator.Backend
+	fleet operator.Fleet
+}
+
+func (f *fakeFleet) Submit(context.Context, *manifest.Manifest) (source.Answer, error) {
+	return source.Answer{Code: result.Accepted, Fleet: 7}, nil
+}
+
+func (f *fakeFleet) Fleet(context.Context, bool) operator.Fleet { return f.fleet }
+
+func (f *fakeFleet) NodeStatus() operator.NodeStatus { return operator.NodeStatus{Node: "n1"} }
+
+func fakeSource(role, failure string, repair replica.Repair) *source.Status {
+	return &source.Status{Version: 7, Status: quorum.Status{Role: role, Term: 2, Commit: 9, Lead: "n1", Failure: failure, Repair: repair}}
+}
+
+// cmdFake is "fake small" or "fake large"; $FAKE is the operator address.
+func cmdFake(ts *testscript.TestScript, _ bool, args []string) {
+	fleet := operator.Fleet{Daemons: 7, Complete: true, Nodes: []operator.FleetNode{
+		{Node: "n1", Domain: "d1", Version: 7, Links: 4, Source: fakeSource("leader", "", replica.Repair{State: replica.RepairNone})},
+		{Node: "n2", Domain: "d2", Version: 7, Links: 4, Source: fakeSource("follower", "disk full", replica.Repair{})},
+		{Node: "n3", Domain: "d3", Version: 7, Links: 4, Source: fakeSource("follower", "", replica.Repair{State: replica.RepairLearning, Have: 3, Need: 9})},
+		{Node: "n4", Domain: "d1", Version: 6, Links: 4},
+		{Node: "n5", Domain: "d2", Version: 5, Links: 3, Stale: true},
+		{Node: "n6", Domain: "d3", Version: 4},
+		{Node: "n7", Domain: "d3", Error: "dial peer: connection refused"},
+	}}
+	if args[0] == "large" {
+		fleet.Daemons, fleet.Complete, fleet.Nodes = 10000, false, fleet.Nodes[:5]
+		fleet.InForce = mesh.InForce{Version: 7, Count: 9990, Total: 10000, Laggards: []string{"n4", "n5"}}
+	}
+	server := httptest.NewServer(operator.Handler(operator.Config{ManifestBytes: 1 << 10}, &fakeFleet{fleet: fleet}))
+	ts.Defer(server.Close)
+	ts.Setenv("FAKE", strings.TrimPrefix(server.URL, "http://"))
+}
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -50,6 +50,7 @@
 			"hold":      cmdHold,
 			"until":     cmdUntil,
 			"load":      cmdLoad,
+			"fake":      cmdFake,
 			"normal":    cmdNormal,
 		},
 	})
@@ -106,12 +107,12 @@
 			if err != nil {
 				return err
 			}
-			nodes, err := s.client(i).Fleet(context.Background())
+			fleet, err := s.client(i).Fleet(context.Background(), false)
 			if err != nil {
 				return err
 			}
-			if status.Source.Lead == "" || len(nodes) < len(s.mesh.Nodes) {
-				return errors.Newf("%s knows leader %q and %d daemons", status.Node, status.Source.Lead, len(nodes))
+			if status.Source.Lead == "" || fleet.Daemons < len(s.mesh.Nodes) {
+				return errors.Newf("%s knows leader %q and %d daemons", status.Node, status.Source.Lead, fleet.Daemons)
 			}
 		}
 		return nil
@@ -211,11 +212,11 @@
 	s := sessionOf(ts)
 	s.eventually(ts, func() error {
 		for i := range s.mesh.Nodes {
-			nodes, err := s.client(i).Fleet(context.Background())
+			fleet, err := s.client(i).Fleet(context.Background(), false)
 			if err != nil {
 				return err
 			}
-			servers := 0
+			servers, nodes := 0, fleet.Nodes
 			for _, n := range nodes {
 				servers += len(n.Servers)
 				if !n.Ready || n.Stale || n.Links < 2 || n.Version != nodes[0].Version || n.Source.Version != n.Version {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -20,20 +20,26 @@
 	// Version is the highest fleet version in force on any daemon.
 	Version uint64 `json:"version"`
 	// InForce is the number of daemons that have it, of all Daemons.
-	InForce int                  `json:"in_force"`
-	Daemons int                  `json:"daemons"`
-	Fleet   []operator.FleetNode `json:"fleet"`
+	InForce int `json:"in_force"`
+	Daemons int `json:"daemons"`
+	// Complete tells whether Fleet lists every daemon.
+	Complete bool                 `json:"complete"`
+	Fleet    []operator.FleetNode `json:"fleet"`
 }
 
 func newStatus() *cobra.Command {
 	var to target
 	var out output
-	var lagging bool
+	var lagging, all bool
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show what is in force where, who lags and why",
 		Long: `Shows the sources (role, term, commit, failure, repair of a lost disk), and for each daemon the version
-in force, its links, its backend servers, and why it lags if it does.`,
+in force, its links, its backend servers, and why it lags if it does.
+
+Of a fleet of more than 64 daemons it lists the sources, the daemon that is asked
+and a few that lag; the count is that of the whole fleet, as the daemons add it
+up among themselves. --all asks every daemon, one by one.`,
 		Example: "  daisygate status --operator 127.0.0.1:7400\n  daisygate status --lagging -o json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -44,7 +50,7 @@
 			if err != nil {
 				return err
 			}
-			report, err := readStatus(cmd.Context(), client)
+			report, err := readStatus(cmd.Context(), client, all)
 			if err != nil {
 				return err
 			}
@@ -56,25 +62,25 @@
 	}
 	to.flags(cmd)
 	out.flags(cmd)
+	cmd.Flags().BoolVar(&all, "all", false, "list every daemon of a large fleet too")
 	cmd.Flags().BoolVar(&lagging, "lagging", false, "list only the daemons that do not have the newest version in force")
 	return cmd
 }
 
-func readStatus(ctx context.Context, client *operator.Client) (*statusReport, error) {
+func readStatus(ctx context.Context, client *operator.Client, all bool) (*statusReport, error) {
 	status, err := client.Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	nodes, err := client.Fleet(ctx)
+	fleet, err := client.Fleet(ctx, all)
 	if err != nil {
 		return nil, err
 	}
-	report := &statusReport{Daemon: status, Daemons: len(nodes), Fleet: nodes}
-	for _, n := range nodes {
-		report.Version = max(report.Version, n.Version)
-	}
-	report.InForce = len(nodes) - len(behind(nodes, report.Version))
-	return report, nil
+	seen := count(&fleet, newestVersion(&fleet))
+	return &statusReport{
+		Daemon: status, Version: seen.version, InForce: seen.there,
+		Daemons: seen.daemons, Complete: fleet.Complete, Fleet: fleet.Nodes,
+	}, nil
 }
 
 func (r *statusReport) print(w io.Writer) {
@@ -96,6 +102,9 @@
 		fmt.Fprintln(w)
 		table(w, "DAEMON\tDOMAIN\tVERSION\tLINKS\tSERVERS\tSTATE", daemons)
 	}
+	if !r.Complete {
+		fmt.Fprintln(w, "\nnot all daemons are listed; --all asks every one")
+	}
 }
 
 // sourceState is "ok", or what a source cannot do and why.
--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -39,10 +39,12 @@
 	return status, c.do(ctx, http.MethodGet, StatusPath, nil, &status)
 }
 
-// Fleet asks for the versions in force everywhere.
-func (c *Client) Fleet(ctx context.Context) ([]FleetNode, error) {
-	var nodes []FleetNode
-	return nodes, c.do(ctx, http.MethodGet, FleetPath, nil, &nodes)
+// Fleet asks for the versions in force everywhere; all lists every daemon of a
+// large fleet too.
+func (c *Client) Fleet(ctx context.Context, all bool) (Fleet, error) {
+	var fleet Fleet
+	path := FleetPath + "?" + url.Values{allParameter: {strconv.FormatBool(all)}}.Encode()
+	return fleet, c.do(ctx, http.MethodGet, path, nil, &fleet)
 }
 
 // History asks for the accepted manifests, oldest first.
--- a/internal/connection/operator/handler.go
+++ b/internal/connection/operator/handler.go
@@ -170,7 +170,7 @@
 }
 
 func (a *api) fleet(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, result.Answered, a.backend.Fleet(r.Context()))
+	writeJSON(w, result.Answered, a.backend.Fleet(r.Context(), r.URL.Query().Get(allParameter) == "true"))
 }
 
 func (a *api) history(w http.ResponseWriter, r *http.Request) {
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -24,6 +24,9 @@
 	DrainPath   = "/v1/drain"
 )
 
+// allParameter asks FleetPath for every daemon of a large fleet, by "true".
+const allParameter = "all"
+
 // NodeStatus is what one daemon tells of itself.
 type NodeStatus struct {
 	Node   string         `json:"node"`
@@ -36,6 +39,19 @@
 	ControlReceived uint64 `json:"control_received"`
 }
 
+// Fleet is what is in force where, as one daemon sees it.
+type Fleet struct {
+	// Daemons is the number of daemons known.
+	Daemons int `json:"daemons"`
+	// InForce counts the daemons that have the leader's version, added up along
+	// the tree that versions spread by.
+	InForce mesh.InForce `json:"in_force"`
+	// Complete tells that Nodes lists every daemon, each asked just now. Else
+	// it lists the sources, the answering daemon and a few that lag.
+	Complete bool        `json:"complete"`
+	Nodes    []FleetNode `json:"nodes"`
+}
+
 // FleetNode is one daemon as seen in the fleet.
 type FleetNode struct {
 	Node    string `json:"node"`
@@ -112,7 +128,8 @@
 type Backend interface {
 	Submit(ctx context.Context, m *manifest.Manifest) (source.Answer, error)
 	NodeStatus() NodeStatus
-	Fleet(ctx context.Context) []FleetNode
+	// Fleet asks every daemon of a small fleet; of a large one only with all.
+	Fleet(ctx context.Context, all bool) Fleet
 	History(ctx context.Context) ([]source.Accepted, error)
 	InForce(ctx context.Context, mesh string) (InForce, *result.Error)
 	// Drain begins or undoes a drain.
--- a/internal/process/daemon/fleet.go
+++ b/internal/process/daemon/fleet.go
@@ -15,29 +15,56 @@
 )
 
 const (
+	// fleetListed is the most daemons that are all asked for a listing.
+	fleetListed = 64
 	// fleetConcurrency bounds how many daemons are asked at a time.
 	fleetConcurrency = 32
 	// fleetTimeout bounds the wait for one daemon's answer.
 	fleetTimeout = 2 * time.Second
 )
 
-// Fleet implements operator.Backend by asking every known daemon. The cost is
-// borne by the daemon that the operator asked.
-func (d *Daemon) Fleet(ctx context.Context) []operator.FleetNode {
+// Fleet implements operator.Backend. The daemons listed are asked one by one,
+// at the cost of the daemon that the operator asked; in a large fleet, unless
+// all is set, these are a few, and the count of the spread's tree stands for the
+// others.
+func (d *Daemon) Fleet(ctx context.Context, all bool) operator.Fleet {
 	records := d.mesh.Directory().Records
-	nodes := make([]operator.FleetNode, len(records))
+	fleet := operator.Fleet{Daemons: len(records), InForce: d.mesh.Status().InForce, Complete: true}
+	if len(records) > fleetListed && !all {
+		records = d.notable(records, fleet.InForce.Laggards)
+		fleet.Complete = false
+	}
+	fleet.Nodes = make([]operator.FleetNode, len(records))
 	var group errgroup.Group
 	group.SetLimit(fleetConcurrency)
 	for i, r := range records {
-		nodes[i] = operator.FleetNode{Node: r.Node.Name, Domain: r.Node.Domain, Servers: fleetServers(r.Servers)}
+		fleet.Nodes[i] = operator.FleetNode{Node: r.Node.Name, Domain: r.Node.Domain, Servers: fleetServers(r.Servers)}
 		group.Go(func() error {
-			d.askStatus(ctx, r.Node.Addr, &nodes[i])
+			d.askStatus(ctx, r.Node.Addr, &fleet.Nodes[i])
 			return nil
 		})
 	}
 	_ = group.Wait()
-	slices.SortFunc(nodes, func(a, b operator.FleetNode) int { return strings.Compare(a.Node, b.Node) })
-	return nodes
+	slices.SortFunc(fleet.Nodes, func(a, b operator.FleetNode) int { return strings.Compare(a.Node, b.Node) })
+	return fleet
+}
+
+// notable are the records of the sources, of this daemon and of the laggards.
+func (d *Daemon) notable(records []*presence.Record, laggards []string) []*presence.Record {
+	wanted := map[string]bool{d.set.Node: true}
+	for _, member := range d.set.Source.Members {
+		wanted[member.Node] = true
+	}
+	for _, name := range laggards {
+		wanted[name] = true
+	}
+	var list []*presence.Record
+	for _, r := range records {
+		if wanted[r.Node.Name] {
+			list = append(list, r)
+		}
+	}
+	return list
 }
 
 func fleetServers(servers []presence.Server) []operator.FleetServer {
