Let old answered claims make room in a full table

Change: a key is kept for an hour at least; between that and 24 hours the oldest answered claims make room. The fuzz holds both times: 24 hours while the table was not full since, else the hour. Mutation, reverted: room made of younger claims fails after 18 checks ("key 6 runs twice").

--- a/internal/process/claims/table.go
+++ b/internal/process/claims/table.go
@@ -23,6 +23,9 @@
 	// Keep is how long a key is remembered after it was claimed. After it the
 	// key may be used anew.
 	Keep time.Duration
+	// KeepLeast is how long a key is remembered at any rate: in a full table the
+	// oldest answered claims that are older make room for new ones.
+	KeepLeast time.Duration
 	// KeepAnswer is how long an answer is kept after it was recorded; then its
 	// request is still known to have run.
 	KeepAnswer time.Duration
@@ -34,7 +37,7 @@
 // DefaultLimits returns the documented limits of one group.
 func DefaultLimits() Limits {
 	return Limits{
-		Claims: 200_000, AnswerBytes: 16 << 20, Keep: 24 * time.Hour,
+		Claims: 200_000, AnswerBytes: 16 << 20, Keep: 24 * time.Hour, KeepLeast: time.Hour,
 		KeepAnswer: time.Hour, KeepReleased: time.Minute,
 	}
 }
@@ -136,7 +139,7 @@
 }
 
 func (t *Table) grant(c *Command) once.Reply {
-	if len(t.claims) >= t.limits.Claims {
+	if len(t.claims) >= t.limits.Claims && !t.makeRoom() {
 		return once.Reply{Verdict: once.Full, Wait: t.roomIn()}
 	}
 	e := &claim{id: c.ID, fingerprint: c.Fingerprint, token: t.intern(c.Token), state: held, since: t.now}
@@ -145,11 +148,30 @@
 	return once.Reply{Verdict: once.Granted}
 }
 
-// roomIn is when the next entry expires.
+// roomScan bounds how far makeRoom looks behind claims that are still held.
+const roomScan = 64
+
+// makeRoom drops the oldest answered claim that is older than KeepLeast.
+func (t *Table) makeRoom() bool {
+	place := t.kept.Front()
+	for range roomScan {
+		if place == nil || t.left(place.Value.(*claim), t.limits.KeepLeast) > 0 {
+			return false
+		}
+		if e := place.Value.(*claim); e.state == answered {
+			t.remove(e)
+			return true
+		}
+		place = place.Next()
+	}
+	return false
+}
+
+// roomIn is when the next entry expires or may make room.
 func (t *Table) roomIn() time.Duration {
-	wait := t.limits.Keep
+	wait := t.limits.KeepLeast
 	if oldest := t.kept.Front(); oldest != nil {
-		wait = t.left(oldest.Value.(*claim), t.limits.Keep)
+		wait = t.left(oldest.Value.(*claim), t.limits.KeepLeast)
 	}
 	if oldest := t.tombs.Front(); oldest != nil {
 		wait = min(wait, t.left(oldest.Value.(*claim), t.limits.KeepReleased))
--- a/internal/request/once/claim.go
+++ b/internal/request/once/claim.go
@@ -142,6 +142,6 @@
 	Owner Token `cbor:"2,keyasint"`
 	// Answer is set when Answered.
 	Answer *Answer `cbor:"3,keyasint,omitempty"`
-	// Wait is set when Full: how long until the oldest claim expires.
+	// Wait is set when Full: how long until there may be room.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
 }
