Hold at most once under kills by real processes

Change: TestKeyedLoadOverKills kills three sources and a daemon that takes requests in, one after another, under 8 callers that send each key again through any daemon until they know its end; a planned stop right after an answer leaves it to the others.

--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -132,6 +133,12 @@
 	c.Assert(transfer(short, cl.nodes[3], "left", slow).err, qt.IsNotNil)
 	cl.eventually("the answer that was lost", func() error { return transfer(ctx, cl.nodes[2], "left", slow).must(result.OK) })
 	c.Assert(cl.runsOf("left"), qt.Equals, 1)
+
+	// A planned stop right after the answer leaves it to the others.
+	c.Assert(transfer(ctx, cl.nodes[3], "stop", nil).must(result.OK), qt.IsNil)
+	cl.nodes[3].process.terminate(c)
+	c.Assert(transfer(ctx, cl.nodes[2], "stop", nil).must(result.OK), qt.IsNil)
+	c.Assert(cl.runsOf("stop"), qt.Equals, 1)
 }
 
 // TestResendAfterDeathOfFirstDaemon kills the daemon that took the request in
@@ -294,3 +301,69 @@
 		c.Assert(send(ctx, cl.nodes[i%3], http.MethodGet, path(i), "", slow).must(result.OK), qt.IsNil)
 	}
 }
+
+// TestKeyedLoadOverKills kills and restarts the sources and a daemon that takes
+// requests in, one after another, under keyed requests that their callers send
+// again through any daemon until they know the end.
+func TestKeyedLoadOverKills(t *testing.T) {
+	c := qt.New(t)
+	cl := newArchive(c, 5, 3, 4)
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	ends, others := map[string]told{}, map[string]int{}
+	var slowest time.Duration
+	for worker := range 8 {
+		wait.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				key := fmt.Sprintf("load-%d-%d", worker, i)
+				begin := time.Now()
+				for n := worker; ; n++ {
+					r := transfer(context.Background(), cl.nodes[3+n%2], key, nil)
+					if r.outcome == "run" || r.is(result.OwnerLost) || r.is(result.AnswerLost) {
+						mu.Lock()
+						ends[key] = r
+						slowest = max(slowest, time.Since(begin))
+						mu.Unlock()
+						break
+					}
+					mu.Lock()
+					others[r.code]++
+					mu.Unlock()
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+	for _, n := range append(cl.nodes[:3:3], cl.nodes[4]) {
+		time.Sleep(200 * time.Millisecond)
+		n.process.kill()
+		time.Sleep(time.Second)
+		cl.start(n)
+		cl.eventually("the return of "+n.name, func() error { return get(n, "/records/1", "", "archive\n") })
+	}
+	close(done)
+	wait.Wait()
+	runs := map[string]int{}
+	for _, b := range cl.backends {
+		for id, count := range b.runs(c) {
+			runs[id] += count
+		}
+	}
+	unknown := 0
+	for key, end := range ends {
+		c.Check(runs[key] <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", key, runs[key]))
+		if end.outcome != "run" {
+			unknown++
+			continue
+		}
+		c.Check(runs[key], qt.Equals, 1, qt.Commentf("%s: %+v", key, end))
+		c.Check(end.body, qt.Equals, "transfer "+key)
+	}
+	c.Logf("%d keys, %d of them unknown in the end; slowest to its end %s; other answers by code %v", len(ends), unknown, slowest, others)
+}
