Close a caller's connection whose streamed body was not read to its end

Cause: with full duplex, net/http reads the rest of a body after the handler, which starts its watch for the next request a second time: 'panic serving: invalid concurrent Body.Read call'. And an upload that ended in the very moment it was stopped left a write deadline in the past on a connection that was used again: the next request there failed as BackendRefused, not run. Change: such an answer says 'Connection: close'; the deadline is taken back.

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -111,6 +111,16 @@
 	_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(abortGrace))
 }
 
+// announce is called before the answer's header is written. net/http must not
+// use the connection again while a streamed body is not read to its end: with
+// full duplex it would read the rest beside its own watch for the next request,
+// and panic.
+func (b *requestBody) announce(h http.Header) {
+	if b.stream && !b.whole.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // settle ends the request after its answer: what is left of a begun body is
 // read away for a short while.
 func (b *requestBody) settle() {
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -106,6 +106,7 @@
 	x.body = body
 	pin, refused := x.screen()
 	if refused != nil {
+		body.announce(x.w.Header())
 		x.refuse(refused)
 		body.settle()
 		return
@@ -117,6 +118,7 @@
 	resp, refused := x.dispatch(ctx, pin)
 	if refused != nil {
 		settlement.Code = refused.Code
+		body.announce(x.w.Header())
 		x.refuse(refused)
 		body.settle()
 		return
@@ -139,6 +141,7 @@
 	if x.claimed {
 		kept = &capture{}
 	}
+	x.body.announce(x.w.Header())
 	whole := relay(x.w, resp, kept)
 	x.course.relayed(whole)
 	if !whole {
--- a/internal/connection/gateway/gateway_test.go
+++ b/internal/connection/gateway/gateway_test.go
@@ -380,7 +380,7 @@
 	large := bytes.Repeat([]byte("12345678"), 1<<14)
 	for range 8 {
 		a := f.do(0, "POST", "/", struct{ io.Reader }{bytes.NewReader(large)})
-		c.Assert(a.body == string(large), qt.IsTrue, qt.Commentf("%d %s", a.status, a.outcome))
+		c.Assert(a.body == string(large), qt.IsTrue, qt.Commentf("%d %s %.300s", a.status, a.outcome, a.body))
 	}
 	c.Assert(runsOne.Load(), qt.Equals, int64(0))
 }
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -27,6 +27,7 @@
 	k.hooked.HTTP, k.hooked.Body, k.body = r, body.small, body
 	resp, refused := g.serve(ctx, k)
 	g.setClose(w.Header())
+	body.announce(w.Header())
 	if refused != nil {
 		code = refused.Code
 		writeRefusal(w, refused)
--- a/internal/connection/upstream/upload.go
+++ b/internal/connection/upstream/upload.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -88,6 +89,10 @@
 		u.request.AbortBody()
 	}
 	<-u.done
+	if u.err == nil {
+		// It ended in this very moment: the connection may be used again.
+		_ = u.conn.SetWriteDeadline(time.Time{})
+	}
 	return u.err == nil
 }
 
