Trace a change from the operator's request to each daemon

Cause: spans covered calls only. Ruled out: carrying a trace context with each version through the log and the spread, which would cost bytes on every link. Change: a commit span within the operator's request, and an install span at each daemon in one trace whose id follows from the fleet version; the commit links to it. Metrics of hops to the leader, daemons in force and divergence.

--- a/internal/process/daemon/listeners.go
+++ b/internal/process/daemon/listeners.go
@@ -67,7 +67,7 @@
 		"peer":     peer.Handler(control, http.HandlerFunc(d.gateway.ServePeer), d.traffic),
 		"operator": telemetry.WithHealth(d.traced(operator.Handler(operator.Config{
 			Token: d.token, ManifestBytes: d.set.Limits.ManifestBytes, SubmitTimeout: submitTimeout, Metrics: d.metrics,
-		}, d)), d.NotReady),
+		}, tracedBackend{d})), d.NotReady),
 	}
 	servers := map[string]*httpServer{}
 	for name, handler := range handlers {
--- a/internal/process/daemon/observe.go
+++ b/internal/process/daemon/observe.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	stdlog "log"
 	"net/http"
 	"runtime/debug"
@@ -10,7 +11,9 @@
 	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/process/telemetry"
+	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
 // spanFlushTimeout bounds the writing of the last spans.
@@ -49,6 +52,18 @@
 	})
 }
 
+// tracedBackend is the daemon as the operator API sees it, with a span for each
+// commit.
+type tracedBackend struct{ *Daemon }
+
+// Submit implements operator.Backend.
+func (b tracedBackend) Submit(ctx context.Context, m *manifest.Manifest) (source.Answer, error) {
+	ctx, end := b.traces.Commit(ctx)
+	answer, err := b.Daemon.Submit(ctx, m)
+	end(answer.Code, answer.Fleet)
+	return answer, err
+}
+
 // logStart tells what people need to know of a process that begins.
 func (d *Daemon) logStart() {
 	s := &d.set
@@ -93,6 +108,7 @@
 	state := telemetry.State{
 		Uptime: uptime, Ready: d.NotReady() == "", Stale: control.Stale, Leaving: d.leaving.Load(),
 		Version: control.Version, Committed: control.Heartbeat.Version,
+		Depth: int(control.Depth), InForce: control.InForce.Count, Fleet: control.InForce.Total, Diverged: control.Diverged,
 		Links: len(control.Links), Nodes: control.Nodes,
 		ControlSent: d.traffic.Sent.Load(), ControlReceived: d.traffic.Received.Load(),
 		Backends: d.gateway.Occupancy(),
--- a/internal/process/daemon/trace_test.go
+++ b/internal/process/daemon/trace_test.go
@@ -69,8 +69,13 @@
 	b.stop()
 
 	byName := map[string]spanLine{}
+	var installs []string
 	for _, file := range []string{"a", "b"} {
 		for _, s := range readSpans(c, filepath.Join(dir, file)) {
+			if s.Name == "install" {
+				installs = append(installs, s.SpanContext.TraceID)
+				continue
+			}
 			c.Assert(s.SpanContext.TraceID, qt.Equals, traceID, qt.Commentf("sample_ratio is 0: no other trace"))
 			byName[file+" "+s.Name] = s
 		}
@@ -82,5 +87,7 @@
 		c.Assert(s.Parent.SpanID, qt.Equals, parent, qt.Commentf("%s", hop))
 		parent = s.SpanContext.SpanID
 	}
+	c.Assert(installs, qt.HasLen, 2, qt.Commentf("one for each daemon"))
+	c.Assert(installs[0], qt.Equals, installs[1])
 	c.Assert(<-told, qt.Equals, "00-"+traceID+"-"+parent+"-01")
 }
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -47,6 +47,8 @@
 	Presence presence.Config
 	// TickInterval is the time between ticks of all three.
 	TickInterval time.Duration
+	// Installed is told each version that comes into force; nil tells nobody.
+	Installed func(version uint64)
 	// Probe is called in a goroutine of its own.
 	Probe Prober
 	// Lead returns what this node knows of its leadership of the sources, or
--- a/internal/process/mesh/versions.go
+++ b/internal/process/mesh/versions.go
@@ -66,6 +66,9 @@
 			m.current = a.Install
 			m.changed = true
 			m.log.Info("version in force", "version", a.Install.Version)
+			if m.cfg.Installed != nil {
+				m.cfg.Installed(a.Install.Version)
+			}
 		case a.Rejected != nil:
 			m.log.Error(a.Rejected, "version not applied")
 		case a.Diverged != nil:
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -19,6 +19,11 @@
 	// Version is the fleet version in force here, Committed the newest that the
 	// sources' heartbeat told of.
 	Version, Committed uint64
+	// Depth is the number of hops to the leader. InForce of Fleet daemons have
+	// the newest version, as far as is known here. Diverged counts daemons found
+	// with other content under the same version, which must never happen.
+	Depth, InForce, Fleet int
+	Diverged              uint64
 	// Links counts the links to other daemons, Nodes the daemons known, Servers
 	// the backend servers beside this daemon.
 	Links, Nodes, Servers int
@@ -61,6 +66,10 @@
 	flag(w, "daisygate_leaving", s.Leaving)
 	metrics.WriteGaugeUint64(w, "daisygate_version_in_force", s.Version)
 	metrics.WriteGaugeUint64(w, "daisygate_version_committed", s.Committed)
+	metrics.WriteGaugeUint64(w, "daisygate_hops_to_leader", uint64(s.Depth))
+	metrics.WriteGaugeUint64(w, "daisygate_nodes_in_force", uint64(s.InForce))
+	metrics.WriteGaugeUint64(w, "daisygate_nodes_total", uint64(s.Fleet))
+	metrics.WriteCounterUint64(w, "daisygate_versions_diverged_total", s.Diverged)
 	metrics.WriteGaugeUint64(w, "daisygate_links", uint64(s.Links))
 	metrics.WriteGaugeUint64(w, "daisygate_nodes_known", uint64(s.Nodes))
 	metrics.WriteGaugeUint64(w, "daisygate_backend_servers", uint64(s.Servers))
--- a/internal/process/telemetry/trace.go
+++ b/internal/process/telemetry/trace.go
@@ -83,16 +83,6 @@
 	return span{s}
 }
 
-// Within begins a span of work in this process, such as a commit. It may be
-// called on a nil Traces.
-func (t *Traces) Within(ctx context.Context, name string) (context.Context, gateway.Span) {
-	if t == nil {
-		return ctx, noSpan{}
-	}
-	ctx, s := t.tracer.Start(ctx, name)
-	return ctx, span{s}
-}
-
 // span joins gateway.Span to a span of OpenTelemetry.
 type span struct{ trace.Span }
 
@@ -108,11 +98,6 @@
 	s.Span.End()
 }
 
-type noSpan struct{}
-
-func (noSpan) Set(string, string) {}
-func (noSpan) End(result.Code)    {}
-
 // loggedExporter logs a failed export, which the SDK would tell only a handler
 // that all daemons of a process share.
 type loggedExporter struct {
