Tell on call of claims and of crashes

Cause: nothing showed how full the table of claims is, what waits to be recorded, or which request a server crashed under. Change: gauges daisygate_claims_*, daisygate_claim_*, daisygate_suspects_known; one log line for each crash, which names the request when it ran alone. Conclusion: seen in a run of three daemons; go test -race of telemetry, daemon, quarantine and gateway passes.

--- a/internal/connection/gateway/once.go
+++ b/internal/connection/gateway/once.go
@@ -66,6 +66,7 @@
 
 	ends    chan claims.Command
 	pending sync.WaitGroup
+	count   atomic.Int64
 	// waiting is the bytes of answers in ends.
 	waiting atomic.Int64
 }
@@ -168,6 +169,7 @@
 		c.Answer = &once.Answer{Code: c.Answer.Code, Dropped: true}
 	}
 	o.pending.Add(1)
+	o.count.Add(1)
 	select {
 	case o.ends <- c:
 	default:
@@ -185,9 +187,13 @@
 
 func (o *Once) done(c *claims.Command) {
 	o.waiting.Add(-sizeOf(c))
+	o.count.Add(-1)
 	o.pending.Done()
 }
 
+// Waiting is how many ends are not recorded yet.
+func (o *Once) Waiting() int { return int(o.count.Load()) }
+
 // Run records ends until ctx ends.
 func (o *Once) Run(ctx context.Context) {
 	var workers sync.WaitGroup
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/request/admit"
@@ -91,6 +92,7 @@
 // implements Suspects.
 type Quarantine struct {
 	cfg QuarantineConfig
+	log logr.Logger
 
 	mu   sync.Mutex
 	core *quarantine.Core
@@ -99,8 +101,8 @@
 }
 
 // NewQuarantine returns a Quarantine.
-func NewQuarantine(cfg QuarantineConfig) *Quarantine {
-	return &Quarantine{cfg: cfg, core: quarantine.New(quarantine.DefaultConfig())}
+func NewQuarantine(cfg QuarantineConfig, log logr.Logger) *Quarantine {
+	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(quarantine.DefaultConfig())}
 }
 
 // Screen implements Suspects.
@@ -125,6 +127,14 @@
 	return Screening{}
 }
 
+// Known is how many requests of the fleet are suspected.
+func (q *Quarantine) Known() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.learn()
+	return q.core.Known(time.Now())
+}
+
 // learn takes in the reports of a directory that is new.
 func (q *Quarantine) learn() {
 	dir := q.cfg.Directory()
@@ -157,13 +167,14 @@
 func (q *Quarantine) Begin(addr string, r *Request) Run {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return &suspectRun{q: q, addr: addr, id: q.core.Begin(time.Now(), addr, identityOf(r), r.Alone)}
+	return &suspectRun{q: q, addr: addr, r: r, id: q.core.Begin(time.Now(), addr, identityOf(r), r.Alone)}
 }
 
 // suspectRun is one run that a Quarantine watches.
 type suspectRun struct {
 	q    *Quarantine
 	addr string
+	r    *Request
 	id   uint64
 }
 
@@ -185,9 +196,23 @@
 	if changed {
 		s.q.publish()
 	}
+	if crashed && changed {
+		s.logCrash()
+	}
 	return crashed
 }
 
+// logCrash tells of a crash once; of one at which a request ran alone, it names
+// the request.
+func (s *suspectRun) logCrash() {
+	if !s.r.Alone {
+		s.q.log.Info("backend server crashed: what it ran is suspected and runs alone next", "server", s.addr)
+		return
+	}
+	s.q.log.Info("backend server crashed by a request that ran alone: it is refused for a while",
+		"server", s.addr, "mesh", s.r.Mesh, "method", s.r.HTTP.Method, "path", s.r.HTTP.URL.Path)
+}
+
 func (s *suspectRun) drop() {
 	s.q.mu.Lock()
 	defer s.q.mu.Unlock()
--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -15,6 +15,7 @@
 	"github.com/daisygate/daisygate/internal/process/claims"
 	"github.com/daisygate/daisygate/internal/process/quorum"
 	"github.com/daisygate/daisygate/internal/process/replica"
+	"github.com/daisygate/daisygate/internal/process/telemetry"
 	"github.com/daisygate/daisygate/internal/request/once"
 	"github.com/daisygate/daisygate/internal/result"
 )
@@ -51,14 +52,17 @@
 	d        *Daemon
 	once     *gateway.Once
 	messages *peer.Outbox[replica.Message]
-	// group is nil on a daemon that is no source.
+	suspects *gateway.Quarantine
+	// group and table are nil on a daemon that is no source; the table belongs
+	// to the group's goroutine.
 	group *quorum.Group[once.Reply]
+	table *claims.Table
 	// preferred is the place in the settings of the member asked first.
 	preferred atomic.Int64
 }
 
 func newClaimSide(d *Daemon, incarnation, seed uint64) (*claimSide, error) {
-	s := &claimSide{d: d}
+	s := &claimSide{d: d, suspects: newSuspects(d)}
 	s.once = gateway.NewOnce(gateway.OnceConfig{
 		Node: d.set.Node, Incarnation: incarnation, Table: s, Lives: s.lives,
 	}, d.log.WithName("once"))
@@ -68,12 +72,13 @@
 	if !d.set.IsSource() {
 		return s, nil
 	}
+	s.table = claims.New(claims.DefaultLimits())
 	var err error
 	s.group, err = quorum.Open(quorum.Config{
 		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "claims"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed,
 		Idempotent: true,
-	}, claims.New(claims.DefaultLimits()), s, d.log.WithName("claims"))
+	}, s.table, s, d.log.WithName("claims"))
 	return s, err
 }
 
@@ -244,5 +249,27 @@
 func newSuspects(d *Daemon) *gateway.Quarantine {
 	return gateway.NewQuarantine(gateway.QuarantineConfig{
 		Self: d.set.Node, Directory: d.mesh.Directory, Publish: d.mesh.SetSuspects,
-	})
+	}, d.log.WithName("quarantine"))
+}
+
+// stateTimeout bounds the wait for the table at a scrape.
+const stateTimeout = 200 * time.Millisecond
+
+// state is what the metrics tell of claims and suspects.
+func (s *claimSide) state() telemetry.OnceState {
+	state := telemetry.OnceState{Waiting: s.once.Waiting(), Suspects: s.suspects.Known()}
+	if s.group == nil {
+		return state
+	}
+	status := s.group.Status()
+	table := &telemetry.ClaimTableState{
+		Limit: claims.DefaultLimits().Claims, Syncs: status.Syncs, LogBytes: status.LogBytes, Failed: status.Failure != "",
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	err := s.group.Query(ctx, func() { table.Claims, table.AnswerBytes = s.table.Len(), s.table.AnswerBytes() })
+	if err == nil {
+		state.Table = table
+	}
+	return state
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -199,7 +199,7 @@
 	d.gateway = gateway.New(gateway.Config{
 		Self: d.set.Node, Domain: d.set.Domain, Region: d.set.Region, QueuePerSlot: d.set.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready, Observer: d.metrics, Tracer: d.tracer(),
-		Claims: d.claims.once, Suspects: newSuspects(d),
+		Claims: d.claims.once, Suspects: d.claims.suspects,
 	}, d.log.WithName("gateway"))
 	d.servers = announce.NewServer(d.setServers)
 	if !d.set.IsSource() {
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -35,6 +35,8 @@
 	Listeners []ListenerState
 	// Source is nil on a daemon that is no source.
 	Source *SourceState
+	// Once is about idempotency keys and suspects.
+	Once OnceState
 }
 
 // ListenerState is the connections of one listener.
@@ -86,6 +88,7 @@
 	if s.Source != nil {
 		s.Source.write(w)
 	}
+	s.Once.write(w)
 }
 
 func writeBackend(w io.Writer, b gateway.Occupancy) {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -58,6 +58,9 @@
 // Quiet reports whether no request of any kind is suspected.
 func (c *Core) Quiet() bool { return c.ledger.empty() }
 
+// Known counts the requests that are suspected.
+func (c *Core) Known(now time.Time) int { return c.ledger.count(now) }
+
 // Judge says how a request may run.
 func (c *Core) Judge(now time.Time, f Fingerprint) Verdict { return c.ledger.judge(now, f) }
 
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -121,6 +121,23 @@
 	})
 }
 
+func (l *ledger) count(now time.Time) int {
+	all := map[Fingerprint]bool{}
+	for f := range l.own {
+		all[f] = true
+	}
+	for f := range l.others {
+		all[f] = true
+	}
+	n := 0
+	for f := range all {
+		if _, _, ok := l.known(now, f); ok {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *ledger) judge(now time.Time, f Fingerprint) Verdict {
 	s, _, ok := l.known(now, f)
 	if !ok {
