--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -78,7 +78,9 @@
 	versions versions
 	changed  bool
 
-	ops       chan func(now time.Time)
+	ops chan func(now time.Time)
+	// published is the newest state that waits to be spread, or nil.
+	published atomic.Pointer[fleet.State]
 	directory atomic.Pointer[directory.Directory]
 	status    atomic.Pointer[Status]
 }
--- a/internal/process/mesh/versions.go
+++ b/internal/process/mesh/versions.go
@@ -54,7 +54,10 @@
 
 // Publish spreads a state that this node learned as a source.
 func (m *Mesh) Publish(state *fleet.State) {
-	m.ops <- func(time.Time) { m.doSpread(m.spread.Publish(state)) }
+	if m.published.Swap(state) != nil {
+		return
+	}
+	m.ops <- func(time.Time) { m.doSpread(m.spread.Publish(m.published.Swap(nil))) }
 }
 
 func (m *Mesh) doSpread(actions []spread.Action) {
--- a/internal/process/spread/core.go
+++ b/internal/process/spread/core.go
@@ -64,9 +64,11 @@
 	now   time.Time
 	start time.Time
 
-	// state only ever goes up in version; current is compiled from it.
-	state   *fleet.State
-	history fleet.History
+	// state only ever goes up in version; compiled is made from it, nil before
+	// the first version.
+	state    *fleet.State
+	compiled *snapshot.Snapshot
+	history  fleet.History
 	// links are in order of name, so that equal events give equal actions.
 	links []*link
 	out   []Action
@@ -246,12 +248,13 @@
 
 // install puts a state in force, or refuses it whole.
 func (c *Core) install(state *fleet.State, delta *fleet.Delta) bool {
-	compiled, err := snapshot.Compile(state)
+	compiled, err := snapshot.CompileAfter(c.compiled, state)
 	if err != nil {
 		c.reject(err)
 		return false
 	}
 	c.state = state
+	c.compiled = compiled
 	c.full = false
 	c.history.Add(delta)
 	clear(c.blobs)
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -91,6 +91,18 @@
 	return slices.SortedFunc(maps.Keys(s.resources), Key.Compare)
 }
 
+// keysOf returns the keys of one mesh in order.
+func (s *State) keysOf(mesh string) []Key {
+	var keys []Key
+	for k := range s.resources {
+		if k.Mesh == mesh {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, Key.Compare)
+	return keys
+}
+
 // Mesh returns the header of a mesh and whether it is known.
 func (s *State) Mesh(name string) (MeshHeader, bool) {
 	var h MeshHeader
@@ -120,10 +132,7 @@
 		return nil, errors.Newf("no mesh %q", mesh)
 	}
 	m := &manifest.Manifest{Mesh: mesh, Version: header.Version, Hosts: header.Hosts}
-	for _, k := range s.Keys() {
-		if k.Mesh != mesh {
-			continue
-		}
+	for _, k := range s.keysOf(mesh) {
 		if err := s.decodeInto(m, k); err != nil {
 			return nil, errors.Wrapf(err, "resource %s/%s/%s", k.Mesh, k.Kind, k.Name)
 		}
--- /dev/null
+++ b/internal/version/snapshot/compile_test.go
@@ -0,0 +1,101 @@
+package snapshot
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/daisygate/daisygate/internal/version/fleet"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// TestCompileAfterEqualsCompile holds that a compilation that reuses the one
+// before answers as a whole one does, over any sequence of accepted manifests.
+func TestCompileAfterEqualsCompile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := fleet.Empty()
+		var previous *Snapshot
+		for step := range rapid.IntRange(1, 8).Draw(t, "steps") {
+			mesh := fmt.Sprintf("m%d", rapid.IntRange(0, 2).Draw(t, "mesh"))
+			next, err := state.Accept(drawManifest(t, mesh, uint64(step+1)))
+			check(t, err)
+			state = next
+			whole, err := Compile(state)
+			check(t, err)
+			reused, err := CompileAfter(previous, state)
+			check(t, err)
+			if got, want := answers(reused), answers(whole); !slices.Equal(got, want) {
+				t.Fatalf("reused: %q\nwhole: %q", got, want)
+			}
+			previous = reused
+		}
+	})
+}
+
+func check(t *rapid.T, err error) {
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func drawManifest(t *rapid.T, mesh string, version uint64) *manifest.Manifest {
+	m := &manifest.Manifest{Mesh: mesh, Version: version, Hosts: []string{mesh + ".example"}}
+	for i := range rapid.IntRange(1, 2).Draw(t, "services") {
+		m.Services = append(m.Services, manifest.Service{Name: fmt.Sprintf("s%d", i), Slots: rapid.IntRange(1, 3).Draw(t, "slots")})
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "routes") {
+		to := m.Services[rapid.IntRange(0, len(m.Services)-1).Draw(t, "target")].Name
+		m.Routes = append(m.Routes, manifest.Route{Name: fmt.Sprintf("r%d", i), Path: fmt.Sprintf("/p%d", i), Service: to})
+	}
+	return m
+}
+
+// answers is what a snapshot says to every request that a drawn manifest can
+// speak of.
+func answers(s *Snapshot) []string {
+	lines := []string{fmt.Sprintf("version %d hash %x services %d", s.Version, s.Hash, len(s.Services()))}
+	for mesh := range 3 {
+		for path := range 4 {
+			host := fmt.Sprintf("m%d.example", mesh)
+			r, err := s.Match("GET", host, fmt.Sprintf("/p%d/x", path))
+			line := fmt.Sprintf("%s /p%d: none %v", host, path, err)
+			if r != nil {
+				line = fmt.Sprintf("%s /p%d: %s to %s with %d slots", host, path, r.Name, r.Target.Key, r.Target.Slots)
+			}
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// BenchmarkCompileAfter changes one of 64 meshes of 30 routes each.
+func BenchmarkCompileAfter(b *testing.B) {
+	state := fleet.Empty()
+	big := func(mesh string, version uint64) *manifest.Manifest {
+		m := &manifest.Manifest{Mesh: mesh, Version: version, Hosts: []string{mesh}, Services: []manifest.Service{{Name: "s"}}}
+		for i := range 30 {
+			m.Routes = append(m.Routes, manifest.Route{Name: fmt.Sprintf("r%d", i), Path: fmt.Sprintf("/p%d", i), Service: "s"})
+		}
+		return m
+	}
+	for i := range 64 {
+		state, _ = state.Accept(big(fmt.Sprintf("m%d", i), 1))
+	}
+	previous, err := Compile(state)
+	qt.Assert(b, err, qt.IsNil)
+	next, err := state.Accept(big("m7", 2))
+	qt.Assert(b, err, qt.IsNil)
+	for _, mode := range []struct {
+		name string
+		from *Snapshot
+	}{{"whole", nil}, {"after", previous}} {
+		b.Run(mode.name, func(b *testing.B) {
+			for b.Loop() {
+				_, _ = CompileAfter(mode.from, next)
+			}
+		})
+	}
+}
--- a/internal/version/snapshot/match_test.go
+++ b/internal/version/snapshot/match_test.go
@@ -6,13 +6,16 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/daisygate/daisygate/internal/version/fleet"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
 func compiled(tb testing.TB, hosts []string, routes ...manifest.Route) *Snapshot {
-	s := &Snapshot{services: map[ServiceKey]*Service{}, hosts: map[string]*table{}}
+	s := &Snapshot{services: map[ServiceKey]*Service{}, hosts: map[string]*table{}, parts: map[string]*part{}}
 	m := &manifest.Manifest{Mesh: "m", Version: 1, Hosts: hosts, Services: []manifest.Service{{Name: "s"}}, Routes: routes}
-	qt.Assert(tb, s.addMesh(m), qt.IsNil)
+	p, err := newPart(fleet.MeshHeader{Hosts: hosts}, m)
+	qt.Assert(tb, err, qt.IsNil)
+	s.add(m.Mesh, p)
 	return s
 }
 
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -5,6 +5,7 @@
 package snapshot
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -52,54 +53,94 @@
 	Hash     uint64
 	services map[ServiceKey]*Service
 	hosts    map[string]*table // "" is any host
+	// parts are the meshes by name, for the compilation of the next version.
+	parts map[string]*part
+}
+
+// part is one compiled mesh. It is immutable and shared between versions.
+type part struct {
+	header   fleet.MeshHeader
+	services map[ServiceKey]*Service
+	routes   []*Route
 }
 
 // Compile builds the snapshot of a state.
-func Compile(state *fleet.State) (*Snapshot, error) {
+func Compile(state *fleet.State) (*Snapshot, error) { return CompileAfter(nil, state) }
+
+// CompileAfter builds the snapshot of a state and takes what did not change
+// from the one before it, so that a change costs in proportion to its mesh.
+func CompileAfter(previous *Snapshot, state *fleet.State) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:  state.Version,
 		Hash:     state.Hash(),
 		services: map[ServiceKey]*Service{},
 		hosts:    map[string]*table{},
+		parts:    map[string]*part{},
 	}
 	for _, mesh := range state.Meshes() {
-		m, err := state.Manifest(mesh)
+		compiled, err := compileMesh(previous, state, mesh)
 		if err != nil {
 			return nil, errors.Wrapf(err, "mesh %s", mesh)
 		}
-		if err := s.addMesh(m); err != nil {
-			return nil, errors.Wrapf(err, "mesh %s", mesh)
-		}
+		s.add(mesh, compiled)
 	}
 	return s, nil
 }
 
-func (s *Snapshot) addMesh(m *manifest.Manifest) error {
+// compileMesh reuses the part of a mesh whose manifest is the same acceptance.
+func compileMesh(previous *Snapshot, state *fleet.State, mesh string) (*part, error) {
+	header, known := state.Mesh(mesh)
+	if !known {
+		return nil, errors.New("unreadable header")
+	}
+	if previous != nil {
+		old := previous.parts[mesh]
+		if old != nil && old.header.Fleet == header.Fleet && old.header.Content == header.Content {
+			return old, nil
+		}
+	}
+	m, err := state.Manifest(mesh)
+	if err != nil {
+		return nil, err
+	}
+	return newPart(header, m)
+}
+
+func newPart(header fleet.MeshHeader, m *manifest.Manifest) (*part, error) {
+	p := &part{header: header, services: make(map[ServiceKey]*Service, len(m.Services))}
 	for _, v := range m.Services {
 		service := &Service{Service: v, Key: ServiceKey{Mesh: m.Mesh, Name: v.Name}}
 		for _, text := range v.Allow {
 			prefix, err := netip.ParsePrefix(text)
 			if err != nil {
-				return errors.Wrapf(err, "service %s", v.Name)
+				return nil, errors.Wrapf(err, "service %s", v.Name)
 			}
 			service.allow = append(service.allow, prefix)
 		}
-		s.services[service.Key] = service
-	}
-	hosts := m.Hosts
-	if len(hosts) == 0 {
-		hosts = []string{""}
+		p.services[service.Key] = service
 	}
 	for _, v := range m.Routes {
-		target, ok := s.services[ServiceKey{Mesh: m.Mesh, Name: v.Service}]
+		target, ok := p.services[ServiceKey{Mesh: m.Mesh, Name: v.Service}]
 		if !ok {
-			return errors.Newf("route %s: no service %s", v.Name, v.Service)
+			return nil, errors.Newf("route %s: no service %s", v.Name, v.Service)
 		}
+		p.routes = append(p.routes, &Route{Route: v, Mesh: m.Mesh, Target: target})
+	}
+	return p, nil
+}
+
+func (s *Snapshot) add(mesh string, p *part) {
+	s.parts[mesh] = p
+	maps.Copy(s.services, p.services)
+	hosts := p.header.Hosts
+	if len(hosts) == 0 {
+		hosts = []string{""}
+	}
+	for _, r := range p.routes {
 		for _, host := range hosts {
-			s.addRoute(cleanHost(host), &Route{Route: v, Mesh: m.Mesh, Target: target})
+			s.addRoute(cleanHost(host), r)
 		}
 	}
-	return nil
 }
 
 func (s *Snapshot) addRoute(host string, r *Route) {
