Keep the listeners of a daemon in one file; name the settings file once

Cause: daemon.go mixed the listeners with the assembly, and a settings fault was told with the file's name twice.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -142,35 +142,6 @@
 	return errors.CombineErrors(d.traces.Close(ctx), d.lock.Close())
 }
 
-func (d *Daemon) listen() error {
-	addrs := map[string]string{
-		"caller": d.set.Listen.Caller, "announce": d.set.Listen.Announce,
-		"peer": d.set.Listen.Peer, "operator": d.set.Listen.Operator,
-	}
-	for name, addr := range addrs {
-		if d.listeners[name] != nil {
-			continue
-		}
-		listener, err := net.Listen("tcp", addr)
-		if err != nil {
-			return errors.Wrapf(err, "listen.%s", name)
-		}
-		d.listeners[name] = listener
-	}
-	d.bound()
-	return nil
-}
-
-func (d *Daemon) closeListeners() {
-	for _, l := range d.listeners {
-		_ = l.Close()
-	}
-}
-
-// Addr returns the address of a listener: "caller", "announce", "peer" or
-// "operator".
-func (d *Daemon) Addr(listener string) string { return d.listeners[listener].Addr().String() }
-
 func (d *Daemon) build() error {
 	incarnation := uint64(time.Now().UnixMilli())
 	d.incarnation = incarnation
--- a/internal/process/daemon/listeners.go
+++ b/internal/process/daemon/listeners.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"net"
 	"net/http"
 	"net/rpc"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/daisygate/daisygate/internal/connection/limit"
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/connection/peer"
@@ -18,6 +21,36 @@
 	minCallerConnections = 64
 )
 
+// listen opens the listeners that were not handed over.
+func (d *Daemon) listen() error {
+	addrs := map[string]string{
+		"caller": d.set.Listen.Caller, "announce": d.set.Listen.Announce,
+		"peer": d.set.Listen.Peer, "operator": d.set.Listen.Operator,
+	}
+	for name, addr := range addrs {
+		if d.listeners[name] != nil {
+			continue
+		}
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			return errors.Wrapf(err, "listen.%s", name)
+		}
+		d.listeners[name] = listener
+	}
+	d.bound()
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+}
+
+// Addr returns the address of a listener: "caller", "announce", "peer" or
+// "operator".
+func (d *Daemon) Addr(listener string) string { return d.listeners[listener].Addr().String() }
+
 // bound puts the limits of the settings around the listeners.
 func (d *Daemon) bound() {
 	limits := d.set.Limits
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -176,17 +176,17 @@
 // SetDefaults sets the documented defaults, before the keys are read.
 func (s *Settings) SetDefaults() { *s = Defaults() }
 
-// Load reads and checks a settings file.
+// Load reads and checks a settings file. The error of a file that could be read
+// is as for Parse.
 func Load(path string) (Settings, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read settings")
 	}
-	s, err := Parse(raw)
-	return s, errors.Wrapf(err, "settings %s", path)
+	return Parse(raw)
 }
 
-// Parse reads and checks settings. The error, if any, holds a
+// Parse reads and checks settings. The error, if any, is a
 // strictyaml.Faults that lists everything wrong with them.
 func Parse(raw []byte) (Settings, error) {
 	var s Settings
