Count a connection as open until the server has closed it

Cause: the pool counted a connection out when this side closed it, which the server learns later, and a dial that its caller's deadline cut short not at all: with 3 connections allowed a server had 4 open. Ruled out: keeping one connection in reserve; a server may take only one. Change: every connection that is given up is half-closed and counted until the far side closes; a request waits for that if none else is free; a dial goes on by itself when its request ends, and serves the next; at the bound an older idle connection serves instead of a new one.

--- a/internal/connection/gateway/gateway_test.go
+++ b/internal/connection/gateway/gateway_test.go
@@ -74,9 +74,12 @@
 // place announces a server with slots beside each of the named gateways.
 func (f *fleetOf) place(slots int, servers map[int]string) {
 	for i, addr := range servers {
-		s := presence.Server{Mesh: "m", Service: "s", Addr: addr, Slots: slots, Connections: 100, State: presence.Serving}
-		f.records[i].Servers = append(f.records[i].Servers, s)
+		f.announce(i, presence.Server{Mesh: "m", Service: "s", Addr: addr, Slots: slots, Connections: 100, State: presence.Serving})
 	}
+}
+
+func (f *fleetOf) announce(at int, s presence.Server) {
+	f.records[at].Servers = append(f.records[at].Servers, s)
 	f.dir.Store(directory.Build(f.snap, f.records))
 	for i, g := range f.gateways {
 		g.SetServers(f.records[i].Servers)
@@ -364,6 +367,61 @@
 	})
 }
 
+// countingListener counts the connections that its server has open.
+type countingListener struct {
+	net.Listener
+	open, peak atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.peak.Store(max(l.peak.Load(), l.open.Add(1)))
+	}
+	return &countedConn{Conn: conn, open: &l.open}, err
+}
+
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// TestConnectionsNeverExceeded holds the smaller of slots and connections,
+// whatever a server claims, with callers that leave among the others.
+func TestConnectionsNeverExceeded(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		counted := &countingListener{Listener: l}
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(5 * time.Millisecond) })}
+		go func() { _ = server.Serve(counted) }()
+		defer func() { _ = server.Close() }()
+		f.announce(at, presence.Server{Mesh: "m", Service: "s", Addr: l.Addr().String(), Slots: 1000, Connections: 3, State: presence.Serving})
+		var wait sync.WaitGroup
+		for i := range 100 {
+			wait.Go(func() {
+				ctx, leave := context.WithTimeout(context.Background(), time.Duration(i%4)*5*time.Millisecond+time.Millisecond)
+				defer leave()
+				req, err := http.NewRequestWithContext(ctx, "GET", f.callers[0].URL+"/again", nil)
+				c.Check(err, qt.IsNil)
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		wait.Wait()
+		c.Check(f.do(0, "GET", "/", nil).status, qt.Equals, 200)
+		peak := counted.peak.Load()
+		c.Check(peak >= 1 && peak <= 3, qt.IsTrue, qt.Commentf("%d connections", peak))
+	})
+}
+
 // TestRefusedBeforeTheBody sends a stream to another server when the first
 // refuses it, whole; and a leaving daemon takes no new work.
 func TestRefusedBeforeTheBody(t *testing.T) {
@@ -384,3 +442,24 @@
 	}
 	c.Assert(runsOne.Load(), qt.Equals, int64(0))
 }
+
+// TestLoopOfCallsEnds lets a backend server call its own route, passing on the
+// headers that it got: the chain ends at its greatest depth, and no call has
+// more time than the one it belongs to.
+func TestLoopOfCallsEnds(t *testing.T) {
+	everyHop(t, func(c *qt.C, f *fleetOf, at int) {
+		var runs, last atomic.Int64
+		last.Store(int64(time.Hour))
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			left, ok := durationOf(r.Header, HeaderTimeout)
+			c.Check(ok && int64(left) <= last.Swap(int64(left)), qt.IsTrue)
+			a := f.do(0, "GET", "/again", nil, HeaderDepth, r.Header.Get(HeaderDepth), HeaderTimeout, r.Header.Get(HeaderTimeout))
+			w.WriteHeader(a.status)
+		}))
+		defer server.Close()
+		f.place(2*depthMax, map[int]string{at: server.Listener.Addr().String()})
+		c.Assert(f.do(0, "GET", "/again", nil).status, qt.Equals, 400)
+		c.Assert(runs.Load(), qt.Equals, int64(depthMax))
+	})
+}
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,13 +42,15 @@
 	// is above 0.
 	total, max int
 	lingering  map[*conn]struct{}
-	closed     bool
-	sweeper    *time.Timer
+	// freed is signalled when a lingering connection ended.
+	freed   chan struct{}
+	closed  bool
+	sweeper *time.Timer
 }
 
 // NewPool returns an empty pool.
 func NewPool(cfg Config) *Pool {
-	return &Pool{cfg: cfg, lingering: map[*conn]struct{}{}}
+	return &Pool{cfg: cfg, lingering: map[*conn]struct{}{}, freed: make(chan struct{}, 1)}
 }
 
 // SetMax bounds the connections; 0 takes the bound away.
@@ -68,63 +71,100 @@
 // request.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
-	for _, c := range p.idle {
-		p.drop(c)
-	}
+	idle := p.idle
 	p.idle = nil
 	for c := range p.lingering {
 		_ = c.Conn.Close()
 	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.drop(c, nil)
+	}
 }
 
-// drop closes a connection; p.mu is held.
-func (p *Pool) drop(c *conn) {
-	p.total--
-	_ = c.Conn.Close()
-}
-
-// get returns a connection that was idle for at most age, or a new one.
+// get returns a connection that was idle for at most age, or a new one. Where
+// there may be no more, an older one serves, or the end of a lingering one is
+// awaited.
 func (p *Pool) get(ctx context.Context, age time.Duration) (*conn, error) {
 	for {
 		c, err := p.take(age)
-		if err != nil {
-			return nil, err
-		}
-		if c == nil {
+		switch {
+		case err != nil:
+			if !p.awaitFreed(ctx) {
+				return nil, err
+			}
+		case c == nil:
 			return p.dial(ctx)
-		}
-		if c.quiet() {
+		case c.quiet():
 			return c, nil
+		default:
+			p.drop(c, nil)
 		}
-		p.discard(c)
 	}
 }
 
-// take returns an idle connection, or nil after making room for a new one.
+// take returns an idle connection, or nil if a new one may be opened.
 func (p *Pool) take(age time.Duration) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last := len(p.idle) - 1; last >= 0 && time.Since(p.idle[last].since) <= age {
+	last := len(p.idle) - 1
+	full := p.max > 0 && p.total >= p.max
+	if last >= 0 && (full || time.Since(p.idle[last].since) <= age) {
 		c := p.idle[last]
 		p.idle = p.idle[:last]
 		return c, nil
 	}
-	if p.max > 0 && p.total >= p.max {
-		if len(p.idle) == 0 {
-			return nil, ErrConnections
-		}
-		p.drop(p.idle[0])
-		p.idle = p.idle[1:]
+	if full {
+		return nil, ErrConnections
 	}
 	p.total++
 	return nil, nil
 }
 
+// awaitFreed waits until a lingering connection ended, and reports whether one
+// did.
+func (p *Pool) awaitFreed(ctx context.Context) bool {
+	timer := time.NewTimer(p.cfg.DialTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.freed:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// dial opens a connection. One whose request ended meanwhile goes to the idle
+// ones: a dial that is cut short may leave a connection on the far side.
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	type dialled struct {
+		conn *conn
+		err  error
+	}
+	result := make(chan dialled)
+	go func() {
+		c, err := p.open()
+		select {
+		case result <- dialled{c, err}:
+		case <-ctx.Done():
+			if err == nil {
+				p.put(c)
+			}
+		}
+	}()
+	select {
+	case d := <-result:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (p *Pool) open() (*conn, error) {
 	dialer := net.Dialer{Timeout: p.cfg.DialTimeout}
-	tcp, err := dialer.DialContext(ctx, "tcp", p.cfg.Addr)
+	tcp, err := dialer.Dial("tcp", p.cfg.Addr)
 	if err != nil {
 		p.mu.Lock()
 		p.total--
@@ -139,45 +179,45 @@
 // put takes back a connection whose request and answer are both complete.
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= p.cfg.IdleMax {
-		p.drop(c)
-		return
+	keep := !p.closed && len(p.idle) < p.cfg.IdleMax
+	if keep {
+		c.since = time.Now()
+		p.idle = append(p.idle, c)
+		if p.sweeper == nil {
+			p.sweeper = time.AfterFunc(p.cfg.IdleTimeout, p.sweep)
+		}
 	}
-	c.since = time.Now()
-	p.idle = append(p.idle, c)
-	if p.sweeper == nil {
-		p.sweeper = time.AfterFunc(p.cfg.IdleTimeout, p.sweep)
+	p.mu.Unlock()
+	if !keep {
+		p.drop(c, nil)
 	}
 }
 
 // sweep closes connections that were idle for too long.
 func (p *Pool) sweep() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.sweeper = nil
-	for len(p.idle) > 0 && time.Since(p.idle[0].since) >= p.cfg.IdleTimeout {
-		p.drop(p.idle[0])
-		p.idle = p.idle[1:]
+	n := 0
+	for n < len(p.idle) && time.Since(p.idle[n].since) >= p.cfg.IdleTimeout {
+		n++
 	}
+	old := slices.Clone(p.idle[:n])
+	p.idle = slices.Delete(p.idle, 0, n)
+	p.sweeper = nil
 	if len(p.idle) > 0 {
 		p.sweeper = time.AfterFunc(p.cfg.IdleTimeout-time.Since(p.idle[0].since), p.sweep)
 	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.drop(c, nil)
+	}
 }
 
-func (p *Pool) discard(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.drop(c)
-}
-
-// abandon gives a connection up whose request may still be worked on, and calls
-// done when it no longer is.
-func (p *Pool) abandon(c *conn, done func()) {
+// drop gives a connection up, whose request may still be worked on, and calls
+// done when it no longer is. It counts as open until the far side closed it.
+func (p *Pool) drop(c *conn, done func()) {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !p.cfg.Linger || !ok || tcp.CloseWrite() != nil {
-		p.discard(c)
-		done()
+		p.end(c, done)
 		return
 	}
 	p.mu.Lock()
@@ -188,10 +228,22 @@
 	p.mu.Unlock()
 	go func() {
 		c.drain()
-		p.mu.Lock()
-		delete(p.lingering, c)
-		p.drop(c)
-		p.mu.Unlock()
-		done()
+		p.end(c, done)
 	}()
 }
+
+// end closes a connection and counts it out.
+func (p *Pool) end(c *conn, done func()) {
+	_ = c.Conn.Close()
+	p.mu.Lock()
+	delete(p.lingering, c)
+	p.total--
+	p.mu.Unlock()
+	select {
+	case p.freed <- struct{}{}:
+	default:
+	}
+	if done != nil {
+		done()
+	}
+}
--- a/internal/connection/upstream/roundtrip.go
+++ b/internal/connection/upstream/roundtrip.go
@@ -118,33 +118,20 @@
 		f.Err = errors.Mark(err, ErrBody)
 	}
 	x.release()
-	x.leave(sent)
+	x.pool.drop(x.conn, x.request.done)
 	return f
 }
 
-// leave gives the connection up. A far side that closed is done.
-func (x *exchange) leave(working bool) {
-	if working {
-		x.pool.abandon(x.conn, x.request.done)
-		return
-	}
-	x.pool.discard(x.conn)
-	x.request.done()
-}
-
 // finish ends an exchange with an answer, whole or not.
 func (x *exchange) finish(whole bool) {
 	uploaded := x.upload.stop()
 	undisturbed := x.release()
-	switch {
-	case !whole || !uploaded:
-		x.leave(true)
-	case x.answer.Close || !undisturbed || x.conn.br.Buffered() > 0:
-		x.leave(false)
-	default:
-		x.pool.put(x.conn)
-		x.request.done()
+	if !whole || !uploaded || x.answer.Close || !undisturbed || x.conn.br.Buffered() > 0 {
+		x.pool.drop(x.conn, x.request.done)
+		return
 	}
+	x.pool.put(x.conn)
+	x.request.done()
 }
 
 // body is the body of an answer. Its whole end gives the connection back.
