Lower the limit only while that lowers the latency

Cause: a climb of the latency lowered the limit to a quarter of the slots also where requests had simply become longer; goodput would fall until the new latency counted as the usual one, some 30 windows for ten times. Ruled out: a faster drift; it would also take overload over as usual. Change: after three windows of overload it is asked whether the latency fell by a tenth; if not, it is the usual one from then on and the limit is given up.

--- a/internal/request/admit/limit.go
+++ b/internal/request/admit/limit.go
@@ -14,6 +14,11 @@
 	decrease = 0.9
 	// leastShare is the share of the slots that the limit never falls below.
 	leastShare = 0.25
+	// patience is how many windows of overload in a row lower the limit before
+	// it is asked whether that helped: the latency must have come down to
+	// helped of what it was.
+	patience = 3
+	helped   = 0.9
 	// drift takes a lasting change of the latency over as the usual one: the
 	// usual latency doubles within 1/drift windows.
 	drift = 0.05
@@ -32,6 +37,10 @@
 	// service is the smoothed latency of single requests.
 	service time.Duration
 
+	// climbs counts the windows of overload since the latency was before.
+	climbs int
+	before time.Duration
+
 	begun time.Time
 	sum   time.Duration
 	count int
@@ -71,9 +80,24 @@
 	}
 	switch {
 	case l.full && float64(mean) > climb*float64(l.usual):
-		l.limit *= decrease
+		l.overload(mean, slots)
 	case l.full:
+		l.climbs = 0
 		l.limit++
 	}
 	l.limit = min(max(l.limit, leastShare*float64(slots), 1), float64(max(slots, 1)))
 }
+
+// overload lowers the limit, unless that did not help: then requests take longer
+// for another reason than their number, and the new latency is the usual one.
+func (l *limiter) overload(mean time.Duration, slots int) {
+	if l.climbs%patience == 0 {
+		if l.climbs > 0 && float64(mean) > helped*float64(l.before) {
+			l.usual, l.climbs, l.limit = mean, 0, float64(slots)
+			return
+		}
+		l.before = mean
+	}
+	l.climbs++
+	l.limit *= decrease
+}
