Wait for a freed connection by signal and by a short poll

Cause: one signal of the pool may stand for several connections that ended at the same time; a second request would have waited for up to a second beside a free place. Change: a wait ends after 5 ms at the latest and looks again, for as long as a dial may take. Conclusion: go test -race -count=20 -run 'Exceeded|Left' ./internal/connection/gateway passes.

--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -87,11 +87,11 @@
 // there may be no more, an older one serves, or the end of a lingering one is
 // awaited.
 func (p *Pool) get(ctx context.Context, age time.Duration) (*conn, error) {
-	for {
+	for begin := time.Now(); ; {
 		c, err := p.take(age)
 		switch {
 		case err != nil:
-			if !p.awaitFreed(ctx) {
+			if time.Since(begin) > p.cfg.DialTimeout || !p.awaitFreed(ctx) {
 				return nil, err
 			}
 		case c == nil:
@@ -122,18 +122,22 @@
 	return nil, nil
 }
 
-// awaitFreed waits until a lingering connection ended, and reports whether one
-// did.
+// freedPoll bounds one wait for a lingering connection: one signal may stand for
+// several.
+const freedPoll = 5 * time.Millisecond
+
+// awaitFreed waits for the end of a lingering connection, and reports whether
+// ctx still stands.
 func (p *Pool) awaitFreed(ctx context.Context) bool {
-	timer := time.NewTimer(p.cfg.DialTimeout)
+	timer := time.NewTimer(freedPoll)
 	defer timer.Stop()
 	select {
 	case <-p.freed:
-		return true
-	case <-ctx.Done():
 	case <-timer.C:
+	case <-ctx.Done():
+		return false
 	}
-	return false
+	return true
 }
 
 // dial opens a connection. One whose request ended meanwhile goes to the idle
