Hold manifest hosts and paths to the form that requests are compared in

Cause: a host with a final dot, or a path with escapes or a backslash, was accepted and never matched a request; an IPv6 host was refused for its colons. Change: the first three are faults that say what would be right, IP hosts are taken.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -12,7 +12,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/version/fleet"
 	"github.com/daisygate/daisygate/internal/version/manifest"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
 )
 
 func TestManifests(t *testing.T) {
@@ -27,6 +29,39 @@
 	}
 }
 
+// TestMeshesTogether holds that both meshes can be in force in one fleet, and
+// that breakdown crews' hose specifications have their own route and priority.
+func TestMeshesTogether(t *testing.T) {
+	c := qt.New(t)
+	state := fleet.Empty()
+	for _, file := range []string{"ahnenbach.yaml", "ramdin.yaml"} {
+		raw, err := os.ReadFile(file)
+		c.Assert(err, qt.IsNil)
+		m, err := manifest.Parse(raw)
+		c.Assert(err, qt.IsNil)
+		state, err = state.Accept(m)
+		c.Assert(err, qt.IsNil)
+	}
+	compiled, err := snapshot.Compile(state)
+	c.Assert(err, qt.IsNil)
+	for request, want := range map[[2]string]string{
+		{"GET", "/records/1850"}:                 "parish-records",
+		{"POST", "/transfers"}:                   "plot-transfers",
+		{"GET", "/specifications/breakdown/4SP"}: "hose-specifications-breakdown",
+		{"GET", "/specifications/4SP"}:           "hose-specifications",
+		{"POST", "/certificates"}:                "fitting-certificate-issue",
+		{"GET", "/certificates/7"}:               "fitting-certificates",
+	} {
+		route, err := compiled.Match(request[0], "any.example.org", request[1])
+		c.Assert(err, qt.IsNil)
+		c.Assert(route, qt.IsNotNil, qt.Commentf("%v", request))
+		c.Check(route.Name, qt.Equals, want)
+	}
+	route, err := compiled.Match("POST", "any.example.org", "/tree")
+	c.Check(err, qt.IsNil)
+	c.Check(route, qt.IsNil)
+}
+
 // TestFleets holds that the settings of a fleet fit together: unique names and
 // addresses, three failure domains, three sources in different domains, and
 // seeds and members that name real instances.
--- a/internal/version/manifest/check.go
+++ b/internal/version/manifest/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"path"
 	"strings"
 	"time"
@@ -65,11 +66,19 @@
 		d.Add(key, "has %d bytes, want at most %d", len(host), MaxHostBytes)
 	case host != strings.ToLower(host):
 		d.Add(key, "want lower case; did you mean %q?", strings.ToLower(host))
-	case strings.ContainsAny(host, "/*: \t"):
+	case strings.HasSuffix(host, "."):
+		d.Add(key, "want no dot at the end; did you mean %q?", strings.TrimRight(host, "."))
+	case isIP(host):
+	case strings.ContainsAny(host, "/*:[] "):
 		d.Add(key, "want a plain host name without scheme, port or wildcard, got %q", host)
 	}
 }
 
+func isIP(host string) bool {
+	_, err := netip.ParseAddr(host)
+	return err == nil
+}
+
 func (s *Service) check(d *strictyaml.Document, key string) {
 	d.Name(key+".name", s.Name)
 	d.Count(key+".allow", len(s.Allow), MaxPrefixes)
@@ -132,8 +141,10 @@
 		d.Add(key, "has %d bytes, want at most %d", len(value), MaxPathBytes)
 	case !strings.HasPrefix(value, "/"):
 		d.Add(key, "must begin with /, got %q", value)
-	case strings.ContainsAny(value, "?#* \t\r\n"):
-		d.Add(key, "want a plain path prefix without query, fragment, wildcard or blank, got %q", value)
+	case strings.Contains(value, "%"):
+		d.Add(key, "want the path without escapes, got %q", value)
+	case strings.ContainsAny(value, "?#*\\ "):
+		d.Add(key, "want a plain path prefix without query, fragment, wildcard, backslash or blank, got %q", value)
 	case clean != value:
 		d.Add(key, "want a clean path; did you mean %q?", clean)
 	}
