--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -129,7 +129,7 @@
 	if member > 0 {
 		traffic = &s.proxies[member-1].traffic
 	}
-	return fleet.Usage{Sent: traffic.Sent.Load(), Received: traffic.Received.Load()}
+	return fleet.Usage{Sent: traffic.Sent.Load(), Received: traffic.Received.Load(), Messages: traffic.Messages.Load()}
 }
 
 // Restart implements fleet.System; the source is left alone.
--- a/bench/bytes.go
+++ b/bench/bytes.go
@@ -151,6 +151,8 @@
 	rep.Add("idle, received, max daemon", s.Name(), at, report.BytesPerSec, mostOf(daemons, received)/seconds)
 	rep.Add("idle, sent, mean daemon", s.Name(), at, report.BytesPerSec, mean(daemons, sent)/seconds)
 	rep.Add("idle, sent, max source", s.Name(), at, report.BytesPerSec, mostOf(sources, sent)/seconds)
+	rep.Add("idle, messages sent, mean daemon", s.Name(), at, report.PerSecond, mean(daemons, messages)/seconds)
+	rep.Add("idle, messages sent, max source", s.Name(), at, report.PerSecond, mostOf(sources, messages)/seconds)
 	rep.Add("idle, processor, mean daemon", s.Name(), at, report.CorePercent, 100*idle.processor.Seconds()/seconds/at)
 }
 
@@ -162,6 +164,8 @@
 	rep.Add("received a change, mean daemon", s.Name(), at, report.Bytes, mean(daemons, received)/changes)
 	rep.Add("received a change, max daemon", s.Name(), at, report.Bytes, mostOf(daemons, received)/changes)
 	rep.Add("received a change, max source", s.Name(), at, report.Bytes, mostOf(sources, received)/changes)
+	rep.Add("messages sent a change, mean daemon", s.Name(), at, report.Count, mean(daemons, messages)/changes)
+	rep.Add("messages sent a change, max source", s.Name(), at, report.Count, mostOf(sources, messages)/changes)
 	rep.Add("sent a change, all sources", s.Name(), at, report.Bytes, mean(sources, sent)*float64(len(sources))/changes)
 	rep.Add("sent a change, max source", s.Name(), at, report.Bytes, mostOf(sources, sent)/changes)
 	rep.Add("processor a change, mean daemon", s.Name(), at, report.Milliseconds, report.Millis(above.processor)/changes/at)
--- a/bench/callfleet.go
+++ b/bench/callfleet.go
@@ -26,6 +26,8 @@
 	// pathPool and pathUrgent lead to the same service, the second before it.
 	pathPool   = "/pool"
 	pathUrgent = "/urgent"
+	// pathOnce leads to serviceRemote with what must run at most once.
+	pathOnce = "/once"
 
 	localMember  = 0
 	remoteMember = 1
@@ -62,6 +64,8 @@
 	add(pathRemote, serviceRemote, manifest.DefaultPriority)
 	add(pathPool, servicePool, manifest.DefaultPriority)
 	add(pathUrgent, servicePool, urgentPriority)
+	add(pathOnce, serviceRemote, manifest.DefaultPriority)
+	m.Routes[len(m.Routes)-1].Repeatable = false
 	return m
 }
 
@@ -156,6 +160,15 @@
 	return used
 }
 
+// processorTimes returns the processor time of every daemon so far.
+func (f *callFleet) processorTimes() []time.Duration {
+	times := make([]time.Duration, f.processes.Size())
+	for member := range times {
+		times[member] = f.processor(member)
+	}
+	return times
+}
+
 func (f *callFleet) close() {
 	for _, b := range append([]*fleet.Backend{f.local, f.remote}, f.pool...) {
 		if b != nil {
--- a/bench/calls.go
+++ b/bench/calls.go
@@ -29,6 +29,9 @@
 	skip        []string
 }
 
+// notServed is the figure of calls that were refused, failed or not sent.
+const notServed = "not served"
+
 // The parts of the measurement, for --skip.
 const (
 	partLatency  = "latency"
@@ -95,7 +98,7 @@
 	rep.Add("latency p99", res.Class, at, report.Milliseconds, quantile(res, 99))
 	rep.Add("latency max", res.Class, at, report.Milliseconds, quantile(res, 100))
 	rep.Add("sent late p99", res.Class, at, report.Milliseconds, float64(res.Lateness.ValueAtQuantile(99))/1000)
-	rep.Add("not served", res.Class, at, report.Count, float64(res.Due()-res.Served))
+	rep.Add(notServed, res.Class, at, report.Count, float64(res.Due()-res.Served))
 	if res.FirstFailure != "" {
 		rep.Note("%s at %s calls/s, a failure: %s", res.Class, report.Number(at), res.FirstFailure)
 	}
--- a/bench/fleet/processes.go
+++ b/bench/fleet/processes.go
@@ -192,8 +192,7 @@
 func (p *Processes) Usage(member int) Usage {
 	u := p.members[member].before
 	if status, err := p.Status(member); err == nil {
-		u.Sent += status.ControlSent
-		u.Received += status.ControlReceived
+		return u.Plus(usageOf(status))
 	}
 	return u
 }
--- a/bench/fleet/rusage.go
+++ b/bench/fleet/rusage.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -11,15 +12,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// clockTick is the unit of times in /proc/PID/stat on Linux.
-const clockTick = 10 * time.Millisecond
-
-// The places of the times in /proc/PID/stat, counted from behind the name.
-const (
-	statUser   = 11
-	statSystem = 12
-)
-
 // ProcessorTime returns the user and system time this process has used.
 func ProcessorTime() time.Duration {
 	var usage syscall.Rusage
@@ -29,25 +21,25 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// ProcessorTimeOf returns the user and system time another process has used,
-// in steps of 10 ms.
+// ProcessorTimeOf returns the time another process has had a processor, from
+// the scheduler's count for each of its threads.
 func ProcessorTimeOf(pid int) (time.Duration, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, errors.Wrap(err, "read processor time")
-	}
-	_, rest, _ := strings.Cut(string(raw), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) <= statSystem {
-		return 0, errors.Newf("processor time of %d: short line", pid)
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(paths) == 0 {
+		return 0, errors.Newf("no process %d", pid)
 	}
 	var sum time.Duration
-	for _, field := range fields[statUser : statSystem+1] {
-		ticks, err := strconv.ParseInt(field, 10, 64)
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		first, _, _ := strings.Cut(string(raw), " ")
+		nanos, err := strconv.ParseInt(first, 10, 64)
 		if err != nil {
 			return 0, errors.Wrap(err, "processor time")
 		}
-		sum += time.Duration(ticks) * clockTick
+		sum += time.Duration(nanos)
 	}
 	return sum, nil
 }
--- a/bench/fleet/shared.go
+++ b/bench/fleet/shared.go
@@ -38,8 +38,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Shared{dir: o.Dir, nodes: nodes, operators: newOperators(nodes)}
-	for range o.Size - o.Outside {
+	return startShared(o.Dir, nodes, o.Outside, newOperators(nodes))
+}
+
+// startShared starts all nodes but the last ones, which stay outside.
+func startShared(dir string, nodes []settings.Settings, outside int, operators *operators) (*Shared, error) {
+	s := &Shared{dir: dir, nodes: nodes, operators: operators}
+	for range len(nodes) - outside {
 		s.members = append(s.members, &sharedMember{})
 	}
 	for i := range s.members {
@@ -78,9 +83,7 @@
 	}
 	m.stop()
 	<-m.done
-	status := d.NodeStatus()
-	m.before.Sent += status.ControlSent
-	m.before.Received += status.ControlReceived
+	m.before = m.before.Plus(usageOf(d.NodeStatus()))
 }
 
 // Name implements System.
@@ -119,9 +122,7 @@
 func (s *Shared) Usage(member int) Usage {
 	u := s.members[member].before
 	if d := s.Daemon(member); d != nil {
-		status := d.NodeStatus()
-		u.Sent += status.ControlSent
-		u.Received += status.ControlReceived
+		return u.Plus(usageOf(d.NodeStatus()))
 	}
 	return u
 }
--- a/bench/fleet/system.go
+++ b/bench/fleet/system.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
@@ -15,6 +16,18 @@
 type Usage struct {
 	// Sent and Received are control bytes.
 	Sent, Received uint64
+	// Messages are the control messages sent.
+	Messages uint64
+}
+
+// Plus returns the sum of two usages.
+func (u Usage) Plus(o Usage) Usage {
+	return Usage{Sent: u.Sent + o.Sent, Received: u.Received + o.Received, Messages: u.Messages + o.Messages}
+}
+
+// usageOf reads a usage from a daemon's status.
+func usageOf(s operator.NodeStatus) Usage {
+	return Usage{Sent: s.ControlSent, Received: s.ControlReceived, Messages: s.ControlMessages}
 }
 
 // System is a fleet under measurement: daisygate, or a baseline.
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"github.com/daisygate/daisygate/internal/connection/gateway"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -38,6 +40,9 @@
 	URLs []string
 	// Header is sent with each request.
 	Header http.Header
+	// Keyed gives each request an idempotency key of its own and makes it a
+	// POST; else it is a GET.
+	Keyed bool
 	// Rate is the mean number of requests a second; gaps are exponential.
 	Rate float64
 }
@@ -119,28 +124,45 @@
 			r.NotSent++
 			continue
 		}
-		url := class.URLs[i%len(class.URLs)]
+		request := class.request(i)
 		at := due
 		wait.Go(func() {
-			call(ctx, client, url, class.Header, begin, at, r)
+			call(ctx, client, request, begin, at, r)
 			<-inFlight
 		})
 	}
 }
 
-func call(ctx context.Context, client *http.Client, url string, header http.Header, begin time.Time, due time.Duration, r *Result) {
+// request is what one call sends.
+type request struct {
+	method, url string
+	header      http.Header
+}
+
+func (c *Class) request(i int) request {
+	r := request{method: http.MethodGet, url: c.URLs[i%len(c.URLs)], header: c.Header.Clone()}
+	if c.Keyed {
+		r.method = http.MethodPost
+		r.header = http.Header{gateway.HeaderIdempotencyKey: {fmt.Sprintf("bench-%d-%d", time.Now().UnixNano(), i)}}
+	}
+	return r
+}
+
+func call(ctx context.Context, client *http.Client, request request, begin time.Time, due time.Duration, r *Result) {
 	lateness := time.Since(begin) - due
-	outcome, err := do(ctx, client, url, header)
+	outcome, err := do(ctx, client, request)
 	r.record(due, lateness, time.Since(begin)-due, outcome, err)
 }
 
 // do sends one request and reads the whole answer.
-func do(ctx context.Context, client *http.Client, url string, header http.Header) (result.Outcome, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+func do(ctx context.Context, client *http.Client, request request) (result.Outcome, error) {
+	req, err := http.NewRequestWithContext(ctx, request.method, request.url, nil)
 	if err != nil {
 		return result.Unknown, errors.Wrap(err, "request")
 	}
-	req.Header = header.Clone()
+	if request.header != nil {
+		req.Header = request.header
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return result.Unknown, err
@@ -189,7 +211,7 @@
 
 // Ask sends one request and returns an error unless it was served.
 func Ask(ctx context.Context, client *http.Client, url string) error {
-	outcome, err := do(ctx, client, url, nil)
+	outcome, err := do(ctx, client, request{method: http.MethodGet, url: url})
 	if err == nil && outcome != result.Run {
 		err = errors.Newf("%s answered %s", url, outcome)
 	}
--- a/bench/main.go
+++ b/bench/main.go
@@ -34,7 +34,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newConvergence(), newBytes(), newCalls(), newCommit(), newRecovery(), newCompare())
+	root.AddCommand(newConvergence(), newBytes(), newCalls(), newCommit(), newRecovery(), newCapacity(), newCompare())
 	root.SetArgs(args)
 	root.SetOut(out)
 	return root.ExecuteContext(ctx)
--- a/bench/main_test.go
+++ b/bench/main_test.go
@@ -18,6 +18,8 @@
 		"convergence --sizes 4 --processes 3 --changes 2 --services 2 --routes 4 --settle 100ms --spacing 1ms",
 		"calls --daemons 3 --rates 50 --ramp 50 --phase 300ms --settle 100ms --delay 1ms --overload 0.2 --urgent 0.1 --kill-load 0.01",
 		"recovery --herds 6 --presence 5 --times 1 --log 2 --services 2 --routes 4 --settle 100ms",
+		"capacity --sweeps presence,version,changes,churn,claims --known 1,2,3,4 --version-routes 5,10,15,20 --fleet 5" +
+			" --change-rates 5,6,7,8 --churn-rates 5,6,7,8 --claim-rates 5,6,7,8 --phase 200ms --settle 100ms",
 		"commit --operators 2 --phase 300ms",
 		"bytes --sizes 4 --processes 3 --changes 2 --services 2 --routes 4 --settle 100ms --idle 100ms --spacing 1ms",
 	}
--- a/bench/report/report.go
+++ b/bench/report/report.go
@@ -58,6 +58,8 @@
 	// Notes are remarks a reader of the figures needs.
 	Notes   []string `json:"notes,omitempty"`
 	Figures []Figure `json:"figures"`
+	// Fits are the slopes of figures over their sizes.
+	Fits []Fit `json:"fits,omitempty"`
 }
 
 // New starts the report of a run.
@@ -125,7 +127,12 @@
 			r.writeRow(w, name, size, systems)
 		}
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || len(r.Fits) == 0 {
+		return err
+	}
+	fmt.Fprintln(out)
+	r.WriteFits(out)
+	return nil
 }
 
 func (r *Report) writeHead(out io.Writer) {
--- a/bench/usage.go
+++ b/bench/usage.go
@@ -27,6 +27,7 @@
 	for i := range u.members {
 		u.members[i].Sent -= before[i].Sent
 		u.members[i].Received -= before[i].Received
+		u.members[i].Messages -= before[i].Messages
 	}
 	return u, nil
 }
@@ -62,6 +63,7 @@
 		rest.members = append(rest.members, fleet.Usage{
 			Sent:     subtract(m.Sent, share*float64(idle.members[i].Sent)),
 			Received: subtract(m.Received, share*float64(idle.members[i].Received)),
+			Messages: subtract(m.Messages, share*float64(idle.members[i].Messages)),
 		})
 	}
 	return rest
@@ -76,6 +78,7 @@
 
 func sent(u fleet.Usage) float64     { return float64(u.Sent) }
 func received(u fleet.Usage) float64 { return float64(u.Received) }
+func messages(u fleet.Usage) float64 { return float64(u.Messages) }
 
 func mean(members []fleet.Usage, of func(fleet.Usage) float64) float64 {
 	sum := 0.0
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -37,6 +37,8 @@
 	// ControlSent and ControlReceived are bytes since the start.
 	ControlSent     uint64 `json:"control_sent"`
 	ControlReceived uint64 `json:"control_received"`
+	// ControlMessages are the control messages sent since the start.
+	ControlMessages uint64 `json:"control_messages"`
 }
 
 // Fleet is what is in force where, as one daemon sees it.
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -33,6 +33,9 @@
 // Traffic counts the control bytes of this process, and bounds its messages.
 type Traffic struct {
 	Sent, Received atomic.Uint64
+	// Messages counts what was sent: calls and answers. One of more than a few
+	// KiB counts as several.
+	Messages atomic.Uint64
 	// MaxMessage is the largest control message taken, in bytes; 0 stands for
 	// DefaultMaxMessage.
 	MaxMessage int
@@ -100,6 +103,7 @@
 func (c *controlConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.traffic.Sent.Add(uint64(n))
+	c.traffic.Messages.Add(1)
 	return n, err
 }
 
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -135,6 +135,7 @@
 	status := operator.NodeStatus{
 		Node: d.set.Node, Domain: d.set.Domain, Ready: d.Ready(), Mesh: d.mesh.Status(),
 		ControlSent: d.traffic.Sent.Load(), ControlReceived: d.traffic.Received.Load(),
+		ControlMessages: d.traffic.Messages.Load(),
 	}
 	if d.source != nil {
 		s := d.source.Status()
