Give the first answer in a source outage too, from one source

Cause: while no majority of sources was there, a resend of a request that had run was told 243, "not run": true of this sending, and easily read as true of the request. Ruled out: 243 with an unknown outcome (a first sending certainly was not run, and its caller is helped by knowing it). Change: without a majority the daemon looks at one source that it reaches. What that knows was committed: the first answer, or in progress, or owner lost is told from it. What it does not know is refused as before. And one claim at a time finds out whether the outage is over; the others are refused at once. Test: TestResendDuringSourceOutage held that the resend is told 243 and passed; it now wants the first answer with one source left, and 243 with none.

--- a/internal/connection/gateway/once.go
+++ b/internal/connection/gateway/once.go
@@ -19,6 +19,9 @@
 	// Do carries out one command. With an error, committed tells whether the
 	// command may have been committed all the same.
 	Do(ctx context.Context, c claims.Command) (reply once.Reply, committed bool, err error)
+	// Peek asks one source that can be reached what it knows of a claim's key
+	// while there is no majority; once.NotHeld is nothing.
+	Peek(ctx context.Context, c claims.Command) once.Reply
 }
 
 // OnceConfig is fixed for the life of a Once.
@@ -37,9 +40,11 @@
 	// claimTimeout bounds the wait for the sources before a request is refused
 	// as not run.
 	claimTimeout = time.Second
-	// outage is how long every claim is refused at once after one found no
-	// majority of sources.
+	// outage is how long no claim is tried after one found no majority of
+	// sources.
 	outage = time.Second
+	// peekTimeout bounds the look at one source meanwhile.
+	peekTimeout = 200 * time.Millisecond
 	// settleTimeout bounds one try to record an end; settlePause is waited
 	// between tries.
 	settleTimeout = 2 * time.Second
@@ -61,7 +66,8 @@
 	// granted holds a claims.Command with ID and Token by *Request, from Claim
 	// to Settle.
 	granted sync.Map
-	// downUntil is when the next claim may be tried, in Unix nanoseconds.
+	// downUntil is when the next claim may be tried, in Unix nanoseconds; 0
+	// while the sources answer.
 	downUntil atomic.Int64
 
 	ends    chan claims.Command
@@ -82,20 +88,15 @@
 	if len(key) > once.MaxKeyLength {
 		return ClaimVerdict{Refusal: result.Errorf(result.BadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, once.MaxKeyLength)}
 	}
-	if time.Now().UnixNano() < o.downUntil.Load() {
-		return verdictOf(once.Unavailable())
-	}
 	c := claims.Command{
 		Kind: claims.KindClaim, ID: once.NewID(r.Mesh, key), Fingerprint: fingerprintOf(r),
 		Token: once.Token{Node: o.cfg.Node, Incarnation: o.cfg.Incarnation, Seq: o.seq.Add(1)},
 	}
 	// The claim goes on when its caller leaves: its end must be known.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
-	defer cancel()
-	reply, committed, err := o.cfg.Table.Do(ctx, c)
-	if err != nil {
-		o.unavailable(c, committed, err)
-		return verdictOf(once.Unavailable())
+	ctx = context.WithoutCancel(ctx)
+	reply, ok := o.ask(ctx, c)
+	if !ok {
+		return verdictOf(o.peek(ctx, c))
 	}
 	step := once.Open(reply, o.cfg.Lives)
 	if step.Refusal == nil && step.Replay == nil {
@@ -104,6 +105,43 @@
 	return verdictOf(step)
 }
 
+// ask makes the claim; ok is false when no majority of sources answered.
+func (o *Once) ask(ctx context.Context, c claims.Command) (reply once.Reply, ok bool) {
+	if !o.mayAsk() {
+		return reply, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reply, committed, err := o.cfg.Table.Do(ctx, c)
+	if err != nil {
+		o.unavailable(c, committed, err)
+		return reply, false
+	}
+	o.downUntil.Store(0)
+	return reply, true
+}
+
+// mayAsk lets one claim at a time find out whether an outage is over.
+func (o *Once) mayAsk() bool {
+	now, until := time.Now().UnixNano(), o.downUntil.Load()
+	if until == 0 {
+		return true
+	}
+	return now >= until && o.downUntil.CompareAndSwap(until, now+int64(outage))
+}
+
+// peek decides without a majority: a key that one source knows is answered by
+// that, any other request is refused as not run.
+func (o *Once) peek(ctx context.Context, c claims.Command) once.Step {
+	ctx, cancel := context.WithTimeout(ctx, peekTimeout)
+	defer cancel()
+	reply := o.cfg.Table.Peek(ctx, c)
+	if reply.Verdict == once.NotHeld || reply.Owner == c.Token {
+		return once.Unavailable()
+	}
+	return once.Open(reply, o.cfg.Lives)
+}
+
 // unavailable begins a time without claims, and takes back what may have been
 // committed.
 func (o *Once) unavailable(c claims.Command, committed bool, err error) {
--- a/internal/process/claims/sources_test.go
+++ b/internal/process/claims/sources_test.go
@@ -26,7 +26,7 @@
 	number := 0
 	rapid.Check(t, func(t *rapid.T) {
 		number++
-		w := &world{dir: filepath.Join(base, fmt.Sprint(number)), nodes: map[string]*quorum.Node[once.Reply]{}, disks: map[string]*storage.Log{}, ran: map[int]*attempt{}}
+		w := &world{dir: filepath.Join(base, fmt.Sprint(number)), nodes: map[string]*quorum.Node[once.Reply]{}, disks: map[string]*storage.Log{}, tables: map[string]*claims.Table{}, ran: map[int]*attempt{}}
 		for i, id := range members {
 			w.start(t, id, uint64(i+1))
 		}
@@ -40,6 +40,7 @@
 			"loss":   w.loss,
 			"kill":   w.kill,
 			"return": w.restart,
+			"peek":   w.peek,
 		})
 		w.recovers(t)
 	})
@@ -51,6 +52,9 @@
 	token once.Token
 	// given up attempts do not run, whatever is answered later.
 	givenUp, running, over bool
+	// ended is set once the daemon knows how the run ended, by code.
+	ended bool
+	code  result.Code
 }
 
 type packet struct {
@@ -62,6 +66,7 @@
 	dir      string
 	nodes    map[string]*quorum.Node[once.Reply]
 	disks    map[string]*storage.Log
+	tables   map[string]*claims.Table
 	wire     []packet
 	seq      uint64
 	attempts []*attempt
@@ -81,13 +86,14 @@
 		t.Fatal(err)
 	}
 	send := func(to string, messages []replica.Message) { w.wire = append(w.wire, packet{to, messages}) }
+	table := claims.New(claims.DefaultLimits())
 	node, err := quorum.NewNode(replica.Config{
 		ID: id, Members: members, ElectionTicks: 10, HeartbeatTicks: 2, Seed: seed,
-	}, restored, disk, claims.New(claims.DefaultLimits()), send, logr.Discard())
+	}, restored, disk, table, send, logr.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.nodes[id], w.disks[id] = node, disk
+	w.nodes[id], w.disks[id], w.tables[id] = node, disk, table
 }
 
 func (w *world) stopAll() {
@@ -178,8 +184,11 @@
 		if !a.running || a.over {
 			continue
 		}
-		code := rapid.SampledFrom([]result.Code{result.OK, result.AnswerLost, result.BackendRefused}).Draw(t, "code")
-		answer := once.Close(code, &once.Answer{Status: 200})
+		if !a.ended {
+			a.ended = true
+			a.code = rapid.SampledFrom([]result.Code{result.OK, result.AnswerLost, result.BackendRefused}).Draw(t, "code")
+		}
+		answer := once.Close(a.code, &once.Answer{Status: 200})
 		c := claims.Command{Kind: claims.KindAnswer, Answer: answer}
 		if answer == nil {
 			c.Kind = claims.KindRelease
@@ -201,6 +210,16 @@
 	w.propose(t, c, func(_ once.Reply, err error) { a.over = a.over || err == nil })
 }
 
+// peek looks at one source alone: an answer that it knows is that of a run.
+func (w *world) peek(t *rapid.T) {
+	source := rapid.SampledFrom(members).Draw(t, "source")
+	for key := range 4 {
+		if w.tables[source].Peek(id(key), 0).Verdict == once.Answered && w.ran[key] == nil {
+			t.Fatalf("%s knows an answer of key %d, which did not run", source, key)
+		}
+	}
+}
+
 func (w *world) loss(t *rapid.T) {
 	if len(w.wire) > 0 {
 		i := rapid.IntRange(0, len(w.wire)-1).Draw(t, "lost packet")
--- a/internal/process/claims/table.go
+++ b/internal/process/claims/table.go
@@ -128,16 +128,34 @@
 	case e.state == released:
 		t.remove(e)
 		return t.grant(c)
-	case e.fingerprint != c.Fingerprint:
+	case e.state == held && e.token == c.Token:
+		return once.Reply{Verdict: once.Granted}
+	}
+	return e.seen(c.Fingerprint)
+}
+
+// seen is what a claim tells a later one of the same key.
+func (e *claim) seen(fingerprint uint64) once.Reply {
+	switch {
+	case e.fingerprint != fingerprint:
 		return once.Reply{Verdict: once.Mismatch}
 	case e.state == answered:
 		return once.Reply{Verdict: once.Answered, Answer: e.answer}
-	case e.token == c.Token:
-		return once.Reply{Verdict: once.Granted}
 	}
 	return once.Reply{Verdict: once.Held, Owner: e.token}
 }
 
+// Peek tells what is known of a key without claiming it, NotHeld for nothing.
+// It may be asked of one source alone, which may be behind: what it knows was
+// committed, and what it does not know may have been.
+func (t *Table) Peek(id once.ID, fingerprint uint64) once.Reply {
+	e := t.claims[id]
+	if e == nil || e.state == released {
+		return once.Reply{Verdict: once.NotHeld}
+	}
+	return e.seen(fingerprint)
+}
+
 func (t *Table) grant(c *Command) once.Reply {
 	if len(t.claims) >= t.limits.Claims && !t.makeRoom() {
 		return once.Reply{Verdict: once.Full, Wait: t.roomIn()}
--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -25,6 +25,7 @@
 	claimsDeliver = "Claims.Deliver"
 	claimsPropose = "Claims.Propose"
 	claimsDo      = "Claims.Do"
+	claimsPeek    = "Claims.Peek"
 )
 
 const (
@@ -59,6 +60,9 @@
 	table *claims.Table
 	// preferred is the place in the settings of the member asked first.
 	preferred atomic.Int64
+	// reachable is the place of the member that last answered without a
+	// majority.
+	reachable atomic.Int64
 }
 
 func newClaimSide(d *Daemon, incarnation, seed uint64) (*claimSide, error) {
@@ -146,6 +150,7 @@
 			return answer.Reply, false, nil
 		}
 		if err == nil {
+			s.reachable.Store(int64(place))
 			err = result.Errorf(answer.Code, "%s", answer.Detail)
 		}
 		committed = committed || mayBeCommitted(err)
@@ -154,6 +159,33 @@
 	return once.Reply{}, committed, last
 }
 
+// Peek implements gateway.ClaimTable.
+func (s *claimSide) Peek(ctx context.Context, c claims.Command) once.Reply {
+	nothing := once.Reply{Verdict: once.NotHeld}
+	members := s.d.set.Source.Members
+	switch {
+	case s.group != nil:
+		return s.look(ctx, c)
+	case len(members) == 0:
+		return nothing
+	}
+	var reply once.Reply
+	if err := s.d.pool.Call(ctx, members[s.reachable.Load()].Peer, claimsPeek, c, &reply); err != nil {
+		return nothing
+	}
+	return reply
+}
+
+// look reads this source's own table.
+func (s *claimSide) look(ctx context.Context, c claims.Command) once.Reply {
+	reply := once.Reply{Verdict: once.NotHeld}
+	seen := make(chan once.Reply, 1)
+	if err := s.group.Query(ctx, func() { seen <- s.table.Peek(c.ID, c.Fingerprint) }); err == nil {
+		reply = <-seen
+	}
+	return reply
+}
+
 func (s *claimSide) prefer(place int, lead string) {
 	for i, m := range s.d.set.Source.Members {
 		if m.Node == lead {
@@ -245,6 +277,17 @@
 	return nil
 }
 
+// Peek tells what this source alone knows of a key.
+func (s *claimsService) Peek(c claims.Command, reply *once.Reply) error {
+	if s.d.claims.group == nil {
+		return errNotSource
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	defer cancel()
+	*reply = s.d.claims.look(ctx, c)
+	return nil
+}
+
 // newSuspects joins the quarantine to the presence that spreads its reports.
 func newSuspects(d *Daemon) *gateway.Quarantine {
 	return gateway.NewQuarantine(gateway.QuarantineConfig{
--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -179,6 +179,7 @@
 	cl := newArchive(c, 5, 3, 4)
 	ctx := context.Background()
 	c.Assert(transfer(ctx, cl.nodes[3], "before", nil).must(result.OK), qt.IsNil)
+	time.Sleep(500 * time.Millisecond) // the third source learns of the commit
 	cl.nodes[0].process.kill()
 	cl.nodes[1].process.kill()
 	for i := range 10 {
@@ -189,6 +190,10 @@
 		c.Assert(refused.retryAfter, qt.Equals, "2")
 		c.Logf("refused after %s", refused.took)
 	}
+	again := transfer(ctx, cl.nodes[4], "before", nil)
+	c.Assert(again.must(result.OK), qt.IsNil)
+	c.Assert(again.body, qt.Equals, "transfer before")
+	cl.nodes[2].process.kill()
 	c.Assert(transfer(ctx, cl.nodes[4], "before", nil).must(result.ClaimsUnavailable), qt.IsNil)
 	c.Assert(get(cl.nodes[4], "/records/2", "", "archive\n"), qt.IsNil)
 	for i := range 3 {
@@ -196,6 +201,7 @@
 	}
 	cl.start(cl.nodes[0])
 	cl.start(cl.nodes[1])
+	cl.start(cl.nodes[2])
 	cl.eventually("the first answer after the outage", func() error { return transfer(ctx, cl.nodes[4], "before", nil).must(result.OK) })
 	for i := range 3 {
 		cl.eventually("a run after the outage", func() error {
