Bring a disk up to date that a leader does not know

Cause: TestFaults (5 sources of -rapid.checks 3000) found a source that no leader brought up to date any more: its disk was lost during the first start, the leader's list of voters had the first disk, and the leader dropped the answers of the second. Ruled out: taking the newest disk of a probe into the list (a late probe of the lost disk puts the old one back). Change: a disk that is not in the list is a learner's, whatever it holds itself, and gets its vote by the list in the log.

--- a/internal/process/replica/progress.go
+++ b/internal/process/replica/progress.go
@@ -151,9 +151,7 @@
 
 func (c *Core) stepAppendReply(m Message) {
 	p := c.progress[m.From]
-	if !c.identify(p, m) {
-		return
-	}
+	c.identify(p, m)
 	p.active = true
 	if m.Reject {
 		c.backOff(m, p)
@@ -173,13 +171,11 @@
 	c.admit(m.From, p)
 }
 
-// identify decides whom an answer speaks for: a voter, a learner with a new
-// disk, or a disk that is no longer known, whose answers are dropped.
-func (c *Core) identify(p *progress, m Message) bool {
+// identify notes which disk an answer speaks for. One that is not in the list of
+// voters is a learner's, also if it holds that it votes: two members may have
+// seen different disks of a third that was lost during the first start.
+func (c *Core) identify(p *progress, m Message) {
 	votes := c.counts(m)
-	if m.Voting && !votes {
-		return false
-	}
 	if p.disk != m.Disk {
 		*p = progress{disk: m.Disk, next: c.log.last() + 1, probing: true, active: p.active}
 	}
@@ -187,7 +183,6 @@
 		p.askedAt = c.log.last()
 	}
 	p.learner = !votes
-	return true
 }
 
 // backOff goes back to where the logs may match. Refusals of anything but the
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -167,13 +167,18 @@
 // stormLimit is far more than one tick's messages.
 const stormLimit = 10_000
 
+// tick lets time pass at one member only.
+func (c *testCluster) tick(m *testMember, ticks int) {
+	for range ticks {
+		m.node.Tick()
+		c.settle(m)
+	}
+}
+
 // run ticks every member so often and delivers all messages after each tick.
 func (c *testCluster) run(ticks int) {
 	for range ticks {
-		c.up(func(m *testMember) {
-			m.node.Tick()
-			c.settle(m)
-		})
+		c.up(func(m *testMember) { c.tick(m, 1) })
 		c.deliverAll()
 	}
 }
--- a/internal/process/source/fuzz_test.go
+++ b/internal/process/source/fuzz_test.go
@@ -152,12 +152,8 @@
 
 // campaign lets time pass at one member only.
 func (f *faulty) campaign() {
-	m := f.pick()
-	for range rapid.IntRange(1, 25).Draw(f.t, "ticks") {
-		if m.node != nil {
-			m.node.Tick()
-			f.settle(m)
-		}
+	if m := f.pick(); m.node != nil {
+		f.tick(m, rapid.IntRange(1, 25).Draw(f.t, "ticks"))
 	}
 }
 
--- a/internal/process/source/golden_test.go
+++ b/internal/process/source/golden_test.go
@@ -54,7 +54,15 @@
 			d.ScanArgs(t, "without", &id)
 			s.cluster.crash(id, 0, true)
 		}
-		s.cluster.run(30)
+		if !d.HasArg("fresh") {
+			s.cluster.run(30)
+		}
+	case "tick":
+		ticks := 3
+		if d.HasArg("ticks") {
+			d.ScanArgs(t, "ticks", &ticks)
+		}
+		s.cluster.tick(s.cluster.members[ids[0]], ticks)
 	case "run":
 		var ticks int
 		d.ScanArgs(t, "ticks", &ticks)
