Tell hash and count only when they are new, and seek ever less often

Cause: sent and received together, an idle daemon was just above 1 KB/s, and a third of a digest was a hash or a count that had not changed. A daemon that misses the leader asked the view for another link every 2 s, for as long as an outage of the sources lasts. Before the first heartbeat daemons made a tree without a leader (TestDivergedKeepsOwn found it: a digest too many).

Change: a digest tells hash and count when they changed and at each 16th time. The interval between two requests for links doubles up to a minute. No parent before a heartbeat.

--- a/internal/process/spread/core.go
+++ b/internal/process/spread/core.go
@@ -30,9 +30,8 @@
 	name string
 	// heard tells that a digest came since the link is up.
 	heard bool
-	// version and hash are the newest the node is known to have.
+	// version is the newest the node is known to have.
 	version uint64
-	hash    uint64
 	// ahead is since when version is above the own; zero while it is not.
 	ahead time.Time
 	// diverged tells that the node has other content under its version.
@@ -52,10 +51,20 @@
 	transfer *transfer
 
 	digestAt time.Time
+	// digests counts what was sent since the link or the child is new; told
+	// is what the last of them told.
+	digests uint64
+	told    told
 	// due tells that a digest must go out with this event.
 	due bool
 }
 
+// told is a version, and the count of a version.
+type told struct {
+	version        uint64
+	counted, count uint64
+}
+
 // Core holds the state of one daemon. It is not safe for concurrent use.
 type Core struct {
 	cfg  Config
@@ -78,6 +87,7 @@
 	beatAt    time.Time
 	first     string
 	seekAt    time.Time
+	seekAfter time.Duration
 	// lead is set while this node is the leader; parent is then "".
 	lead   *Lead
 	parent string
@@ -194,13 +204,29 @@
 			l.due = true
 		}
 	}
-	if c.Stale(now) && now.Sub(c.start) > c.cfg.StaleAfter && !now.Before(c.seekAt) {
-		c.seekAt = now.Add(c.cfg.SeekInterval)
-		c.out = append(c.out, Action{Seek: true})
-	}
+	c.seek()
 	return c.flush()
 }
 
+// maxSeekInterval bounds the growth of the interval between two requests for
+// other links: an outage of the sources may last for hours.
+const maxSeekInterval = time.Minute
+
+// seek asks for another link while the heartbeat is missed, less and less
+// often.
+func (c *Core) seek() {
+	if !c.Stale(c.now) || c.now.Sub(c.start) <= c.cfg.StaleAfter {
+		c.seekAfter = c.cfg.SeekInterval
+		return
+	}
+	if c.now.Before(c.seekAt) {
+		return
+	}
+	c.seekAt = c.now.Add(c.seekAfter)
+	c.seekAfter = min(2*c.seekAfter, maxSeekInterval)
+	c.out = append(c.out, Action{Seek: true})
+}
+
 // digestInterval spares a child the digest that the next heartbeat makes
 // redundant.
 func (c *Core) digestInterval(l *link) time.Duration {
@@ -227,9 +253,12 @@
 
 // compare notes the version of a linked node.
 func (c *Core) compare(l *link, version, hash uint64) {
-	l.version, l.hash = version, hash
+	l.version = version
 	l.sent = max(l.sent, version)
 	c.noteAhead(l)
+	if hash == 0 && version == c.state.Version {
+		return
+	}
 	differs := version == c.state.Version && hash != c.state.Hash()
 	if differs && !l.diverged {
 		c.out = append(c.out, Action{Diverged: &Diverged{Node: l.name, Version: version, Own: c.state.Hash(), Other: hash}})
@@ -318,11 +347,23 @@
 	return false
 }
 
+// retell is the number of digests after which one tells again what has not
+// changed since it was told.
+const retell = 16
+
 func (c *Core) digest(l *link) *Digest {
-	d := &Digest{Version: c.state.Version, Hash: c.state.Hash(), Heartbeat: c.heartbeat, Depth: c.depth}
-	if l.child && c.inForce.Count > 0 {
+	d := &Digest{Version: c.state.Version, Heartbeat: c.heartbeat, Depth: c.depth}
+	again := l.digests%retell == 0
+	l.digests++
+	if again || l.told.version != d.Version {
+		d.Hash = c.state.Hash()
+		l.told.version = d.Version
+	}
+	changed := l.told.counted != c.inForce.Version || l.told.count != c.inForce.Sum
+	if l.child && c.inForce.Count > 0 && (again || changed) {
 		inForce := c.inForce
 		d.InForce = &inForce
+		l.told.counted, l.told.count = inForce.Version, inForce.Sum
 	}
 	if l.name == c.parent {
 		d.Report = &Report{InForce: c.subtree(), Ask: c.confirm.outstanding()}
--- a/internal/process/spread/measure_test.go
+++ b/internal/process/spread/measure_test.go
@@ -54,10 +54,14 @@
 	}
 }
 
-// BenchmarkCostPerChange prints the same figures for a larger fleet.
+// BenchmarkCostPerChange prints the same figures for larger fleets.
 func BenchmarkCostPerChange(b *testing.B) {
-	for b.Loop() {
-		b.Log(measure(qt.New(b), 1000))
+	for _, size := range []int{1000, 10000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				b.Log(measure(qt.New(b), size))
+			}
+		})
 	}
 }
 
--- a/internal/process/spread/report.go
+++ b/internal/process/spread/report.go
@@ -21,6 +21,7 @@
 	}
 	if !l.child {
 		l.child = true
+		l.digests = 0
 		l.due = true
 	}
 	if l.name == c.parent {
--- /dev/null
+++ b/internal/process/spread/spread_test.go
@@ -0,0 +1,51 @@
+package spread_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/process/spread"
+	"github.com/daisygate/daisygate/internal/version/fleet"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// TestDivergedKeepsOwn: other content under the same version is told once for
+// each finding, nothing is pulled, and the own version stays.
+func TestDivergedKeepsOwn(t *testing.T) {
+	c := qt.New(t)
+	state, err := fleet.Empty().Accept(&manifest.Manifest{Mesh: "m", Version: 1})
+	c.Assert(err, qt.IsNil)
+	core := spread.New(spread.Config{Self: "a", Seed: 1}, state)
+	c.Assert(core.LinkUp("b")[0].Send.Message.Digest.Hash, qt.Equals, state.Hash())
+	now := time.Unix(1e9, 0)
+	other := spread.Message{Digest: &spread.Digest{Version: 1, Hash: state.Hash() + 1}}
+	want := []spread.Action{{Diverged: &spread.Diverged{Node: "b", Version: 1, Own: state.Hash(), Other: state.Hash() + 1}}}
+	c.Assert(core.Receive(now, "b", other), qt.DeepEquals, want)
+	c.Assert(core.Receive(now, "b", other), qt.HasLen, 0)
+	c.Assert(core.State(), qt.Equals, state)
+	c.Assert(core.Receive(now, "stranger", other), qt.HasLen, 0)
+}
+
+// TestWrongHashPullsSnapshot: a delta that does not end in its hash is not
+// applied in any part; a snapshot is asked for in its place.
+func TestWrongHashPullsSnapshot(t *testing.T) {
+	c := qt.New(t)
+	state, err := fleet.Empty().Accept(&manifest.Manifest{Mesh: "m", Version: 1})
+	c.Assert(err, qt.IsNil)
+	next, err := state.Accept(&manifest.Manifest{Mesh: "m", Version: 2})
+	c.Assert(err, qt.IsNil)
+	core := spread.New(spread.Config{Self: "a", Seed: 1}, state)
+	core.LinkUp("b")
+	delta := fleet.Diff(state, next)
+	delta.Hash++
+	raw, err := delta.Encode()
+	c.Assert(err, qt.IsNil)
+	packed := fleet.Pack(raw)
+	actions := core.Receive(time.Unix(1e9, 0), "b", spread.Message{Chunk: &spread.Chunk{Version: 2, Size: len(packed), Data: packed}})
+	c.Assert(actions, qt.HasLen, 2)
+	c.Assert(actions[0].Rejected, qt.ErrorIs, fleet.ErrHash)
+	c.Assert(actions[1].Send.Message.Pull, qt.DeepEquals, &spread.Pull{Version: 1, Full: true})
+	c.Assert(core.State(), qt.Equals, state)
+}
--- a/internal/process/spread/tree.go
+++ b/internal/process/spread/tree.go
@@ -62,7 +62,7 @@
 	if c.lead != nil || l.name == c.parent {
 		return
 	}
-	shorter := d.Heartbeat == c.heartbeat && d.Depth+1 < c.depth
+	shorter := d.Heartbeat.Term > 0 && d.Heartbeat == c.heartbeat && d.Depth+1 < c.depth
 	if (newer && c.parent == "") || shorter {
 		c.setParent(l)
 	}
--- a/internal/process/spread/types.go
+++ b/internal/process/spread/types.go
@@ -44,12 +44,14 @@
 // Digest tells what its sender has. It goes over every link at each interval,
 // and at once where it is needed.
 type Digest struct {
-	Version   uint64
+	Version uint64
+	// Hash is 0 when it was told lately.
 	Hash      uint64
 	Heartbeat Heartbeat
 	// Depth is the number of hops from the leader to the sender.
 	Depth uint32
-	// InForce is the leader's count; set only towards children.
+	// InForce is the leader's count; set only towards children, when it changed
+	// or was not told lately.
 	InForce *InForce
 	// Report is set only towards the parent, and makes the sender its child.
 	Report *Report
@@ -166,7 +168,8 @@
 	DigestInterval time.Duration
 	// StaleAfter is how long the leader's heartbeat may be missed.
 	StaleAfter time.Duration
-	// SeekInterval is the time between two requests for other links.
+	// SeekInterval is the time between the first two requests for other links;
+	// it doubles up to a minute.
 	SeekInterval time.Duration
 	// ParentPatience is how long the parent may be behind on a heartbeat that
 	// came by another link.
