Bound what a listing of the history costs

Change: mesh and limit travel with the request, at most 10,000 lines; each accepted manifest raises the fleet version by 1, so the newest lines of all meshes are those above a floor, found by binary search. Source.History went.

--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -92,7 +92,7 @@
 
 // compareAccepted needs both contents, and the sources hold one.
 func (o *diffOptions) compareAccepted(ctx context.Context, client *operator.Client) (*diffReport, error) {
-	history, err := client.History(ctx)
+	history, err := client.History(ctx, source.HistoryRequest{Mesh: o.mesh})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -47,10 +47,11 @@
 	return fleet, c.do(ctx, http.MethodGet, path, nil, &fleet)
 }
 
-// History asks for the accepted manifests, oldest first.
-func (c *Client) History(ctx context.Context) ([]source.Accepted, error) {
+// History asks for the newest accepted manifests, oldest first.
+func (c *Client) History(ctx context.Context, r source.HistoryRequest) ([]source.Accepted, error) {
 	var history []source.Accepted
-	return history, c.do(ctx, http.MethodGet, HistoryPath, nil, &history)
+	query := url.Values{meshParameter: {r.Mesh}, limitParameter: {strconv.Itoa(r.Limit)}}
+	return history, c.do(ctx, http.MethodGet, HistoryPath+"?"+query.Encode(), nil, &history)
 }
 
 // InForce asks for the manifest of a mesh that the daemon has in force.
--- a/internal/connection/operator/handler.go
+++ b/internal/connection/operator/handler.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -174,7 +175,12 @@
 }
 
 func (a *api) history(w http.ResponseWriter, r *http.Request) {
-	history, err := a.backend.History(r.Context())
+	request, refused := historyRequest(r)
+	if refused != nil {
+		result.WriteHTTP(w, refused)
+		return
+	}
+	history, err := a.backend.History(r.Context(), request)
 	if err != nil {
 		result.WriteHTTP(w, result.Errorf(result.NotSource, "%v", err))
 		return
@@ -182,6 +188,21 @@
 	writeJSON(w, result.Answered, history)
 }
 
+func historyRequest(r *http.Request) (source.HistoryRequest, *result.Error) {
+	query := r.URL.Query()
+	request := source.HistoryRequest{Mesh: query.Get(meshParameter)}
+	text := query.Get(limitParameter)
+	if text == "" {
+		return request, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 0 {
+		return request, result.Errorf(result.BadRequest, "%s: want 0 to %d, got %q", limitParameter, source.MaxHistory, text)
+	}
+	request.Limit = limit
+	return request, nil
+}
+
 func (a *api) drain(w http.ResponseWriter, r *http.Request) {
 	raw, refused := a.readBody(w, r, drainBytes)
 	if refused != nil {
--- a/internal/connection/operator/handler_test.go
+++ b/internal/connection/operator/handler_test.go
@@ -86,6 +86,8 @@
 		{request{http.MethodDelete, "/v1/status", "secret", "", ""}, result.WrongMethod},
 		{request{http.MethodPost, "/v1/manifests", "secret", "", strings.Repeat("#", 101)}, result.InputTooLarge},
 		{request{http.MethodPost, "/v1/manifests", "secret", "", "mesh: ["}, result.ManifestInvalid},
+		{request{http.MethodGet, "/v1/history?limit=ten", "secret", "", ""}, result.BadRequest},
+		{request{http.MethodGet, "/v1/history?limit=-1", "secret", "", ""}, result.BadRequest},
 		{request{http.MethodPost, "/v1/drain", "secret", "", "{"}, result.BadRequest},
 		{request{http.MethodPost, "/v1/drain", "secret", "", `{"nodes":"n1"}`}, result.BadRequest},
 		{request{http.MethodPost, "/v1/drain", "secret", "", `{"node":"` + strings.Repeat("n", 5000) + `"}`}, result.InputTooLarge},
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -24,8 +24,14 @@
 	DrainPath   = "/v1/drain"
 )
 
-// allParameter asks FleetPath for every daemon of a large fleet, by "true".
-const allParameter = "all"
+// The parameters of requests.
+const (
+	// allParameter asks FleetPath for every daemon of a large fleet, by "true".
+	allParameter = "all"
+	// meshParameter and limitParameter are those of a HistoryRequest.
+	meshParameter  = "mesh"
+	limitParameter = "limit"
+)
 
 // NodeStatus is what one daemon tells of itself.
 type NodeStatus struct {
@@ -132,7 +138,7 @@
 	NodeStatus() NodeStatus
 	// Fleet asks every daemon of a small fleet; of a large one only with all.
 	Fleet(ctx context.Context, all bool) Fleet
-	History(ctx context.Context) ([]source.Accepted, error)
+	History(ctx context.Context, r source.HistoryRequest) ([]source.Accepted, error)
 	InForce(ctx context.Context, mesh string) (InForce, *result.Error)
 	// Drain begins or undoes a drain.
 	Drain(ctx context.Context, r DrainRequest) (DrainStatus, *result.Error)
--- /dev/null
+++ b/internal/process/source/history.go
@@ -0,0 +1,53 @@
+package source
+
+import (
+	"cmp"
+	"context"
+	"slices"
+)
+
+// MaxHistory bounds the lines of one answer.
+const MaxHistory = 10000
+
+// HistoryRequest asks for the newest accepted manifests.
+type HistoryRequest struct {
+	// Mesh names the mesh; empty is all.
+	Mesh string
+	// Limit is the most lines; 0, or more than MaxHistory, is MaxHistory.
+	Limit int
+}
+
+func (r *HistoryRequest) limit() int {
+	if r.Limit <= 0 {
+		return MaxHistory
+	}
+	return min(r.Limit, MaxHistory)
+}
+
+// Newest returns the newest accepted manifests that r asks for, oldest first.
+func (s *Source) Newest(ctx context.Context, r HistoryRequest) ([]Accepted, error) {
+	var history []Accepted
+	err := s.group.Query(ctx, func() { history = s.machine.lines(&r) })
+	return history, err
+}
+
+// lines holds up the log no longer than the lines it returns take: each
+// accepted manifest raises the fleet version by 1, so that the newest lines are
+// those above a floor.
+func (m *machine) lines(r *HistoryRequest) []Accepted {
+	limit := r.limit()
+	if r.Mesh != "" {
+		h := m.history[r.Mesh]
+		return slices.Clone(h[max(len(h)-limit, 0):])
+	}
+	floor := m.state.Version - min(m.state.Version, uint64(limit))
+	var lines []Accepted
+	for _, h := range m.history {
+		from, _ := slices.BinarySearchFunc(h, floor+1, func(line Accepted, version uint64) int {
+			return cmp.Compare(line.Fleet, version)
+		})
+		lines = append(lines, h[from:]...)
+	}
+	slices.SortFunc(lines, func(a, b Accepted) int { return cmp.Compare(a.Fleet, b.Fleet) })
+	return lines
+}
--- a/internal/process/source/source.go
+++ b/internal/process/source/source.go
@@ -81,13 +81,6 @@
 	return Status{Status: s.group.Status(), Version: s.version.Load()}
 }
 
-// History returns the accepted manifests, oldest first.
-func (s *Source) History(ctx context.Context) ([]Accepted, error) {
-	var history []Accepted
-	err := s.group.Query(ctx, func() { history = s.machine.all() })
-	return history, err
-}
-
 // Submit proposes a manifest here or at the leader, and waits for the commit
 // until ctx ends. What could not be put in force never enters the log.
 func (s *Source) Submit(ctx context.Context, m *manifest.Manifest) (Answer, error) {
