End the sending half before a connection that still sends is dropped

Cause: graceful's connection hid CloseWrite from net/http, which looks for it when it refuses a request whose body still comes: the caller saw its connection reset after the refusal. Change: the connection passes CloseWrite on. TestRefusedWhileSending failed without it (3 of 3 runs: "read: connection reset by peer") and passes with it (5 of 5 under -race).

--- a/internal/connection/graceful/conn.go
+++ b/internal/connection/graceful/conn.go
@@ -89,8 +89,15 @@
 	if _, err := c.Write(answer); err != nil {
 		return
 	}
+	_ = c.CloseWrite()
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
+// CloseWrite ends the sending half. net/http looks for it before it drops a
+// connection that still sends, so that its last answer is not reset away.
+func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
+		return half.CloseWrite()
 	}
-	_, _ = io.Copy(io.Discard, c.Conn)
+	return nil
 }
--- a/internal/process/daemon/input_test.go
+++ b/internal/process/daemon/input_test.go
@@ -104,3 +104,27 @@
 	c.Assert(err, qt.Equals, io.EOF)
 	apply(c, source, startDaemon(c, "b", source, nil))
 }
+
+// TestRefusedWhileSending holds that who sends a body that is too large gets the
+// refusal and an ordered end, not a reset, though the body is not read to its
+// end: the sending half is closed first.
+func TestRefusedWhileSending(t *testing.T) {
+	c := qt.New(t)
+	source := startDaemon(c, "a", nil, nil)
+	conn, err := net.Dial("tcp", source.Addr("operator"))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, err = io.WriteString(conn, "POST /v1/manifests HTTP/1.1\r\nHost: a\r\nContent-Length: 1073741824\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	for block := make([]byte, 64<<10); err == nil; {
+		_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		_, err = conn.Write(block)
+	}
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Header.Get(result.HeaderResult), qt.Equals, "131")
+	_, err = io.ReadAll(reader)
+	c.Assert(err, qt.IsNil)
+}
