Say what the time left means for a streamed body

Cause: a backend server that read Daisygate-Timeout as a bound on the whole request would cut an upload that the daemons let go on. Change: the header's comment; no code.

--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -14,8 +14,9 @@
 // server may pass on those of the request that it runs.
 const (
 	prefix = "Daisygate-"
-	// HeaderTimeout is the time left for the request, in microseconds: the
-	// clocks of instances are not compared. Backend servers get it.
+	// HeaderTimeout is the time left up to the header of the answer, in
+	// microseconds: the clocks of instances are not compared. Backend servers
+	// get it; for a body above smallBody it counts from the body's end.
 	HeaderTimeout = prefix + "Timeout"
 	// HeaderDepth is how many backend servers the request came through.
 	// Backend servers get it.
