--- a/internal/process/daemon/fleet_test.go
+++ b/internal/process/daemon/fleet_test.go
@@ -129,6 +129,7 @@
 // TestHealthTellsTheTruth holds that a daemon is not ready before a confirmed
 // version is in force, and says why.
 func TestHealthTellsTheTruth(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	source := startDaemon(c, "a", nil, nil)
 	status, body := fetch(c, source.Addr("operator"), "/healthz")
@@ -147,6 +148,7 @@
 // TestDataFolderIsLocked holds that two daemons never use one data folder, and
 // that it is free again after a stop.
 func TestDataFolderIsLocked(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	first := startDaemon(c, "a", nil, nil)
 	set := first.set
--- a/internal/process/daemon/input_test.go
+++ b/internal/process/daemon/input_test.go
@@ -35,6 +35,7 @@
 // Each gets the numbered code of its fault, and a call that runs all the while
 // is answered whole.
 func TestBadInputIsNumberedAndHurtsNobody(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	source := startDaemon(c, "a", nil, func(s *settings.Settings) { s.Limits.ManifestBytes = 2048 })
 	apply(c, source)
@@ -86,6 +87,7 @@
 // TestControlMessagesAreBounded announces a control message of 1 GiB. The
 // connection ends on the length alone, and other control goes on.
 func TestControlMessagesAreBounded(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	source := startDaemon(c, "a", nil, nil)
 	conn, err := net.Dial("tcp", source.Addr("peer"))
@@ -109,6 +111,7 @@
 // refusal and an ordered end, not a reset, though the body is not read to its
 // end: the sending half is closed first.
 func TestRefusedWhileSending(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	source := startDaemon(c, "a", nil, nil)
 	conn, err := net.Dial("tcp", source.Addr("operator"))
--- a/internal/process/daemon/trace_test.go
+++ b/internal/process/daemon/trace_test.go
@@ -40,6 +40,7 @@
 // own span through the daemon it reached and the daemon beside the backend
 // server to the span that the backend server is told.
 func TestTraceThroughTwoDaemons(t *testing.T) {
+	t.Parallel()
 	const (
 		traceID    = "4bf92f3577b34da6a3ce929d0e0e4736"
 		callerSpan = "00f067aa0ba902b7"
