Never let a request crash a third server

(1) An attempt that ran alone and crashed its server was repeated, because the reports of the other daemon had not come yet. (2) A caller that sends again at once through another daemon was ahead of the reports. Ruled out: counting crashes beside others (two killed servers would blame what is popular: the fuzz fails so); telling the caller later than presence spreads in a large fleet (it is told when to come back instead). Change: the first daemon takes in at once what code 244 tells it, reports it too, and does not repeat what crashed alone. 244 says to come back in 1 s. The answer to a request in progress at a crash follows the reports by 100 ms, which is ahead of a caller that does not wait; in a large fleet it must wait the second. once.ID's slots are gone: nothing used them yet.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -189,6 +189,9 @@
 		last = refuse(action.Code, action.Code.Meaning())
 	}
 	last.back = action.RetryAfter
+	if last.Code == result.BackendCrashed {
+		last.back = retryAfterCrash
+	}
 	return nil, last
 }
 
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -69,9 +69,12 @@
 // Suspects keeps requests away that crash backend servers. It must be safe for
 // concurrent use.
 type Suspects interface {
-	// Screen is asked before a request is dispatched, again before it is served
-	// beside its backend server, and after its server crashed.
+	// Screen is asked before a request is dispatched, and again before it is
+	// served beside its backend server.
 	Screen(r *Request) Screening
+	// Told takes in that the server crashed that ran r, beside this daemon or
+	// another, and screens r for the next attempt.
+	Told(r *Request) Screening
 	// Begin tells that a request is handed to the backend server at addr now.
 	// End of the Run is called exactly once, when nothing of it is in progress
 	// any more; until then the Run may read r.
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -22,6 +22,12 @@
 	// probePause lets a server that ends close its listener after its
 	// connections.
 	probePause = 50 * time.Millisecond
+	// reportLead is how long the answer to a request in progress at a crash is
+	// held back, so that the reports are ahead of a resend.
+	reportLead = 100 * time.Millisecond
+	// retryAfterCrash is when a caller may send a request again that was in
+	// progress at a crash: the fleet knows of it by then.
+	retryAfterCrash = time.Second
 	// aloneWait is the longest that a suspect waits for its server to become
 	// empty; nothing new begins there meanwhile.
 	aloneWait = time.Second
@@ -46,10 +52,11 @@
 	if refused.Code != result.BackendCrashed || x.g.cfg.Suspects == nil {
 		return true
 	}
+	s := x.g.cfg.Suspects.Told(x.hooked)
+	again := s.Refusal == nil && !x.hooked.Alone
 	x.hooked.Alone = true
-	s := x.g.screen(x.hooked)
 	x.course.isolate(s.Pin)
-	return s.Refusal == nil
+	return again
 }
 
 func (c *course) isolate(pin uint64) {
@@ -114,14 +121,29 @@
 		return Screening{}
 	}
 	id := identityOf(r)
-	f := id.Fingerprint()
-	now := time.Now()
+	return q.judge(time.Now(), id.Fingerprint(), r.Alone)
+}
+
+// Told implements Suspects.
+func (q *Quarantine) Told(r *Request) Screening {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.learn()
+	id := identityOf(r)
+	now, f := time.Now(), id.Fingerprint()
+	if q.core.Told(now, f, r.Alone) {
+		q.publish()
+	}
+	return q.judge(now, f, true)
+}
+
+func (q *Quarantine) judge(now time.Time, f quarantine.Fingerprint, alone bool) Screening {
 	v := q.core.Judge(now, f)
 	switch {
 	case v.Mode == quarantine.Refused:
 		code := result.Quarantined
 		return Screening{Refusal: result.Errorf(code, "%s", code.Meaning()), RetryAfter: v.Until.Sub(now)}
-	case v.Mode == quarantine.Alone || r.Alone:
+	case v.Mode == quarantine.Alone || alone:
 		return Screening{Alone: true, Pin: uint64(f)}
 	}
 	return Screening{}
@@ -190,16 +212,24 @@
 		s.drop()
 		listens = listening(s.addr)
 	}
+	crashed, changed := s.end(fates[f], listens)
+	if crashed && changed {
+		s.logCrash()
+	}
+	if crashed {
+		time.Sleep(reportLead)
+	}
+	return crashed
+}
+
+func (s *suspectRun) end(f quarantine.Fate, listens bool) (crashed, changed bool) {
 	s.q.mu.Lock()
 	defer s.q.mu.Unlock()
-	crashed, changed := s.q.core.End(time.Now(), s.addr, s.id, fates[f], listens)
+	crashed, changed = s.q.core.End(time.Now(), s.addr, s.id, f, listens)
 	if changed {
 		s.q.publish()
 	}
-	if crashed && changed {
-		s.logCrash()
-	}
-	return crashed
+	return crashed, changed
 }
 
 // logCrash tells of a crash once; of one at which a request ran alone, it names
--- a/internal/request/once/claim.go
+++ b/internal/request/once/claim.go
@@ -41,13 +41,6 @@
 	return id
 }
 
-// Slots is the number of slots that claims are divided into. A slot belongs to
-// one group of sources; a larger deployment gives slots to further groups.
-const Slots = 256
-
-// Slot returns the slot of a claim, from 0 to Slots-1.
-func (id ID) Slot() int { return int(id[0]) }
-
 // Request is what tells two requests under one key apart. The host is left out:
 // a resend through another daemon may name it by another address.
 type Request struct {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -64,6 +64,12 @@
 // Judge says how a request may run.
 func (c *Core) Judge(now time.Time, f Fingerprint) Verdict { return c.ledger.judge(now, f) }
 
+// Told takes in that another daemon saw a crash with the request in progress,
+// alone or not. It reports whether that was not known yet.
+func (c *Core) Told(now time.Time, f Fingerprint, alone bool) bool {
+	return c.ledger.told(now, f, alone)
+}
+
 // Reports returns what this daemon reports to the fleet.
 func (c *Core) Reports() []Suspect { return c.ledger.reports() }
 
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -163,6 +163,16 @@
 	l.report(now, Suspect{Fingerprint: f, Crashes: crashes, Until: until})
 }
 
+// told reports a crash that another daemon saw, unless it is known.
+func (l *ledger) told(now time.Time, f Fingerprint, alone bool) bool {
+	s, _, _ := l.known(now, f)
+	if s.Crashes > 1 || (s.Crashes == 1 && !alone) {
+		return false
+	}
+	l.blame(now, f, alone)
+	return true
+}
+
 // clear reports that a suspect ended well. It reports whether there was one.
 func (l *ledger) clear(now time.Time, f Fingerprint) bool {
 	s, _, ok := l.known(now, f)
--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -225,9 +225,15 @@
 }
 
 // TestCrashingRequestIsRefused sends a request that crashes every server, again
-// and again through every daemon, while innocents run.
+// and again through every daemon, while innocents run; one that may not be
+// repeated, and one that the daemons themselves send again.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	c := qt.New(t)
+	c.Run("once", func(c *qt.C) { crashAgain(c, http.MethodPost, "/transfers") })
+	c.Run("repeatable", func(c *qt.C) { crashAgain(c, http.MethodGet, "/records/crash") })
+}
+
+func crashAgain(c *qt.C, method, path string) {
 	cl := newArchive(c, 5, 0, 1, 2, 3, 4)
 	ctx := context.Background()
 	innocents := cl.startLoad("/records/")
@@ -239,7 +245,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	crash := func(n *node) told {
-		return send(ctx, n, http.MethodPost, "/transfers", "transfer", map[string]string{standin.HeaderCrash: "1"})
+		return send(ctx, n, method, path, "transfer", map[string]string{standin.HeaderCrash: "1"})
 	}
 	first := crash(cl.nodes[0])
 	c.Assert(first.outcome, qt.Equals, "unknown", qt.Commentf("%+v", first))
