--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -104,3 +106,33 @@
 	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return w.Body.String()
 }
+
+// TestMetricsPage holds docs/METRICS.md to the names that a daemon writes.
+func TestMetricsPage(t *testing.T) {
+	c := qt.New(t)
+	m := NewMetrics(func() State {
+		return State{
+			Backends: []gateway.Occupancy{{}}, Listeners: []ListenerState{{}}, Source: &SourceState{},
+			Once: OnceState{Table: &ClaimTableState{}},
+		}
+	})
+	m.Done(gateway.Done{})
+	m.Attempt(gateway.Attempt{Number: 1})
+	m.Refused(gateway.Refused{})
+	written := map[string]bool{}
+	for _, name := range regexp.MustCompile(`(?m)^daisygate_\w+`).FindAllString(scrape(m), -1) {
+		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+			if base := strings.TrimSuffix(name, suffix); strings.HasSuffix(base, "_duration_seconds") {
+				name = base
+			}
+		}
+		written[name] = true
+	}
+	page, err := os.ReadFile("../../../docs/METRICS.md")
+	c.Assert(err, qt.IsNil)
+	documented := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| `(\\w+)`").FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]] = true
+	}
+	c.Assert(documented, qt.DeepEquals, written)
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -102,7 +102,6 @@
 	HeaderTooLarge     Code = 250
 	TooManyConnections Code = 251
 
-	PeerBusy   Code = 310
 	NotControl Code = 311
 
 	AnnounceInvalid Code = 410
@@ -157,7 +156,6 @@
 	CallerLeft:       {"CallerLeft", Unknown, 499, "The caller went away while the request was with a backend server."},
 	InProgress:       {"InProgress", Unknown, http.StatusConflict, "The first request under this idempotency key still runs; ask again for its answer."},
 	OwnerLost:        {"OwnerLost", Unknown, http.StatusConflict, "The daemon that ran the first request under this idempotency key is lost; it is not run again."},
-	PeerBusy:         {"PeerBusy", NotRun, http.StatusTooManyRequests, "The daemon admits no more transfers now; come back later."},
 	AnnounceInvalid:  {"AnnounceInvalid", NotRun, http.StatusUnprocessableEntity, "The announcement has faults; each is listed."},
 	AnnounceFull:     {"AnnounceFull", NotRun, http.StatusTooManyRequests, "The daemon takes no more backend servers beside it."},
 	AnnounceRemote:   {"AnnounceRemote", NotRun, http.StatusForbidden, "The daemon takes announcements from its own instance only."},
