--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -44,7 +44,7 @@
 
 // historyLimit bounds the lines kept of one mesh, so that a busy mesh does not
 // push out another's. The newest line of a mesh is always kept.
-const historyLimit = 2048
+const historyLimit = 8192
 
 // machine is the state that the log's entries build, the same on each source.
 type machine struct {
--- a/internal/process/storage/record.go
+++ b/internal/process/storage/record.go
@@ -19,11 +19,10 @@
 	lengthStart = 4
 	sumStart    = 8
 	// maxBody bounds a record's body: a larger one is damage.
-	maxBody = 64 << 20
+	maxBody = 1 << 30
 	// splitBytes bounds the entries put into one record.
 	splitBytes = 8 << 20
-	// MaxData bounds the data of one entry and of a snapshot, so that its
-	// record stays below maxBody.
+	// MaxData bounds the data of one entry.
 	MaxData = 48 << 20
 )
 
