--- a/internal/process/claims/sources_test.go
+++ b/internal/process/claims/sources_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -19,16 +20,16 @@
 var members = []string{"s1", "s2", "s3"}
 
 // TestNoKeyRunsTwiceOnSources drives daemons against three sources with real
-// files, which are killed and restarted, lose messages and change their leader,
-// while answers of the sources are lost on the way to the daemons.
+// files, which are killed and restarted, lose messages, change their leader and
+// lose a disk, one until it is repaired, while answers of the sources are lost on the way to the daemons.
 func TestNoKeyRunsTwiceOnSources(t *testing.T) {
 	base := t.TempDir()
 	number := 0
 	rapid.Check(t, func(t *rapid.T) {
 		number++
 		w := &world{dir: filepath.Join(base, fmt.Sprint(number)), nodes: map[string]*quorum.Node[once.Reply]{}, disks: map[string]*storage.Log{}, tables: map[string]*claims.Table{}, ran: map[int]*attempt{}}
-		for i, id := range members {
-			w.start(t, id, uint64(i+1))
+		for _, id := range members {
+			w.start(t, id)
 		}
 		defer w.stopAll()
 		w.settle(t, 40)
@@ -39,6 +40,7 @@
 			"rounds": func(t *rapid.T) { w.settle(t, rapid.IntRange(1, 12).Draw(t, "rounds")) },
 			"loss":   w.loss,
 			"kill":   w.kill,
+			"wipe":   w.wipe,
 			"return": w.restart,
 			"peek":   w.peek,
 		})
@@ -63,11 +65,13 @@
 }
 
 type world struct {
-	dir      string
-	nodes    map[string]*quorum.Node[once.Reply]
-	disks    map[string]*storage.Log
-	tables   map[string]*claims.Table
-	wire     []packet
+	dir    string
+	nodes  map[string]*quorum.Node[once.Reply]
+	disks  map[string]*storage.Log
+	tables map[string]*claims.Table
+	wire   []packet
+	// starts seeds each start apart: equal seeds would tie elections for ever.
+	starts   uint64
 	seq      uint64
 	attempts []*attempt
 	// ran is the attempt that ran each key.
@@ -76,7 +80,8 @@
 	twice string
 }
 
-func (w *world) start(t *rapid.T, id string, seed uint64) {
+func (w *world) start(t *rapid.T, id string) {
+	w.starts++
 	dir, err := storage.NewOSDir(filepath.Join(w.dir, id))
 	if err != nil {
 		t.Fatal(err)
@@ -88,7 +93,7 @@
 	send := func(to string, messages []replica.Message) { w.wire = append(w.wire, packet{to, messages}) }
 	table := claims.New(claims.DefaultLimits())
 	node, err := quorum.NewNode(replica.Config{
-		ID: id, Members: members, ElectionTicks: 10, HeartbeatTicks: 2, Seed: seed,
+		ID: id, Members: members, ElectionTicks: 10, HeartbeatTicks: 2, Seed: w.starts,
 	}, restored, disk, table, send, logr.Discard())
 	if err != nil {
 		t.Fatal(err)
@@ -237,10 +242,27 @@
 	delete(w.disks, id)
 }
 
+// wipe loses the disk of a source that was killed, unless another lost disk is
+// not repaired yet.
+func (w *world) wipe(t *rapid.T) {
+	for _, id := range members {
+		n := w.nodes[id]
+		if n == nil || (n.Status().Repair.State != replica.RepairNone && n.Status().Repair.State != replica.RepairDone) {
+			return
+		}
+	}
+	id := rapid.SampledFrom(members).Draw(t, "wiped")
+	_ = w.disks[id].Close()
+	if err := os.RemoveAll(filepath.Join(w.dir, id)); err != nil {
+		t.Fatal(err)
+	}
+	w.start(t, id)
+}
+
 func (w *world) restart(t *rapid.T) {
-	for i, id := range members {
+	for _, id := range members {
 		if w.nodes[id] == nil {
-			w.start(t, id, w.seq+uint64(i))
+			w.start(t, id)
 			return
 		}
 	}
