Close the control connections of a stopped daemon

Ruled out: a shorter timeout of the submit (it would cut true commits); a deadline on idle connections (calls between two daemons may be rare).

Change: peer.Traffic keeps the accepted control connections; Traffic.CloseAccepted closes them, and Daemon.Run calls it when nothing behind them answers any more.

Figures: TestCloseAccepted hangs until its 15 s timeout when CloseAccepted does nothing, and passes with it.

--- /dev/null
+++ b/internal/connection/peer/accepted_test.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/rpc"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestCloseAccepted ends a call that a stopped daemon would never answer, and
+// lets no later one in, while the process goes on.
+func TestCloseAccepted(t *testing.T) {
+	c := qt.New(t)
+	echo := &Echo{release: make(chan struct{})}
+	defer close(echo.release)
+	control := rpc.NewServer()
+	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
+	traffic := &Traffic{}
+	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), traffic))
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	pool := NewPool(&Traffic{})
+	defer pool.Close()
+
+	var out int
+	c.Assert(pool.Call(t.Context(), addr, "Echo.Fast", 7, &out), qt.IsNil)
+	slow := make(chan error)
+	go func() {
+		var out int
+		slow <- pool.Call(context.Background(), addr, "Echo.Slow", 1, &out)
+	}()
+	traffic.CloseAccepted()
+	c.Assert(<-slow, qt.IsNotNil)
+	c.Assert(pool.Call(t.Context(), addr, "Echo.Fast", 7, &out), qt.IsNotNil)
+}
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -39,6 +39,8 @@
 	// MaxMessage is the largest control message taken, in bytes; 0 stands for
 	// DefaultMaxMessage.
 	MaxMessage int
+
+	accepted accepted
 }
 
 func (t *Traffic) maxMessage() uint64 {
@@ -74,6 +76,11 @@
 		_ = conn.Close()
 		return
 	}
+	if !traffic.accepted.add(conn) {
+		_ = conn.Close()
+		return
+	}
+	defer traffic.accepted.remove(conn)
 	control.ServeConn(newControlConn(conn, traffic))
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -233,6 +233,7 @@
 	d.claims.flush()
 	stop()
 	err := group.Wait()
+	d.traffic.CloseAccepted()
 	d.gateway.Close()
 	d.items.Close()
 	d.messages.Close()
