--- a/bench/calls_latency.go
+++ b/bench/calls_latency.go
@@ -26,11 +26,11 @@
 }
 
 func (c *calls) latencyOf(ctx context.Context, r *run, f *callFleet, system, path, server string, rate int) {
-	before := []time.Duration{f.processor(localMember), f.processor(remoteMember)}
+	before := []time.Duration{f.processor(f.localMember()), f.processor(f.remoteMember())}
 	begin := time.Now()
 	results := c.send(ctx, r, f,
 		load.Class{Name: systemDirect + ", beside " + system, URLs: []string{"http://" + server + path}, Rate: float64(rate)},
-		load.Class{Name: system, URLs: []string{f.url(localMember, path)}, Rate: float64(rate)},
+		load.Class{Name: system, URLs: []string{f.url(f.localMember(), path)}, Rate: float64(rate)},
 	)
 	seconds := time.Since(begin).Seconds()
 	at := float64(rate)
@@ -43,10 +43,10 @@
 	}{{"added p50", 50}, {"added p99", 99}} {
 		r.report.Add(percent.name, system, at, report.Milliseconds, quantile(through, percent.value)-quantile(direct, percent.value))
 	}
-	atCaller := f.processor(localMember) - before[0]
+	atCaller := f.processor(f.localMember()) - before[0]
 	r.report.Add("processor, caller's daemon", system, at, report.CorePercent, 100*atCaller.Seconds()/seconds)
 	if system == systemTwo {
-		beside := f.processor(remoteMember) - before[1]
+		beside := f.processor(f.remoteMember()) - before[1]
 		r.report.Add("processor, daemon beside the server", system, at, report.CorePercent, 100*beside.Seconds()/seconds)
 	}
 }
@@ -54,11 +54,11 @@
 // measureRamp raises the rate at one daemon, to find the most it serves.
 func (c *calls) measureRamp(ctx context.Context, r *run, f *callFleet) error {
 	for _, rate := range c.ramp {
-		before := f.processor(localMember)
+		before := f.processor(f.localMember())
 		begin := time.Now()
-		res := c.send(ctx, r, f, load.Class{Name: systemLocal, URLs: []string{f.url(localMember, pathLocal)}, Rate: float64(rate)})[0]
+		res := c.send(ctx, r, f, load.Class{Name: systemLocal, URLs: []string{f.url(f.localMember(), pathLocal)}, Rate: float64(rate)})[0]
 		seconds := time.Since(begin).Seconds()
-		used := f.processor(localMember) - before
+		used := f.processor(f.localMember()) - before
 		at := float64(rate)
 		r.report.Add("ramp, served a second", systemLocal, at, report.PerSecond, float64(res.Served)/seconds)
 		r.report.Add("ramp, refused", systemLocal, at, report.Percent, percent(res.Refused, res.Due()))
--- a/bench/calls_overload.go
+++ b/bench/calls_overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/daisygate/daisygate/bench/fleet"
 	"github.com/daisygate/daisygate/bench/load"
@@ -23,7 +24,9 @@
 	urgent := load.Class{Name: classUrgent, URLs: f.urls(members, pathUrgent), Header: c.delayed(), Rate: c.urgent * capacity}
 	ordinary := load.Class{Name: classOrdinary, URLs: f.urls(members, pathPool), Header: c.delayed(), Rate: (c.overload - c.urgent) * capacity}
 	alone := c.send(ctx, r, f, urgent)[0]
+	begin := time.Now()
 	results := c.send(ctx, r, f, urgent, ordinary)
+	seconds := time.Since(begin).Seconds()
 	at := c.overload * capacity
 	served := 0
 	for _, res := range results {
@@ -40,6 +43,6 @@
 		}
 	}
 	r.report.Add("overload, latency p99 unloaded", classUrgent, at, report.Milliseconds, quantile(alone, 99))
-	r.report.Add("overload, goodput of the capacity", systemAll, at, report.Percent, 100*float64(served)/c.phase.Seconds()/capacity)
+	r.report.Add("overload, goodput of the capacity", systemAll, at, report.Percent, 100*float64(served)/seconds/capacity)
 	return nil
 }
