Hold that a leader commits older entries only with one of its own term

Change: figure 8 of the paper, step by step, against the core. It failed without the rule: commit 2 where 0 was wanted.

--- /dev/null
+++ b/internal/process/replica/core_test.go
@@ -0,0 +1,44 @@
+package replica
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestCommitOnlyInOwnTerm is figure 8 of Ongaro and Ousterhout: an entry of an
+// earlier term that a majority holds may still be overwritten, so it is
+// committed only together with one of the leader's own term.
+func TestCommitOnlyInOwnTerm(t *testing.T) {
+	c := qt.New(t)
+	members := []string{"a", "b", "c", "d", "e"}
+	var voters []Voter
+	for i, id := range members {
+		voters = append(voters, Voter{Member: id, Disk: uint64(i) + 1})
+	}
+	core := New(Config{ID: "a", Members: members, ElectionTicks: 10, HeartbeatTicks: 2}, Restored{
+		HardState:  HardState{Term: 3},
+		Membership: Membership{Disk: 1, Voting: true, Voters: voters},
+		Entries:    []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 2}},
+	})
+	reply := func(kind MessageType, index uint64) {
+		for _, v := range voters[1:3] {
+			core.Step(Message{
+				Type: kind, From: v.Member, To: "a", Term: 4, Index: index,
+				Disk: v.Disk, Voting: true, Group: groupHash(members),
+			})
+		}
+		ready := core.Ready()
+		core.Advance(ready)
+	}
+	for core.Role() == Follower {
+		core.Tick()
+	}
+	reply(MsgPreVoteReply, 0)
+	reply(MsgVoteReply, 0)
+	c.Assert(core.Role(), qt.Equals, Leader)
+	reply(MsgAppendReply, 2)
+	c.Assert(core.Commit(), qt.Equals, uint64(0))
+	reply(MsgAppendReply, 3)
+	c.Assert(core.Commit(), qt.Equals, uint64(3))
+}
