--- a/bench/fleet/announcer.go
+++ b/bench/fleet/announcer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -32,8 +31,9 @@
 }
 
 // Announcer keeps one backend server announced beside each daemon of a fleet.
-// Nothing listens at the announced addresses.
+// At the announced addresses connections are taken and closed.
 type Announcer struct {
+	servers  placeholders
 	fleet    Announced
 	services int
 	// first is the number of the first member's server.
@@ -68,10 +68,13 @@
 // Announce puts the server beside a member into a state.
 func (a *Announcer) Announce(ctx context.Context, member int, state string) error {
 	server := a.first + member
+	address, err := a.servers.addr(server)
+	if err != nil {
+		return err
+	}
 	raw, err := json.Marshal(announce.Announcement{
 		Mesh: MeshName, Service: ServiceName(server % a.services),
-		Address: fmt.Sprintf("127.1.%d.%d:8000", server/nodesPerBlock, server%nodesPerBlock+1),
-		Slots:   announcedSlots, Connections: announcedConnections, State: state, LeaseSeconds: leaseSeconds,
+		Address: address, Slots: announcedSlots, Connections: announcedConnections, State: state, LeaseSeconds: leaseSeconds,
 	})
 	if err != nil {
 		return errors.Wrap(err, "encode announcement")
@@ -98,4 +101,5 @@
 func (a *Announcer) Close() {
 	a.stop()
 	a.wait.Wait()
+	a.servers.close()
 }
