Bring a cut region back with stamps in place of records

Cause: after a heal the daemons away from the border still claimed that the other side was gone, records travelled that the other side had, and each refutation crossed itself on every link.

--- a/internal/process/membership/scale_test.go
+++ b/internal/process/membership/scale_test.go
@@ -177,6 +177,10 @@
 // the test.
 const cutTime = 2 * time.Minute
 
+// healBytes bounds what a daemon sends for each record of the fleet when a cut
+// heals; a whole record takes about 139 B.
+const healBytes = 80
+
 // TestRegionCut cuts a region off and measures the return.
 func TestRegionCut(t *testing.T) {
 	c := qt.New(t)
@@ -212,5 +216,6 @@
 	for _, n := range s.nodes {
 		total += n.bytes
 	}
+	c.Assert(total/size < healBytes*size, qt.IsTrue, qt.Commentf("%d B sent by each", total/size))
 	c.Logf("region of 20 of %d: dropped on both sides after %s, back after %s, %d B sent by each meanwhile", size, dropped, back, total/size)
 }
--- a/internal/process/presence/message.go
+++ b/internal/process/presence/message.go
@@ -25,6 +25,8 @@
 	MsgPull
 	// MsgWant asks for records.
 	MsgWant
+	// MsgOffer brings the stamps that the receiver lacks.
+	MsgOffer
 )
 
 // Message is what presences exchange; the fields that its type does not name
--- a/internal/process/presence/news.go
+++ b/internal/process/presence/news.go
@@ -7,22 +7,33 @@
 // same meanwhile.
 type news struct {
 	order []ID
-	// known names the neighbours that have the record.
-	known map[ID]map[string]bool
+	held  map[ID]*held
 }
 
-// hold keeps a record that came from a neighbour.
-func (n *news) hold(id ID, from string) {
-	if n.known[id] == nil {
+// held is one piece of news.
+type held struct {
+	// stamp is set when the neighbours have the content already, most likely.
+	stamp bool
+	// known names the neighbours that have it.
+	known map[string]bool
+}
+
+func newNews() news { return news{held: map[ID]*held{}} }
+
+// hold keeps a record, or its stamp alone, that came from a neighbour.
+func (n *news) hold(id ID, from string, stamp bool) {
+	before := n.held[id]
+	if before == nil {
 		n.order = append(n.order, id)
 	}
-	n.known[id] = map[string]bool{from: true}
+	stamp = stamp && (before == nil || before.stamp)
+	n.held[id] = &held{stamp: stamp, known: map[string]bool{from: true}}
 }
 
 // seen notes that a neighbour has a record.
 func (n *news) seen(id ID, from string) {
-	if known := n.known[id]; known != nil {
-		known[from] = true
+	if h := n.held[id]; h != nil {
+		h.known[from] = true
 	}
 }
 
@@ -56,15 +67,28 @@
 	}
 	var actions []Action
 	for _, name := range c.names {
-		var records []Record
-		for _, id := range c.news.order {
-			e := c.table.entries[id]
-			if e != nil && e.state == alive && !c.news.known[id][name] {
-				records = append(records, e.current())
-			}
+		actions = append(actions, c.passTo(name)...)
+	}
+	c.news = newNews()
+	return actions
+}
+
+func (c *Core) passTo(name string) []Action {
+	var records []Record
+	var stamps []Stamp
+	for _, id := range c.news.order {
+		e, h := c.table.entries[id], c.news.held[id]
+		switch {
+		case e == nil || e.state != alive || h.known[name]:
+		case h.stamp:
+			stamps = append(stamps, e.stamp)
+		default:
+			records = append(records, e.current())
 		}
-		actions = append(actions, c.sendRecords(name, records, false)...)
 	}
-	c.news = news{known: map[ID]map[string]bool{}}
+	actions := c.sendRecords(name, records, false)
+	if len(stamps) > 0 {
+		actions = append(actions, c.send(name, Message{Type: MsgRefute, Stamps: stamps}))
+	}
 	return actions
 }
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -51,7 +51,7 @@
 	c := &Core{
 		cfg: cfg, id: IDOf(cfg.Self.Name), rand: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		table: newTable(), links: map[string]bool{}, suspects: map[ID]bool{},
-		news: news{known: map[ID]map[string]bool{}},
+		news: newNews(),
 	}
 	c.self = Record{Node: cfg.Self, Incarnation: cfg.Incarnation, Seq: 1}
 	c.storeSelf()
@@ -183,7 +183,7 @@
 	if !failed || e == nil || e.state != alive {
 		return actions
 	}
-	c.probing.hunt(e.record.Node.Domain)
+	c.probing.hunt(e.record.Node)
 	return append(actions, c.suspect(now, e.stamp, "")...)
 }
 
@@ -200,11 +200,13 @@
 	case MsgSuspect:
 		return c.receiveClaims(now, from, m.Claims)
 	case MsgDigest:
-		return c.receiveDigests(from, m.Digest)
+		return c.receiveDigests(now, from, m.Digest)
 	case MsgStamps:
 		return c.receiveStamps(now, from, m)
 	case MsgPull:
 		return c.receivePull(now, from, m.From)
+	case MsgOffer:
+		return c.compare(now, from, m.Stamps)
 	case MsgWant:
 		return c.receiveWant(from, m.Want)
 	}
@@ -236,7 +238,7 @@
 			atOnce = append(atOnce, *change.New)
 			continue
 		}
-		c.news.hold(IDOf(change.New.Node.Name), from)
+		c.news.hold(IDOf(change.New.Node.Name), from, false)
 	}
 	if len(atOnce) == 0 {
 		return actions
@@ -253,6 +255,7 @@
 	}
 	e := c.table.entries[s.ID]
 	c.sawAlive(now, s)
+	c.contradict(now, e)
 	if e == nil || s.newer(e.stamp) || (e.state == dormant && s == e.stamp) {
 		r.compact()
 		delete(c.suspects, s.ID)
--- a/internal/process/presence/probe.go
+++ b/internal/process/presence/probe.go
@@ -1,20 +1,24 @@
 package presence
 
-import "time"
+import (
+	"time"
+
+	"github.com/daisygate/daisygate/internal/process/view"
+)
 
 // probing asks random daemons, linked or not, whether they can be reached: a
 // daemon whose neighbours are all lost with it, or on the far side of a
 // partition, is found this way.
 type probing struct {
 	next time.Time
-	// domain is where one daemon was lost; others there are probed at each tick
+	// lost is a daemon that was lost; others near it are probed at each tick
 	// until one answers.
-	domain string
+	lost   view.Node
 	active bool
 }
 
-// hunt looks for further losses in a failure domain.
-func (p *probing) hunt(domain string) { p.domain, p.active = domain, true }
+// hunt looks for further losses near a daemon.
+func (p *probing) hunt(lost view.Node) { p.lost, p.active = lost, true }
 
 func (c *Core) probe(now time.Time) []Action {
 	if !c.probing.active && now.Before(c.probing.next) {
@@ -31,13 +35,13 @@
 }
 
 // target picks a daemon that is neither suspected nor linked, first in the
-// domain of a loss.
+// domain of a loss, then in its region.
 func (c *Core) target() *entry {
 	free := func(r *Record) bool {
 		return r.Node.Name != c.cfg.Self.Name && !c.links[r.Node.Name] && !c.suspects[IDOf(r.Node.Name)]
 	}
-	if c.probing.active {
-		near := func(r *Record) bool { return r.Node.Domain == c.probing.domain && free(r) }
+	for scope := view.SameDomain; c.probing.active && scope <= view.SameRegion; scope++ {
+		near := func(r *Record) bool { return c.probing.lost.ScopeOf(r.Node) <= scope && free(r) }
 		if e := c.table.pickWhere(c.rand, near); e != nil {
 			return e
 		}
@@ -55,6 +59,6 @@
 	if e == nil || e.state != alive || len(c.links) == 0 {
 		return nil
 	}
-	c.probing.hunt(e.record.Node.Domain)
+	c.probing.hunt(e.record.Node)
 	return c.Suspect(now, name)
 }
--- a/internal/process/presence/repair.go
+++ b/internal/process/presence/repair.go
@@ -21,6 +21,9 @@
 	pageStamps = 128
 	// partsPerRound bounds the differing parts that one message looks into.
 	partsPerRound = 16
+	// pullParts is the number of differing parts above which the whole table is
+	// walked through instead: stamps then cost less than digests.
+	pullParts = 48
 )
 
 // startPull begins to catch up if that is due and no other pull is under way.
@@ -45,13 +48,17 @@
 	return c.startPull(now)
 }
 
-// receivePull answers with a page of stamps, tombstones included.
+// receivePull answers with a page of stamps, with the tombstones unless this
+// daemon may be the one that was cut off.
 func (c *Core) receivePull(now time.Time, from string, first uint16) []Action {
 	page := Message{Type: MsgStamps, From: first, To: first, Pull: true}
 	for page.To < leaves && len(page.Stamps) < pageStamps {
 		c.addLeaf(now, &page, page.To)
 		page.To++
 	}
+	if c.cutOff() {
+		page.Claims = nil
+	}
 	return []Action{c.send(from, page)}
 }
 
@@ -72,20 +79,19 @@
 }
 
 // receiveDigests looks into the parts that differ: it answers with the parts
-// below, or with the stamps of a leaf.
-func (c *Core) receiveDigests(from string, digests []Digest) []Action {
+// below, or with the stamps of a leaf. Where very much differs it pulls.
+func (c *Core) receiveDigests(now time.Time, from string, digests []Digest) []Action {
 	if !c.pull.done {
 		return nil
 	}
+	differing := c.differing(digests)
+	if len(differing) > pullParts {
+		c.pull = pull{from: from}
+		return c.pullPage(now)
+	}
 	var below []Digest
 	var actions []Action
-	looked := 0
-	for _, d := range digests {
-		own, ok := c.table.tree.digest(d.Level, d.Index)
-		if !ok || own.Hash == d.Hash || looked == partsPerRound {
-			continue
-		}
-		looked++
+	for _, d := range differing[:min(len(differing), partsPerRound)] {
 		if d.Level < levels {
 			below = append(below, c.table.tree.children(d.Level, d.Index)...)
 			continue
@@ -98,6 +104,16 @@
 	return actions
 }
 
+func (c *Core) differing(digests []Digest) []Digest {
+	var differing []Digest
+	for _, d := range digests {
+		if own, ok := c.table.tree.digest(d.Level, d.Index); ok && own.Hash != d.Hash {
+			differing = append(differing, d)
+		}
+	}
+	return differing
+}
+
 func (c *Core) leafStamps(leaf uint16) Message {
 	m := Message{Type: MsgStamps, From: leaf, To: leaf + 1}
 	for _, id := range c.table.members[leaf] {
@@ -108,19 +124,27 @@
 	return m
 }
 
-// receiveStamps compares a range of leaves: it asks for what is newer there,
-// sends what is newer here, and claims what was dropped here.
+// receiveStamps compares a range of leaves: it takes a position on each stamp
+// and offers what the other side lacks.
 func (c *Core) receiveStamps(now time.Time, from string, m Message) []Action {
 	if m.From > m.To || m.To > leaves {
 		return nil
 	}
 	actions := c.receiveClaims(now, from, m.Claims)
-	theirs := make(map[ID]bool, len(m.Stamps))
+	actions = append(actions, c.compare(now, from, m.Stamps)...)
+	actions = append(actions, c.offer(from, m)...)
+	return append(actions, c.pulled(now, from, m)...)
+}
+
+// compare asks for what is newer at a neighbour, revives what was dormant here,
+// and claims what was dropped here.
+func (c *Core) compare(now time.Time, from string, stamps []Stamp) []Action {
+	var actions []Action
 	var want []ID
 	var claims []Claim
-	for _, s := range m.Stamps {
-		theirs[s.ID] = true
+	for _, s := range stamps {
 		e := c.table.entries[s.ID]
+		c.contradict(now, e)
 		switch {
 		case s.ID == c.id:
 			actions = append(actions, c.sawSelf(now, s, nil)...)
@@ -130,8 +154,6 @@
 			actions = append(actions, c.revive(e, s)...)
 		case e.state != alive:
 			claims = append(claims, c.claim(now, e))
-		case e.state == alive && e.stamp.newer(s):
-			theirs[s.ID] = false
 		}
 	}
 	if len(claims) > 0 {
@@ -140,21 +162,29 @@
 	if len(want) > 0 {
 		actions = append(actions, c.send(from, Message{Type: MsgWant, Want: want}))
 	}
-	actions = append(actions, c.supply(from, m, theirs)...)
-	return append(actions, c.pulled(now, from, m)...)
+	return actions
 }
 
-// supply sends the records of a range that the other side lacks.
-func (c *Core) supply(to string, m Message, theirs map[ID]bool) []Action {
-	var records []Record
+// offer names what the other side lacks in a range of leaves; it may have the
+// content and ask for nothing.
+func (c *Core) offer(to string, m Message) []Action {
+	theirs := make(map[ID]Stamp, len(m.Stamps))
+	for _, s := range m.Stamps {
+		theirs[s.ID] = s
+	}
+	var stamps []Stamp
 	for leaf := m.From; leaf < m.To; leaf++ {
 		for _, id := range c.table.members[leaf] {
-			if e := c.table.entries[id]; e.state == alive && !theirs[id] {
-				records = append(records, e.current())
+			e := c.table.entries[id]
+			if e.state == alive && e.stamp.newer(theirs[id]) {
+				stamps = append(stamps, e.stamp)
 			}
 		}
 	}
-	return c.sendRecords(to, records, true)
+	if len(stamps) == 0 {
+		return nil
+	}
+	return []Action{c.send(to, Message{Type: MsgOffer, Stamps: stamps})}
 }
 
 // batchRecords bounds the records of one message.
--- a/internal/process/presence/suspicion.go
+++ b/internal/process/presence/suspicion.go
@@ -85,13 +85,19 @@
 		switch {
 		case s.ID == c.id:
 			actions = append(actions, c.sawSelf(now, s, nil)...)
+		case e != nil && s == e.stamp:
+			c.news.seen(s.ID, from)
 		case e != nil && !s.newer(e.stamp):
 		case e == nil || e.record == nil || !s.sameContent(e.record.stamp()):
 			want = append(want, s.ID)
 		default:
+			if e.state == alive {
+				news = append(news, s)
+			} else {
+				c.news.hold(s.ID, from, true)
+			}
 			c.sawAlive(now, s)
 			actions = append(actions, c.revive(e, s)...)
-			news = append(news, s)
 		}
 	}
 	if len(want) > 0 {
@@ -183,7 +189,7 @@
 // forgive makes all tombstones dormant when so many were dropped that this
 // daemon's side was the one cut off; the neighbours' word then counts.
 func (c *Core) forgive(now time.Time) {
-	if c.table.dropped*cutOffShare <= c.table.dropped+len(c.table.alive) {
+	if !c.cutOff() {
 		return
 	}
 	for id, e := range c.table.entries {
@@ -195,6 +201,21 @@
 	c.pull = pull{}
 }
 
+func (c *Core) cutOff() bool {
+	return c.table.dropped*cutOffShare > c.table.dropped+len(c.table.alive)
+}
+
+// dropTime is how long the news of a death may take to reach everyone.
+const dropTime = 10 * time.Second
+
+// contradict takes note of a neighbour that counts a record dropped here long
+// ago.
+func (c *Core) contradict(now time.Time, e *entry) {
+	if e != nil && e.state == gone && now.Sub(e.since) > dropTime {
+		c.forgive(now)
+	}
+}
+
 // takeover is the record of this daemon's attempts to go above records of its
 // own name that it did not write.
 type takeover struct {
