Make the first call after a restart on a new connection

Cause: what a daemon sent first to one that was restarted went out on the kept connection to its predecessor and was lost with its batch: mostly the answer to its join, so that it waited out the 2 s of the join and a back-off, again and again where several neighbours held old connections.

Ruled out: watching each connection for its end (the same race, later); sending joins' answers on connections of their own.

Change: a call on a kept connection that turns out to have ended is made once more on a new one. Control methods are idempotent; the comment says so.

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -14,6 +14,7 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -146,23 +147,44 @@
 // close the connection; the next call dials anew. A call that times out closes
 // it only if nothing else was answered meanwhile: then the connection is dead,
 // not the call slow.
+//
+// A call on a kept connection that turns out to have ended is made once more on
+// a new one: the other daemon was restarted meanwhile, and what is sent next,
+// such as the answer to its join, must not be lost. So a method may be carried
+// out twice; every control method is idempotent.
 func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
+	kept, err := p.callOnce(ctx, addr, method, args, reply)
+	if kept && ended(err) && ctx.Err() == nil {
+		_, err = p.callOnce(ctx, addr, method, args, reply)
+	}
+	return err
+}
+
+// ended reports whether err says that the connection is no more.
+func ended(err error) bool {
+	return errors.Is(err, rpc.ErrShutdown) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// callOnce also reports whether the connection had answered calls before.
+func (p *Pool) callOnce(ctx context.Context, addr, method string, args, reply any) (kept bool, err error) {
 	c, err := p.acquire(ctx, addr)
 	if err != nil {
-		return err
+		return false, err
 	}
 	before := p.answers(c)
+	kept = before > 0
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		p.release(addr, c, call.Error == nil)
-		return p.settle(addr, c, call.Error)
+		return kept, p.settle(addr, c, call.Error)
 	case <-ctx.Done():
 		p.release(addr, c, false)
 		if p.answers(c) == before {
 			p.drop(addr, c)
 		}
-		return errors.Wrapf(ErrTimeout, "%s at %s", method, addr)
+		return kept, errors.Wrapf(ErrTimeout, "%s at %s", method, addr)
 	}
 }
 
--- a/internal/connection/peer/pool_test.go
+++ b/internal/connection/peer/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/rpc"
@@ -67,3 +68,28 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestFirstCallAfterRestart holds that the first call to a daemon that was
+// restarted is not lost on the connection to its predecessor.
+func TestFirstCallAfterRestart(t *testing.T) {
+	c := qt.New(t)
+	control := rpc.NewServer()
+	c.Assert(control.RegisterName("Echo", &Echo{}), qt.IsNil)
+	traffic := &Traffic{}
+	first := httptest.NewServer(Handler(control, http.NotFoundHandler(), traffic))
+	pool := NewPool(&Traffic{})
+	defer pool.Close()
+	var out int
+	addr := first.Listener.Addr().String()
+	c.Assert(pool.Call(context.Background(), addr, "Echo.Fast", 7, &out), qt.IsNil)
+	first.Close()
+	traffic.CloseAccepted()
+	listener, err := net.Listen("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	second := httptest.NewUnstartedServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
+	second.Listener = listener
+	second.Start()
+	defer second.Close()
+	c.Assert(pool.Call(context.Background(), addr, "Echo.Fast", 8, &out), qt.IsNil)
+	c.Assert(out, qt.Equals, 8)
+}
