Wait for the server beside the daemon before an upload is killed

Cause: TestKilledInMidUpload takes for granted that the upload reaches the server beside the first daemon; callMesh waited for any answer only, so the upload could go to another server (1 of 8 and 3 of 8 runs on a busy machine). Change: callMesh waits until each daemon answers from the server beside it.

--- a/test/e2e/call_test.go
+++ b/test/e2e/call_test.go
@@ -32,17 +32,32 @@
 	}
 	path := cl.manifest("call.yaml", string(raw))
 	cl.eventually("manifest", func() error { return cl.apply(path, "0") })
-	for _, n := range cl.nodes {
-		cl.settled(n)
+	for i, n := range cl.nodes {
+		cl.answersBeside(n, cl.backends[i])
 	}
 	return cl
 }
 
-// settled waits until a daemon answers calls and knows of every backend server.
+// settled waits until a daemon answers calls.
 func (cl *cluster) settled(n *node) {
 	cl.eventually("readiness of "+n.name, func() error { return get(n, "/records/1", "", "archive\n") })
 }
 
+// answersBeside waits until a daemon answers calls from the backend server beside it.
+func (cl *cluster) answersBeside(n *node, beside *backend) {
+	cl.eventually("the server beside "+n.name, func() error {
+		resp, err := http.Get("http://" + n.caller + "/records/1")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if by := resp.Header.Get(standin.HeaderServer); by != beside.addr {
+			return errors.Newf("%s answered by %q, want %s", resp.Status, by, beside.addr)
+		}
+		return nil
+	})
+}
+
 // terminate asks a process to stop and waits until it has.
 func (p *process) terminate(c *qt.C) {
 	c.Assert(p.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
