Bound idle bytes in a test; run the tests of membership side by side

Cause: the figure of an idle daemon was printed, not held; the package's tests took 28 s under the race detector.

--- a/internal/process/membership/faults_test.go
+++ b/internal/process/membership/faults_test.go
@@ -22,6 +22,7 @@
 // bounded and connect everyone, and every daemon holds exactly the newest
 // record of each live one; at no time is a record replaced by an older one.
 func TestFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(3, 50).Draw(t, "size")
 		regions := rapid.IntRange(1, 4).Draw(t, "regions")
--- a/internal/process/membership/golden_test.go
+++ b/internal/process/membership/golden_test.go
@@ -23,6 +23,7 @@
 // TestSessions plays the golden files: whole sessions of a small fleet, with
 // what every daemon takes for the truth after each step.
 func TestSessions(t *testing.T) {
+	t.Parallel()
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &session{t: t}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- a/internal/process/membership/scale_test.go
+++ b/internal/process/membership/scale_test.go
@@ -60,6 +60,7 @@
 // TestJoinStorm starts a fleet at once, through one seed: it gets no more links
 // than any other daemon, and refers the rest on.
 func TestJoinStorm(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, size := range []int{12, 50, 200} {
 		s := newSim(1, 1)
@@ -98,6 +99,7 @@
 // TestPropagation measures how long a draining backend server and a dead
 // daemon's backend servers stay candidates anywhere.
 func TestPropagation(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{12, 50, 200} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			c := qt.New(t)
@@ -122,8 +124,12 @@
 	idleTime = seconds * time.Second
 )
 
+// idleBytes bounds what a settled daemon sends in a second, before net/rpc.
+const idleBytes = 200
+
 // TestIdle measures what a settled fleet sends.
 func TestIdle(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{12, 50} {
 		c := qt.New(t)
 		s := settled(c, size)
@@ -136,6 +142,7 @@
 			envelopes += n.received
 			links += len(n.core.Links())
 		}
+		c.Assert(total/size/seconds < idleBytes, qt.IsTrue)
 		c.Logf("%d daemons idle: %d B/s and %.1f envelopes/s sent by each, %.1f links", size, total/size/seconds, float64(envelopes)/float64(size*seconds), float64(links)/float64(size))
 	}
 }
@@ -148,6 +155,7 @@
 
 // TestHerd kills half of the fleet and brings it back at once.
 func TestHerd(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	const size = 100
 	s := settled(c, size)
@@ -183,6 +191,7 @@
 
 // TestRegionCut cuts a region off and measures the return.
 func TestRegionCut(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	const size = 100
 	s := settled(c, size)
