Print the record of runs in the stand-in's process only

Cause: dev and its demo printed 'runs: {}' for each of their stand-ins, which share the process. Change: the program bench/backend prints it after its planned stop; go test ./test/e2e -run Planned and the demo were run.

--- a/bench/backend/main.go
+++ b/bench/backend/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -40,5 +42,17 @@
 	fmt.Println(server.Addr())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return server.Run(ctx)
+	err = server.Run(ctx)
+	return errors.Join(err, printRuns(server))
+}
+
+// printRuns leaves the record of runs on stderr, in a line that begins with
+// "runs: ", for whoever stopped the process.
+func printRuns(server *standin.Server) error {
+	raw, err := json.Marshal(server.Runs())
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(os.Stderr, "runs: %s\n", raw)
+	return err
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -114,19 +114,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	_ = s.withdraw()
-	err := s.http.Shutdown(context.Background())
-	s.printRuns()
-	return err
-}
-
-// RunsLine begins the line by which a leaving server prints its record.
-const RunsLine = "runs: "
-
-func (s *Server) printRuns() {
-	raw, err := json.Marshal(s.Runs())
-	if err == nil {
-		fmt.Fprintf(os.Stderr, "%s%s\n", RunsLine, raw)
-	}
+	return s.http.Shutdown(context.Background())
 }
 
 func (s *Server) announce(state string) error {
--- a/test/e2e/call_test.go
+++ b/test/e2e/call_test.go
@@ -195,7 +195,7 @@
 	b.process.terminate(cl.c)
 	runs := map[string]int{}
 	for line := range strings.Lines(b.process.log.String()) {
-		if record, ok := strings.CutPrefix(line, standin.RunsLine); ok {
+		if record, ok := strings.CutPrefix(line, "runs: "); ok {
 			cl.c.Assert(json.Unmarshal([]byte(record), &runs), qt.IsNil)
 		}
 	}
