Count a daemon as in force once it answers by the version

Ruled out: waiting in apply for a while; the listing says ready already.

Change: where every daemon is asked, one that is not ready counts as lagging and status says why. The count of a large fleet's own tree is of versions installed, as before.

--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -36,17 +36,18 @@
 
 // cmdFake is "fake small" or "fake large"; $FAKE is the operator address.
 func cmdFake(ts *testscript.TestScript, _ bool, args []string) {
-	fleet := operator.Fleet{Daemons: 7, Complete: true, Nodes: []operator.FleetNode{
-		{Node: "n1", Domain: "d1", Version: 7, Links: 4, Source: fakeSource("leader", "", replica.Repair{State: replica.RepairNone})},
-		{Node: "n2", Domain: "d2", Version: 7, Links: 4, Source: fakeSource("follower", "disk full", replica.Repair{})},
-		{Node: "n3", Domain: "d3", Version: 7, Links: 4, Source: fakeSource("follower", "", replica.Repair{State: replica.RepairLearning, Have: 3, Need: 9})},
-		{Node: "n4", Domain: "d1", Version: 6, Links: 4},
+	fleet := operator.Fleet{Daemons: 8, Complete: true, Nodes: []operator.FleetNode{
+		{Node: "n0", Domain: "d1", Version: 7, Links: 2},
+		{Node: "n1", Domain: "d1", Version: 7, Ready: true, Links: 4, Source: fakeSource("leader", "", replica.Repair{State: replica.RepairNone})},
+		{Node: "n2", Domain: "d2", Version: 7, Ready: true, Links: 4, Source: fakeSource("follower", "disk full", replica.Repair{})},
+		{Node: "n3", Domain: "d3", Version: 7, Ready: true, Links: 4, Source: fakeSource("follower", "", replica.Repair{State: replica.RepairLearning, Have: 3, Need: 9})},
+		{Node: "n4", Domain: "d1", Version: 6, Ready: true, Links: 4},
 		{Node: "n5", Domain: "d2", Version: 5, Links: 3, Stale: true},
 		{Node: "n6", Domain: "d3", Version: 4},
 		{Node: "n7", Domain: "d3", Error: "dial peer: connection refused"},
 	}}
 	if args[0] == "large" {
-		fleet.Daemons, fleet.Complete, fleet.Nodes = 10000, false, fleet.Nodes[:5]
+		fleet.Daemons, fleet.Complete, fleet.Nodes = 10000, false, fleet.Nodes[1:6]
 		fleet.InForce = mesh.InForce{Version: 7, Count: 9990, Total: 10000, Laggards: []string{"n4", "n5"}}
 	}
 	server := httptest.NewServer(operator.Handler(operator.Config{ManifestBytes: 1 << 10}, &fakeFleet{fleet: fleet}))
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -127,7 +127,7 @@
 // nodeState is "in force", or why not, and what else is wrong with it.
 func nodeState(n operator.FleetNode, version uint64) string {
 	var parts []string
-	if n.Version < version || n.Error != "" {
+	if n.Version < version || !n.Ready {
 		parts = append(parts, lagReason(n, version))
 	} else {
 		parts = append(parts, "in force")
@@ -148,6 +148,8 @@
 	switch {
 	case n.Error != "":
 		return "does not answer: " + n.Error
+	case n.Version >= version:
+		return "holds it, but does not know yet that it is the newest"
 	case n.Links == 0:
 		return fmt.Sprintf("%d behind, has no link to another daemon", version-n.Version)
 	case n.Stale:
--- a/internal/cli/tally.go
+++ b/internal/cli/tally.go
@@ -39,11 +39,12 @@
 	return t
 }
 
-// behind are the daemons that do not have the version in force.
+// behind are the daemons that do not have the version in force: one that is not
+// ready holds it, but answers no call by it.
 func behind(nodes []operator.FleetNode, version uint64) []operator.FleetNode {
 	list := []operator.FleetNode{}
 	for _, n := range nodes {
-		if n.Version < version {
+		if n.Version < version || !n.Ready {
 			list = append(list, n)
 		}
 	}
