--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -66,7 +66,7 @@
 	f.BoolVarP(&opt.verbose, "verbose", "v", false, "print the daemons' logs to stderr")
 	f.StringVarP(&opt.path, "file", "f", "", "manifest (YAML) to apply; empty is the built-in example")
 	f.StringVar(&opt.dataDir, "data-dir", "", "data folder to keep; empty is a temporary one")
-	f.IntVar(&opt.nodes, "nodes", dev.DefaultNodes, "number of daemons, 1 to 99; the first 5 are sources")
+	f.IntVar(&opt.nodes, "nodes", dev.DefaultNodes, "number of daemons, 1 to 99; the first 1, 3 or 5 are sources")
 	f.IntVar(&opt.port, "port", 7400, "operator port of the first daemon; 0, or a port in use, lets the system choose")
 	return cmd
 }
