Close a control connection after ten idle seconds

Ruled out: a smaller buffer for each connection (gob and net/rpc hold most of it). Change: 10 s in place of 60; queues rest after 5 s.

--- a/internal/connection/peer/outbox.go
+++ b/internal/connection/peer/outbox.go
@@ -31,7 +31,7 @@
 
 const (
 	outboxTimeout = time.Second
-	outboxIdle    = 30 * time.Second
+	outboxIdle    = 5 * time.Second
 )
 
 // NewOutbox returns an Outbox that delivers batches with send and keeps at most
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -135,8 +135,10 @@
 	timer *time.Timer
 }
 
-// poolIdle is how long an unused control connection stays open.
-const poolIdle = time.Minute
+// poolIdle is how long an unused control connection stays open. Links send each
+// second; what is idle for longer is mostly left over from joins, and at a seed
+// of a large fleet there are many of those at a time.
+const poolIdle = 10 * time.Second
 
 // NewPool returns an empty pool that counts into traffic.
 func NewPool(traffic *Traffic) *Pool {
