Say "not run" of a request whose deadline passed while it waited

Cause: the window of the request and its ticket end at one time; when the window was first, the gate took it for a caller that left, and the caller was told "may have run" (232, turned into 231) of a request that never began. Found with 150 calls of 1 s and a timeout of 2 s on 40 slots: 70 were told 231, of which at most 40 can have started. Ruled out: calls passed on to another daemon; they are given a sixteenth less time, so that the refusal is first. Change: the gate looks at the cause. Besides, a planned stop logs no error for a listener that it closed itself. TestEndedWhileWaiting failed before: 232 CallerLeft, now 213 DeadlineTooShort. The run with 150 calls was not repeated.

--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/result"
 )
@@ -44,12 +46,21 @@
 	case d := <-reply:
 		return refusalOf(d)
 	case <-ctx.Done():
-		return g.abandon(t.ID, reply, result.CallerLeft)
+		return g.abandon(t.ID, reply, whyEnded(ctx))
 	case <-timer.C:
 		return g.abandon(t.ID, reply, result.DeadlineTooShort)
 	}
 }
 
+// whyEnded tells a deadline, which leaves a waiting request certainly not run,
+// from a caller that left.
+func whyEnded(ctx context.Context) result.Code {
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		return result.DeadlineTooShort
+	}
+	return result.CallerLeft
+}
+
 // arrive returns the decision on t, or the channel that it will come on.
 func (g *gate) arrive(t *admit.Ticket) (chan admit.Decision, admit.Decision) {
 	g.mu.Lock()
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -48,7 +48,7 @@
 		server := servers[name]
 		server.listener.Drain(drainLimit)
 		server.tracker.Retire()
-		if err := server.Shutdown(ctx); err != nil {
+		if err := ignoreClosed(server.Shutdown(ctx)); err != nil {
 			d.log.Error(err, "stop listener", "listener", name)
 			_ = server.Close()
 		}
