Ask a daemon and print its answer in one place of the command line

Cause: diff, drain, history and status each repeated the check of the format, the client and the printing. Change: ask, their common body.

--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -47,20 +47,13 @@
 keep number, content hash and time (see daisygate history), and diff says so.`,
 		Example: "  daisygate diff -f examples/ahnenbach.yaml",
 		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := out.check(); err != nil {
-				return err
-			}
-			client, err := to.client()
-			if err != nil {
-				return err
-			}
+		RunE: ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
 			report, err := opt.compare(cmd.Context(), client)
 			if err != nil {
-				return err
+				return nil, nil, err
 			}
-			return out.print(cmd.OutOrStdout(), report, report.print)
-		},
+			return report, report.print, nil
+		}),
 	}
 	cmd.Flags().StringVarP(&opt.path, "file", "f", "", "manifest (YAML) to compare with the version in force")
 	_ = cmd.MarkFlagFilename("file", "yaml", "yml")
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -32,21 +32,14 @@
   daisygate drain --server 127.0.0.1:9001
   daisygate drain --node n2 --undo`,
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := out.check(); err != nil {
-				return err
-			}
-			client, err := to.client()
-			if err != nil {
-				return err
-			}
+		RunE: ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
 			d := &drainer{client: client, order: order, wait: wait, progress: newProgress(cmd.ErrOrStderr())}
 			status, err := d.run(cmd.Context())
 			if err != nil {
-				return err
+				return nil, nil, err
 			}
-			return out.print(cmd.OutOrStdout(), status, func(w io.Writer) { printDrain(w, status) })
-		},
+			return status, func(w io.Writer) { printDrain(w, status) }, nil
+		}),
 	}
 	cmd.Flags().StringVar(&order.Node, "node", "", "name of the daemon; empty is the one that is asked, or the one beside --server")
 	cmd.Flags().StringVar(&order.Server, "server", "", "address of one backend server, ip:port; empty is all beside the daemon")
--- a/internal/cli/history.go
+++ b/internal/cli/history.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/process/source"
 )
 
@@ -21,27 +22,20 @@
 		Short:   "List the accepted manifests, newest first",
 		Example: "  daisygate history --mesh ahnenbach --limit 5",
 		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := out.check(); err != nil {
-				return err
-			}
-			client, err := to.client()
-			if err != nil {
-				return err
-			}
+		RunE: ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
 			if limit < 1 || limit > source.MaxHistory {
-				return usage("--limit: want 1 to %d, got %d", source.MaxHistory, limit)
+				return nil, nil, usage("--limit: want 1 to %d, got %d", source.MaxHistory, limit)
 			}
 			list, err := client.History(cmd.Context(), source.HistoryRequest{Mesh: mesh, Limit: limit})
 			if err != nil {
-				return err
+				return nil, nil, err
 			}
 			if list == nil {
 				list = []source.Accepted{}
 			}
 			slices.Reverse(list)
-			return out.print(cmd.OutOrStdout(), list, func(w io.Writer) { printHistory(w, list) })
-		},
+			return list, func(w io.Writer) { printHistory(w, list) }, nil
+		}),
 	}
 	to.flags(cmd)
 	out.flags(cmd)
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -8,6 +8,8 @@
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
+
+	"github.com/daisygate/daisygate/internal/connection/operator"
 )
 
 // The output formats.
@@ -43,6 +45,25 @@
 	return nil
 }
 
+// ask is the body of a command that asks a daemon and prints what it tells: f
+// returns what is printed as JSON, and how it is written as text.
+func ask(to *target, out *output, f func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error)) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, _ []string) error {
+		if err := out.check(); err != nil {
+			return err
+		}
+		client, err := to.client()
+		if err != nil {
+			return err
+		}
+		v, text, err := f(cmd, client)
+		if err != nil {
+			return err
+		}
+		return out.print(cmd.OutOrStdout(), v, text)
+	}
+}
+
 // table writes rows in columns.
 func table(w io.Writer, header string, rows []string) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -42,23 +42,16 @@
 up among themselves. --all asks every daemon, one by one.`,
 		Example: "  daisygate status --operator 127.0.0.1:7400\n  daisygate status --lagging -o json",
 		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := out.check(); err != nil {
-				return err
-			}
-			client, err := to.client()
-			if err != nil {
-				return err
-			}
+		RunE: ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
 			report, err := readStatus(cmd.Context(), client, all)
 			if err != nil {
-				return err
+				return nil, nil, err
 			}
 			if lagging {
 				report.Fleet = behind(report.Fleet, report.Version)
 			}
-			return out.print(cmd.OutOrStdout(), report, report.print)
-		},
+			return report, report.print, nil
+		}),
 	}
 	to.flags(cmd)
 	out.flags(cmd)
