Tell "not-run" only when it is true of the request

Cause: a refusal told the outcome of its code, which is that of this sending. A keyed request that was refused before its claim was looked up (216, 212 of the mesh's share, 215, 210, 243, a body that did not come) was told "not-run" although an earlier sending under its key may have run. Besides, a refusal for a body that did not come was not sent at all while the caller held its connection: the read deadline was taken off before net/http read on for the rest of the body.

Ruled out: another code for each (the code is right, and counts between daemons), and deciding a mismatch by one source in an outage: it may lag behind a release and a later run of this very request, so that is 243 now.

Change: where a caller is refused, a request with a key that was not looked up is told "unknown" in header and body; not a malformed one. After a grant, "not-run" stands, and the claim is released. A body that did not come keeps its read deadline.

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -82,9 +82,13 @@
 	b.small = make([]byte, r.ContentLength)
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(win.length))
-	_, err := io.ReadFull(r.Body, b.small)
+	if _, err := io.ReadFull(r.Body, b.small); err != nil {
+		// net/http reads on for the rest before it sends the refusal: the
+		// deadline stays, so that the caller need not wait for it.
+		return b, err
+	}
 	_ = controller.SetReadDeadline(time.Time{})
-	return b, err
+	return b, nil
 }
 
 // Read implements io.Reader. Each part that comes begins the window anew.
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -25,6 +25,8 @@
 	depth  int
 	// claimed is set once Claims let the request run; settle is due then.
 	claimed bool
+	// decided is set once the table of claims has told what it knows of the key.
+	decided bool
 
 	deadline time.Time
 	window   *window
@@ -54,7 +56,7 @@
 // refuse gives the final answer without a run.
 func (x *exchange) refuse(r *refusal) {
 	x.seen.done.Code = r.Code
-	writeRefusal(x.w, r)
+	result.WriteHTTPOutcome(x.w, r.Error, r.back, x.outcome(r.Code))
 }
 
 // find matches the route.
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -44,7 +44,9 @@
 type ClaimVerdict struct {
 	// Answer is the kept answer of the first run, sent back as it is.
 	Answer *KeptAnswer
-	// Refusal ends the request here; RetryAfter says when to come back.
+	// Refusal ends the request here; RetryAfter says when to come back. With
+	// result.ClaimsUnavailable nothing is known of earlier sendings: the caller
+	// is told that the outcome is unknown.
 	Refusal    *result.Error
 	RetryAfter time.Duration
 }
@@ -143,6 +145,18 @@
 	return x.g.cfg.Claims != nil && x.r.Header.Get(HeaderIdempotencyKey) != ""
 }
 
+// outcome is what is known of the request after a refusal. The code tells of
+// this sending; one before it, under the same key, may have run as long as its
+// claim was not looked up. A malformed request is none that ran before, but one
+// whose body did not come may be.
+func (x *exchange) outcome(code result.Code) result.Outcome {
+	malformed := code == result.BadRequest && x.hooked == nil
+	if code.Outcome() == result.NotRun && x.keyed() && !x.decided && !malformed {
+		return result.Unknown
+	}
+	return code.Outcome()
+}
+
 // claim asks for the claim of a request with a key. proceed is false when the
 // caller was answered here.
 func (x *exchange) claim() (proceed bool) {
@@ -150,6 +164,7 @@
 		return true
 	}
 	verdict := x.g.cfg.Claims.Claim(x.r.Context(), x.hooked)
+	x.decided = verdict.Refusal == nil || verdict.Refusal.Code != result.ClaimsUnavailable
 	switch {
 	case verdict.Refusal != nil:
 		x.refuse(&refusal{Error: verdict.Refusal, back: verdict.RetryAfter})
--- a/internal/connection/gateway/once.go
+++ b/internal/connection/gateway/once.go
@@ -38,7 +38,7 @@
 // The bounds of a Once.
 const (
 	// claimTimeout bounds the wait for the sources before a request is refused
-	// as not run.
+	// without a run.
 	claimTimeout = time.Second
 	// outage is how long no claim is tried after one found no majority of
 	// sources.
@@ -131,12 +131,14 @@
 }
 
 // peek decides without a majority: a key that one source knows is answered by
-// that, any other request is refused as not run.
+// that, any other request is not run, and nothing is known of earlier sendings.
+// One source may lag: a claim of another request may be released since, and this
+// one may have run, so that a mismatch decides nothing.
 func (o *Once) peek(ctx context.Context, c claims.Command) once.Step {
 	ctx, cancel := context.WithTimeout(ctx, peekTimeout)
 	defer cancel()
 	reply := o.cfg.Table.Peek(ctx, c)
-	if reply.Verdict == once.NotHeld || reply.Owner == c.Token {
+	if reply.Verdict == once.NotHeld || reply.Verdict == once.Mismatch || reply.Owner == c.Token {
 		return once.Unavailable()
 	}
 	return once.Open(reply, o.cfg.Lives)
--- /dev/null
+++ b/internal/connection/gateway/once_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// claimsOf grants every claim, or refuses it with a code.
+type claimsOf struct {
+	code    result.Code
+	settled []result.Code
+}
+
+func (k *claimsOf) Claim(context.Context, *Request) ClaimVerdict {
+	if k.code != result.OK {
+		return ClaimVerdict{Refusal: result.Errorf(k.code, "here")}
+	}
+	return ClaimVerdict{}
+}
+
+func (k *claimsOf) Settle(_ *Request, s Settlement) { k.settled = append(k.settled, s.Code) }
+
+// refusing screens every request out.
+type refusing struct{ Suspects }
+
+func (refusing) Screen(*Request) Screening {
+	return Screening{Refusal: result.Errorf(result.Quarantined, "here")}
+}
+
+// TestNotRunIsTrueOfTheRequest holds that a request with a key is told "not-run"
+// only if its key was looked up: an earlier sending may have run otherwise.
+func TestNotRunIsTrueOfTheRequest(t *testing.T) {
+	notReady := func(g *Gateway) { g.cfg.Ready = func() bool { return false } }
+	quarantined := func(g *Gateway) { g.cfg.Suspects = refusing{} }
+	busy := func(g *Gateway) {
+		for g.enter("m") {
+			continue
+		}
+	}
+	const key = "Idempotency-Key: k\n"
+	for name, v := range map[string]struct {
+		header  string
+		prepare func(g *Gateway)
+		claim   result.Code
+		code    result.Code
+		want    string
+	}{
+		"no version":           {header: key, prepare: notReady, code: result.NotReady, want: "unknown"},
+		"no version, no key":   {prepare: notReady, code: result.NotReady, want: "not-run"},
+		"no share":             {header: key, prepare: busy, code: result.Overloaded, want: "unknown"},
+		"quarantined":          {header: key, prepare: quarantined, code: result.Quarantined, want: "unknown"},
+		"quarantined, no key":  {prepare: quarantined, code: result.Quarantined, want: "not-run"},
+		"no sources":           {header: key, claim: result.ClaimsUnavailable, code: result.ClaimsUnavailable, want: "unknown"},
+		"body cut":             {header: key + "Content-Length: 9\n", code: result.BadRequest, want: "unknown"},
+		"malformed":            {header: key + "Daisygate-Depth: 1000\n", code: result.BadRequest, want: "not-run"},
+		"looked up":            {header: key, claim: result.KeyReused, code: result.KeyReused, want: "not-run"},
+		"granted and released": {header: key, code: result.NoBackendServer, want: "not-run"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(c, 1)
+			g, k := f.gateways[0], &claimsOf{code: v.claim}
+			g.cfg.Claims, g.started = k, g.started.Add(-learning)
+			if v.prepare != nil {
+				v.prepare(g)
+			}
+			conn, err := net.Dial("tcp", f.callers[0].Listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			say(conn, "POST /short HTTP/1.1\nHost: a\n"+v.header+"\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			var body struct{ Outcome string }
+			c.Assert(json.NewDecoder(resp.Body).Decode(&body), qt.IsNil)
+			c.Assert(resp.Header.Get(result.HeaderResult), qt.Equals, strconv.Itoa(int(v.code)))
+			c.Check(resp.Header.Get(result.HeaderOutcome), qt.Equals, v.want)
+			c.Check(body.Outcome, qt.Equals, v.want)
+			c.Check(k.settled, qt.HasLen, map[bool]int{true: 1}[v.code == result.NoBackendServer])
+		})
+	}
+}
--- a/internal/request/once/decide.go
+++ b/internal/request/once/decide.go
@@ -57,9 +57,9 @@
 	return Step{Replay: a}
 }
 
-// Unavailable refuses a request whose claim could not be made durable. It
-// certainly was not run; its token must be released, because the claim may
-// have been committed all the same.
+// Unavailable refuses a request whose claim could not be made durable. This
+// sending certainly was not run, an earlier one may have; its token must be
+// released, because the claim may have been committed all the same.
 func Unavailable() Step { return refuse(result.ClaimsUnavailable, RetryUnavailable) }
 
 func refuse(code result.Code, after time.Duration) Step {
--- a/internal/result/http.go
+++ b/internal/result/http.go
@@ -31,7 +31,13 @@
 
 // WriteHTTPRetry is WriteHTTP that also tells when to come back.
 func WriteHTTPRetry(w http.ResponseWriter, e *Error, after time.Duration) {
-	b := body{Code: e.Code, Name: table[e.Code].name, Outcome: e.Code.Outcome().String(), Detail: e.Detail}
+	WriteHTTPOutcome(w, e, after, e.Code.Outcome())
+}
+
+// WriteHTTPOutcome is WriteHTTPRetry for a request of which less is known than
+// the code tells of this sending of it.
+func WriteHTTPOutcome(w http.ResponseWriter, e *Error, after time.Duration, known Outcome) {
+	b := body{Code: e.Code, Name: table[e.Code].name, Outcome: known.String(), Detail: e.Detail}
 	h := w.Header()
 	if after > 0 {
 		b.RetryAfter = int(math.Ceil(after.Seconds()))
@@ -39,6 +45,7 @@
 	}
 	h.Set("Content-Type", "application/json")
 	SetHeaders(h, e.Code)
+	h.Set(HeaderOutcome, known.String())
 	w.WriteHeader(e.Code.HTTPStatus())
 	_ = json.NewEncoder(w).Encode(b)
 }
