Refuse keyed requests within 0.1 s when the leader is unreachable

Cause: a source that followed a dead leader asked its address again each 20 ms until the client gave up after 1 s, though the address refused at once; one that knew no leader waited 500 ms.

Ruled out: a shorter bound on every claim (a commit between regions takes that long), and leaving out sources whose presence is stale (the failure detector takes seconds; the refused dial is known at once).

Change: from the first refusal of the leader's address a source waits 100 ms for another leader, as it does while it knows none. One that is at work has the time as before.

--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +30,11 @@
 )
 
 const (
-	// claimWait is how long a source waits for a leader before it gives up.
-	claimWait = 500 * time.Millisecond
+	// claimWait is how long a source waits for a leader before it gives up:
+	// while none is known, and from when the leader's address refuses.
+	claimWait = 100 * time.Millisecond
+	// peekServe bounds a look at this source's table.
+	peekServe = 500 * time.Millisecond
 	// claimServe bounds a command that another source passed on.
 	claimServe = 2 * time.Second
 	// flushTimeout bounds the wait for ends to be recorded at a planned stop.
@@ -132,9 +136,25 @@
 	}
 	var reply quorum.Reply
 	err := s.d.pool.Call(ctx, addr, claimsPropose, data, &reply)
+	if hurry, ok := ctx.Value(hurryKey{}).(func()); ok && err != nil && !mayBeCommitted(err) {
+		hurry()
+	}
 	return reply, err
 }
 
+// hurryKey is the key of a function in the context of a command. It is called
+// when the leader cannot be reached: the wait for another is short.
+type hurryKey struct{}
+
+// impatient returns a context that ends after patience, or soon after the
+// leader turned out to be unreachable.
+func impatient(ctx context.Context, patience time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	var once sync.Once
+	hurry := func() { once.Do(func() { time.AfterFunc(claimWait, cancel) }) }
+	return context.WithValue(ctx, hurryKey{}, hurry), cancel
+}
+
 // Do implements gateway.ClaimTable: it asks the sources in turn, the leader
 // first where it is known.
 func (s *claimSide) Do(ctx context.Context, c claims.Command) (once.Reply, bool, error) {
@@ -221,7 +241,7 @@
 
 // commit stamps a command with this source's time and proposes it.
 func (s *claimSide) commit(ctx context.Context, c claims.Command) ClaimResult {
-	ctx, cancel := context.WithTimeout(ctx, s.patience())
+	ctx, cancel := impatient(ctx, s.patience())
 	defer cancel()
 	c.Now = time.Now().UnixMilli()
 	raw, err := c.Encode()
@@ -282,7 +302,7 @@
 	if s.d.claims.group == nil {
 		return errNotSource
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	ctx, cancel := context.WithTimeout(context.Background(), peekServe)
 	defer cancel()
 	*reply = s.d.claims.look(ctx, c)
 	return nil
