Excuse a request once that ran alone when a rack was lost

Cause: a request that ran alone on a server at its crash was taken for the culprit, also when other servers were killed at the same moment; a popular one was then refused everywhere. Besides, several runs of one request at one crash counted as several crashes.

Ruled out: excusing at one other crash (the one that made it a suspect is such), and at crashes in which it did not run (a popular request runs at most of them).

Change: with crashes seen beside two other daemons within two seconds, the first crash alone leaves it a suspect; the next alone is never excused. A report says whether its daemon saw the crash, or was told. Runs of one request count once a crash.

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -172,6 +172,7 @@
 		for _, s := range dir.Records[i].Suspects {
 			reports = append(reports, quarantine.Suspect{
 				Fingerprint: quarantine.Fingerprint(s.Fingerprint), Crashes: s.Crashes, Until: time.UnixMilli(s.Until),
+				Told: s.Told, Source: dir.Records[i].Node.Name,
 			})
 		}
 	}
@@ -252,7 +253,7 @@
 func (q *Quarantine) publish() {
 	var out []presence.Suspect
 	for _, s := range q.core.Reports() {
-		out = append(out, presence.Suspect{Fingerprint: uint64(s.Fingerprint), Crashes: s.Crashes, Until: s.Until.UnixMilli()})
+		out = append(out, presence.Suspect{Fingerprint: uint64(s.Fingerprint), Crashes: s.Crashes, Until: s.Until.UnixMilli(), Told: s.Told})
 	}
 	q.cfg.Publish(out)
 }
--- a/internal/process/presence/suspect.go
+++ b/internal/process/presence/suspect.go
@@ -16,6 +16,8 @@
 	Crashes uint8
 	// Until is when the suspicion ends, in Unix milliseconds.
 	Until int64
+	// Told is set when the owner did not see the crash itself.
+	Told bool
 }
 
 // boundSuspects returns a copy, ordered by fingerprint, of the MaxSuspects that
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -140,15 +140,21 @@
 	return lost > 1
 }
 
-// crash reports every run in progress on a server.
+// crash reports every run in progress on a server. Runs of one request count
+// once.
 func (c *Core) crash(now time.Time, addr string) {
 	runs := c.servers[addr]
+	alone := map[Fingerprint]bool{}
 	for _, id := range slices.Sorted(maps.Keys(runs)) {
 		r := runs[id]
 		if r.blamed || (!r.lost.IsZero() && now.Sub(r.lost) > lossWindow) {
 			continue
 		}
 		r.blamed = true
-		c.ledger.blame(now, r.identity.Fingerprint(), r.alone)
+		f := r.identity.Fingerprint()
+		alone[f] = alone[f] || r.alone
+	}
+	for _, f := range slices.Sorted(maps.Keys(alone)) {
+		c.ledger.blame(now, f, alone[f], false)
 	}
 }
--- a/internal/request/quarantine/fingerprint.go
+++ b/internal/request/quarantine/fingerprint.go
@@ -7,6 +7,11 @@
 // that grows with each further crash. So a request that crashes every server is
 // found at its second crash, and an ordinary crash blames nobody.
 //
+// When servers beside two further daemons crash within two seconds of the crash
+// at which a request ran alone, as at the loss of a rack, that crash may not be
+// its doing: it runs alone once more. So the second crash of a request that
+// falls into such a time is excused once, and it is found at the next.
+//
 // Each daemon reports what it saw beside itself; the reports of all daemons are
 // spread with presence and joined here. The package does no I/O and reads no
 // clock.
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -16,6 +16,10 @@
 	Crashes uint8
 	// Until is when the report expires.
 	Until time.Time
+	// Told is set in a report of a crash that another daemon saw.
+	Told bool
+	// Source names the daemon that reports; "" is this one.
+	Source string
 }
 
 // Config is fixed for the life of a Core.
@@ -69,6 +73,8 @@
 	own map[Fingerprint]Suspect
 	// others are the reports of all other daemons.
 	others map[Fingerprint][]Suspect
+	// seen is when others saw a crash, by their names.
+	seen map[string][]time.Time
 }
 
 func (l *ledger) empty() bool { return len(l.own) == 0 && len(l.others) == 0 }
@@ -112,9 +118,12 @@
 // learn replaces the reports of others. Own reports that another cleared are
 // dropped, so that they do not hold again when the clearing is gone.
 func (l *ledger) learn(reports []Suspect) {
-	l.others = map[Fingerprint][]Suspect{}
+	l.others, l.seen = map[Fingerprint][]Suspect{}, map[string][]time.Time{}
 	for _, r := range reports {
 		l.others[r.Fingerprint] = append(l.others[r.Fingerprint], r)
+		if r.Crashes > 0 && !r.Told {
+			l.seen[r.Source] = append(l.seen[r.Source], l.cfg.crashed(&r))
+		}
 	}
 	maps.DeleteFunc(l.own, func(f Fingerprint, s Suspect) bool {
 		return s.Crashes > 0 && !s.Until.After(clearedUntil(l.others[f]))
@@ -143,14 +152,14 @@
 	if !ok {
 		return Verdict{}
 	}
-	if end := s.Until.Add(-l.cfg.Memory); s.Crashes > 1 && now.Before(end) {
+	if end := s.Until.Add(-l.cfg.Memory); s.Crashes > 1 && now.Before(end) && !l.excused(now, s) {
 		return Verdict{Mode: Refused, Until: end}
 	}
 	return Verdict{Mode: Alone}
 }
 
 // blame reports a request in progress at a crash.
-func (l *ledger) blame(now time.Time, f Fingerprint, alone bool) {
+func (l *ledger) blame(now time.Time, f Fingerprint, alone, told bool) {
 	s, cleared, _ := l.known(now, f)
 	crashes := max(s.Crashes, 1)
 	if alone && crashes < math.MaxUint8 {
@@ -160,7 +169,7 @@
 	if !until.After(cleared) {
 		until = cleared.Add(time.Millisecond)
 	}
-	l.report(now, Suspect{Fingerprint: f, Crashes: crashes, Until: until})
+	l.report(now, Suspect{Fingerprint: f, Crashes: crashes, Until: until, Told: told})
 }
 
 // told reports a crash that another daemon saw, unless it is known.
@@ -169,7 +178,7 @@
 	if s.Crashes > 1 || (s.Crashes == 1 && !alone) {
 		return false
 	}
-	l.blame(now, f, alone)
+	l.blame(now, f, alone, true)
 	return true
 }
 
--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -316,6 +316,57 @@
 	}
 }
 
+// TestRackFailureBlamesNobody kills two servers at one time with identical
+// requests in progress, and then the one on which the daemons send them again:
+// they are no culprits.
+func TestRackFailureBlamesNobody(t *testing.T) {
+	c := qt.New(t)
+	cl := newArchive(c, 5, 0, 1, 2, 3, 4)
+	ctx := context.Background()
+	slow := map[string]string{standin.HeaderDelay: "1s", standin.HeaderID: "rack"}
+	get := func(n *node) told { return send(ctx, n, http.MethodGet, "/records/1", "", slow) }
+	results := make(chan told, 20)
+	for i := range cap(results) {
+		go func() { results <- get(cl.nodes[i%5]) }()
+	}
+	running := func(b *backend) int { return b.runs(c)["rack"] }
+	cl.eventually("all to run", func() error {
+		if n := cl.runsOf("rack"); n < cap(results) {
+			return errors.Newf("%d run", n)
+		}
+		return nil
+	})
+	before := map[*backend]int{}
+	for _, b := range cl.backends {
+		before[b] = running(b)
+		c.Assert(before[b] > 0, qt.IsTrue, qt.Commentf("%v", before))
+	}
+	cl.backends[0].process.kill()
+	cl.backends[1].process.kill()
+	var third *backend
+	cl.eventually("a second attempt", func() error {
+		for _, b := range cl.backends[2:] {
+			if running(b) > before[b] {
+				third = b
+				return nil
+			}
+		}
+		return errors.New("none yet")
+	})
+	third.process.kill()
+	for range cap(results) {
+		<-results
+	}
+	time.Sleep(5 * time.Second) // all crashes are known by then, and a refusal lasts a minute
+	for _, n := range cl.nodes {
+		cl.eventually("the resend at "+n.name, func() error {
+			again := get(n)
+			c.Assert(again.is(result.Quarantined), qt.IsFalse, qt.Commentf("%+v", again))
+			return again.must(result.OK)
+		})
+	}
+}
+
 // TestKeyedLoadOverKills kills and restarts the sources and a daemon that takes
 // requests in, one after another, under keyed requests that their callers send
 // again through any daemon until they know the end.
