Take what a restart costs the fleet

Cause: the capacity page needs the bytes of a join over the fleet's size.

Change: capacity restarts three daemons in each idle fleet and adds what the one that joins and each other daemon received above their idle rate.

--- a/bench/capacity_sweeps.go
+++ b/bench/capacity_sweeps.go
@@ -13,17 +13,23 @@
 	// The fleets of the sweeps that vary something else.
 	servicesFleet = 8
 	callsFleet    = 6
+	// joinTimes is how many daemons restart, one after the other.
+	joinTimes = 3
 	// routesAService is how many routes lead to one service.
 	routesAService = 5
 )
 
 var capacityShape = fleet.Shape{Services: 40, Routes: 200}
 
-// sweepFleet watches idle fleets of several sizes.
+// sweepFleet watches idle fleets of several sizes, and restarts daemons in
+// them one at a time.
 func (c *capacity) sweepFleet(ctx context.Context, r *run) error {
 	for _, size := range c.daemons {
 		err := c.onSplit(ctx, r, size, capacityShape, func(s *fleet.Split) error {
-			return c.idle(ctx, r, s, "fleet", float64(size))
+			if err := c.idle(ctx, r, s, "fleet", float64(size)); err != nil {
+				return err
+			}
+			return c.joins(ctx, r, s, float64(size))
 		})
 		if err != nil {
 			return err
@@ -52,6 +58,44 @@
 	return nil
 }
 
+// joins restarts a few daemons, and adds what one restart costs the daemon that
+// joins and each other one, above what they use idle.
+func (c *capacity) joins(ctx context.Context, r *run, s *fleet.Split, at float64) error {
+	rest := func() error {
+		if !sleep(ctx, c.phase/2) {
+			return context.Cause(ctx)
+		}
+		return nil
+	}
+	idle, err := watch(s, rest)
+	if err != nil {
+		return err
+	}
+	var joined, others []fleet.Usage
+	for i := range joinTimes {
+		joiner := s.Size() - 1 - i
+		used, err := watch(s, func() error {
+			if err := s.Restart(joiner); err != nil {
+				return err
+			}
+			return rest()
+		})
+		if err != nil {
+			return err
+		}
+		for member, u := range used.above(idle).members {
+			if member == joiner {
+				joined = append(joined, u)
+			} else if member >= s.Sources() {
+				others = append(others, u)
+			}
+		}
+	}
+	r.report.Add("restart, received by the daemon that joins", roleDaemon, at, report.Bytes, mean(joined, received))
+	r.report.Add("restart, received by each other daemon", roleDaemon, at, report.Bytes, mean(others, received))
+	return nil
+}
+
 // sweepServices watches fleets with manifests of several sizes, one change a
 // second.
 func (c *capacity) sweepServices(ctx context.Context, r *run) error {
