Keep the late answer of a call that was given up out of its reply

Cause: net/rpc decodes an answer into the reply whenever it comes; after a timeout the caller reads the reply, and may pass it to the next attempt, at the same time. Ruled out: closing the connection at each timeout (other calls share it). Change: each call decodes into a value of its own, copied on success; a reply that is used again no longer keeps fields of the answer before. TestLateAnswerIsDropped failed before: 1 in place of -1.

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -176,9 +177,15 @@
 	}
 	before := p.answers(c)
 	kept = before > 0
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// An answer that comes after the call was given up is still decoded, so it
+	// goes into a value of its own.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		p.release(addr, c, call.Error == nil)
 		return kept, p.settle(addr, c, call.Error)
 	case <-ctx.Done():
--- a/internal/connection/peer/pool_test.go
+++ b/internal/connection/peer/pool_test.go
@@ -93,3 +93,35 @@
 	c.Assert(pool.Call(context.Background(), addr, "Echo.Fast", 8, &out), qt.IsNil)
 	c.Assert(out, qt.Equals, 8)
 }
+
+// TestLateAnswerIsDropped holds that the answer to a call that was given up is
+// not written into the reply, which its caller reads and uses again meanwhile.
+func TestLateAnswerIsDropped(t *testing.T) {
+	c := qt.New(t)
+	echo := &Echo{release: make(chan struct{})}
+	control := rpc.NewServer()
+	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
+	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
+	defer server.Close()
+	pool := NewPool(&Traffic{})
+	defer pool.Close()
+	addr := server.Listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	reply := -1
+	slow := make(chan error)
+	go func() { slow <- pool.Call(ctx, addr, "Echo.Slow", 1, &reply) }()
+	var out int
+	for range 5 {
+		c.Assert(pool.Call(context.Background(), addr, "Echo.Fast", 7, &out), qt.IsNil)
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	// A call answered meanwhile keeps the connection, and with it the late answer.
+	c.Assert(errors.Is(<-slow, ErrTimeout), qt.IsTrue)
+	close(echo.release)
+	for range 20 {
+		c.Assert(pool.Call(context.Background(), addr, "Echo.Fast", 7, &out), qt.IsNil)
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(reply, qt.Equals, -1)
+}
