--- a/internal/connection/graceful/conn.go
+++ b/internal/connection/graceful/conn.go
@@ -22,9 +22,8 @@
 // conn is one followed connection.
 type conn struct {
 	net.Conn
-	tracker *Tracker
-	mu      sync.Mutex
-	phase   phase
+	mu    sync.Mutex
+	phase phase
 }
 
 // Read implements net.Conn. What arrives after retirement is never handed to
--- a/internal/connection/graceful/graceful.go
+++ b/internal/connection/graceful/graceful.go
@@ -129,7 +129,7 @@
 }
 
 func (t *Tracker) track(accepted net.Conn) net.Conn {
-	c := &conn{Conn: accepted, tracker: t}
+	c := &conn{Conn: accepted}
 	t.mu.Lock()
 	t.conns[c] = struct{}{}
 	t.mu.Unlock()
