Blame no request that began on what was left of a crashed server

A process that ends closes its connections one by one. A suspect that runs alone and is written to one of the last is lost like the request that crashed the server, and its own end, or that of the culprit, blamed it: a second crash, so it was refused. Ruled out: two requests on one gate that both run alone (the gate counts the slot until the connection ends). Change: a run that began between the first lost connection and the moment the crash was found is not blamed. The crash is remembered for the window in which losses count as one event, for the culprit's run is forgotten first. Before: TestLateRunIsNotBlamed fails in both orders.

--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -10,6 +10,13 @@
 // event.
 const lossWindow = time.Second
 
+// death is one crash of a server.
+type death struct {
+	// lost is when the first connection was lost, and found when the server was
+	// seen to have crashed.
+	lost, found time.Time
+}
+
 // Fate is how a run ended.
 type Fate uint8
 
@@ -42,6 +49,8 @@
 	// servers are the runs in progress by the server's address; no map in it is
 	// empty.
 	servers map[string]map[uint64]*run
+	// deaths are the last crashes by the server's address.
+	deaths map[string]death
 }
 
 // New returns a Core that suspects nothing.
@@ -49,6 +58,7 @@
 	return &Core{
 		ledger:  ledger{cfg: cfg, own: map[Fingerprint]Suspect{}, others: map[Fingerprint][]Suspect{}},
 		servers: map[string]map[uint64]*run{},
+		deaths:  map[string]death{},
 	}
 }
 
@@ -140,14 +150,42 @@
 	return lost > 1
 }
 
-// crash reports every run in progress on a server. Runs of one request count
-// once.
+// lostBefore reports whether a run lost its connection in an earlier event.
+func (r *run) lostBefore(now time.Time) bool {
+	return !r.lost.IsZero() && now.Sub(r.lost) > lossWindow
+}
+
+// beganIn reports whether a run began on what was left of a server that died.
+func (r *run) beganIn(d death) bool {
+	return r.began.After(d.lost) && !r.began.After(d.found)
+}
+
+// died returns the present crash of a server, found now unless it was known.
+func (c *Core) died(now time.Time, addr string) death {
+	if known := c.deaths[addr]; now.Sub(known.lost) <= lossWindow {
+		return known
+	}
+	d := death{lost: now, found: now}
+	for _, r := range c.servers[addr] {
+		if !r.lost.IsZero() && !r.lostBefore(now) && r.lost.Before(d.lost) {
+			d.lost = r.lost
+		}
+	}
+	c.deaths[addr] = d
+	return d
+}
+
+// crash reports every run in progress on a server when it crashed. Runs of one
+// request count once. A run that began after the first connection was lost did
+// not crash the server: a process that ends closes its connections one by one,
+// and a request can still be written to a later one.
 func (c *Core) crash(now time.Time, addr string) {
 	runs := c.servers[addr]
 	alone := map[Fingerprint]bool{}
+	died := c.died(now, addr)
 	for _, id := range slices.Sorted(maps.Keys(runs)) {
 		r := runs[id]
-		if r.blamed || (!r.lost.IsZero() && now.Sub(r.lost) > lossWindow) {
+		if r.blamed || r.lostBefore(now) || r.beganIn(died) {
 			continue
 		}
 		r.blamed = true
--- /dev/null
+++ b/internal/request/quarantine/crash_test.go
@@ -0,0 +1,42 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/request/quarantine"
+)
+
+// TestLateRunIsNotBlamed plays the end of a process that closes its connections
+// one by one: a suspect that ran alone on one of the last did not crash it.
+func TestLateRunIsNotBlamed(t *testing.T) {
+	for name, innocentEndsFirst := range map[string]bool{"culprit ends first": false, "innocent ends first": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			core := quarantine.New(quarantine.DefaultConfig())
+			at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+			// A first crash makes both suspects.
+			a, b := core.Begin(at(0), "s1", identity("culprit"), false), core.Begin(at(0), "s1", identity("innocent"), false)
+			core.Drop(at(10), "s1", a)
+			core.End(at(60), "s1", a, quarantine.Lost, false)
+			core.Drop(at(10), "s1", b)
+			core.End(at(60), "s1", b, quarantine.Lost, false)
+			// The culprit runs alone; the innocent begins on what is left of the server.
+			culprit := core.Begin(at(100), "s2", identity("culprit"), true)
+			core.Drop(at(110), "s2", culprit)
+			innocent := core.Begin(at(111), "s2", identity("innocent"), true)
+			core.Drop(at(112), "s2", innocent)
+			order := []uint64{culprit, innocent}
+			if innocentEndsFirst {
+				order = []uint64{innocent, culprit}
+			}
+			for _, run := range order {
+				core.End(at(160), "s2", run, quarantine.Lost, false)
+			}
+			c.Check(core.Judge(at(200), fingerprint("culprit")).Mode, qt.Equals, quarantine.Refused)
+			c.Check(core.Judge(at(200), fingerprint("innocent")).Mode, qt.Equals, quarantine.Alone)
+		})
+	}
+}
