Hand reserved ports over to the daemons of a bench's fleet

The ports of a fleet were asked from the system, closed, and opened again by the daemons; between the two anyone could get them. Who took the port was not seen; the gap is closed instead. Change: the listeners stay open until the daemon in this process takes them over, or right before a process of its own is started. Before: TestReservedPortsStayTaken could listen on a node's port. A process of its own still opens its ports after they are freed, a gap of one exec.

--- a/bench/fleet/layout.go
+++ b/bench/fleet/layout.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -56,21 +57,53 @@
 	return hosts
 }
 
-// reserve asks the system for n ports at an address, all open at once so that
-// none repeats, and frees them for a daemon to open.
+// reserved holds the listeners of ports that were chosen for a daemon and not
+// yet handed to it: a port that is freed in between may be taken by another
+// process.
+var reserved = struct {
+	sync.Mutex
+	listeners map[string]net.Listener
+}{listeners: map[string]net.Listener{}}
+
+// reserve asks the system for n ports at an address and keeps them open until
+// handOver.
 func reserve(host string, n int) ([]string, error) {
+	reserved.Lock()
+	defer reserved.Unlock()
 	var addrs []string
 	for range n {
 		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return nil, errors.Wrap(err, "reserve port")
 		}
-		defer func() { _ = l.Close() }()
 		addrs = append(addrs, l.Addr().String())
+		reserved.listeners[l.Addr().String()] = l
 	}
 	return addrs, nil
 }
 
+// handOver returns the listeners that are still reserved for a node, by their
+// names in the daemon. The caller owns them.
+func handOver(l settings.Listen) map[string]net.Listener {
+	reserved.Lock()
+	defer reserved.Unlock()
+	open := map[string]net.Listener{}
+	for name, addr := range map[string]string{"caller": l.Caller, "announce": l.Announce, "peer": l.Peer, "operator": l.Operator} {
+		if held := reserved.listeners[addr]; held != nil {
+			open[name] = held
+			delete(reserved.listeners, addr)
+		}
+	}
+	return open
+}
+
+// free closes what is reserved for a node, for a process of its own to open.
+func free(l settings.Listen) {
+	for _, held := range handOver(l) {
+		_ = held.Close()
+	}
+}
+
 // layout returns the settings of every node of a fleet.
 func layout(o Options) ([]settings.Settings, error) {
 	nodes := make([]settings.Settings, o.Size)
--- a/bench/fleet/processes.go
+++ b/bench/fleet/processes.go
@@ -114,6 +114,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	defer func() { _ = log.Close() }()
+	free(p.nodes[i].Listen)
 	cmd := exec.Command(p.program, "serve", "--settings", path)
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
--- a/bench/fleet/shared.go
+++ b/bench/fleet/shared.go
@@ -62,7 +62,7 @@
 }
 
 func (s *Shared) start(i int) error {
-	d, err := daemon.New(s.nodes[i], logr.Discard())
+	d, err := daemon.NewOn(s.nodes[i], logr.Discard(), handOver(s.nodes[i].Listen))
 	if err != nil {
 		return errors.Wrapf(err, "start %s", s.nodes[i].Node)
 	}
