--- a/docs/operating_test.go
+++ b/docs/operating_test.go
@@ -139,6 +139,6 @@
 	words := strings.Fields(line)
 	c.Assert(words[0], qt.Equals, "daisygate")
 	var out bytes.Buffer
-	code := cli.Main(words[1:], &out, &out)
+	code := cli.Main(words[1:], &out, &out, nil)
 	c.Check(fmt.Sprint(code), qt.Equals, want, qt.Commentf("%s\n%s", line, out.String()))
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -26,14 +26,14 @@
 
 // Main runs the command line until it is done or a signal stops it, and
 // returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer, platform LoadPlatform) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return run(ctx, args, out, errOut)
+	return run(ctx, args, out, errOut, platform)
 }
 
-func run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	root := newRoot()
+func run(ctx context.Context, args []string, out, errOut io.Writer, platform LoadPlatform) int {
+	root := newRoot(platform)
 	began := noteBegin(root)
 	root.SetArgs(args)
 	root.SetOut(out)
@@ -63,7 +63,7 @@
 	return &began
 }
 
-func newRoot() *cobra.Command {
+func newRoot(platform LoadPlatform) *cobra.Command {
 	root := &cobra.Command{
 		Use:   "daisygate",
 		Short: "Distributes a service mesh's configuration and carries its calls",
@@ -80,7 +80,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newServe(), newValidate(), newApply(), newStatus(), newHistory(),
+		newServe(platform), newValidate(), newApply(), newStatus(), newHistory(),
 		newDiff(), newDrain(), newDev(), newVersion(),
 	)
 	return root
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -138,7 +138,7 @@
 			args[i] = ts.MkAbs(args[i])
 		}
 	}
-	code = run(context.Background(), args, &out, &errOut)
+	code = run(context.Background(), args, &out, &errOut, nil)
 	return out, errOut, code
 }
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
 
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
 	"github.com/daisygate/daisygate/internal/process/daemon"
@@ -11,35 +17,88 @@
 	"github.com/daisygate/daisygate/internal/result"
 )
 
-func newServe() *cobra.Command {
+// LoadPlatform reads the settings of the platform that the process runs on, and
+// returns the adapter to it.
+type LoadPlatform func() (settings.Settings, daemon.Platform, error)
+
+func newServe(platform LoadPlatform) *cobra.Command {
 	var path string
+	var onPlatform bool
 	cmd := &cobra.Command{
-		Use:   "serve --settings FILE",
+		Use:   "serve {--settings FILE | --platform}",
 		Short: "Run the daemon of one instance",
 		Long: `Runs the daemon of one instance until it is interrupted or terminated. Then it
-leaves the fleet, finishes the requests in progress, and ends.`,
+leaves the fleet, finishes the requests in progress, and ends.
+
+With --platform the settings are those that the platform hands out, and callers,
+backend servers and operators speak in the platform's form.`,
 		Example: "  daisygate serve --settings /etc/daisygate/node.yaml",
 		Args:    cobra.NoArgs,
-		RunE:    func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), path) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if onPlatform {
+				return serveOn(cmd.Context(), platform)
+			}
+			return serve(cmd.Context(), path)
+		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file (YAML)")
-	_ = cmd.MarkFlagRequired("settings")
+	cmd.Flags().BoolVar(&onPlatform, "platform", false, "run on the platform: take its settings, speak its form")
+	cmd.MarkFlagsOneRequired("settings", "platform")
+	cmd.MarkFlagsMutuallyExclusive("settings", "platform")
 	_ = cmd.MarkFlagFilename("settings", "yaml", "yml")
 	return cmd
 }
 
 func serve(ctx context.Context, path string) error {
-	set, err := settings.Load(path)
+	return serveOn(ctx, func() (settings.Settings, daemon.Platform, error) {
+		set, err := settings.Load(path)
+		if err != nil {
+			return set, nil, errors.Newf("%s\n%v", path, err)
+		}
+		return set, nil, nil
+	})
+}
+
+// serveOn runs a daemon with the settings and the platform that load returns;
+// it loads them again at each SIGHUP.
+func serveOn(ctx context.Context, load LoadPlatform) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	set, platform, err := load()
 	if err != nil {
-		return result.Errorf(result.UsageError, "%s\n%v", path, err)
+		return result.Errorf(result.UsageError, "%v", err)
 	}
 	log, err := telemetry.NewLog(set.Log)
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(set, log)
+	if set.Limits.MemoryBytes > 0 {
+		debug.SetMemoryLimit(set.Limits.MemoryBytes)
+	}
+	d, err := daemon.NewAt(set, log, platform)
 	if err != nil {
 		return err
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go reloads(ctx, hangups, d, load, log)
 	return d.Run(ctx)
 }
+
+// reloads reads the settings again at each hangup. Faulty ones change nothing.
+func reloads(ctx context.Context, hangups <-chan os.Signal, d *daemon.Daemon, load LoadPlatform, log logr.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		set, _, err := load()
+		if err != nil {
+			log.Error(err, "settings not read again: the ones in force stay")
+			continue
+		}
+		d.Reload(set)
+	}
+}
--- a/internal/connection/announce/announcement.go
+++ b/internal/connection/announce/announcement.go
@@ -27,13 +27,22 @@
 	// LeaseSeconds is how long it stays known without a renewal, 1 to 60.
 	// Default 5.
 	LeaseSeconds int `json:"lease_seconds,omitempty"`
+	// Boot names one start of the server; empty if it does not tell. What an
+	// earlier boot at the address still says is passed over.
+	Boot string `json:"boot,omitempty"`
+	// Sequence counts the announcements of a boot; an older one than the newest
+	// is passed over. 0 does not tell.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// ColdMillis is how much longer the server works slowly after its start.
+	ColdMillis int `json:"cold_ms,omitempty"`
 }
 
 const (
-	defaultLease = 5
-	maxLease     = 60
-	maxName      = 128
-	maxCapacity  = 100000
+	defaultLease  = 5
+	maxLease      = 60
+	maxName       = 128
+	maxCapacity   = 100000
+	maxColdMillis = 3600 * 1000
 )
 
 // parseState reads a state as announced.
@@ -58,7 +67,7 @@
 	}
 	server := presence.Server{
 		Mesh: a.Mesh, Service: a.Service, Addr: a.Address,
-		Slots: a.Slots, Connections: a.Connections, State: state,
+		Slots: a.Slots, Connections: a.Connections, State: state, Boot: a.Boot,
 	}
 	addr, addrErr := netip.ParseAddrPort(a.Address)
 	invalid := func(format string, args ...any) (presence.Server, time.Duration, *result.Error) {
@@ -73,6 +82,10 @@
 		return invalid("slots and connections: want 1 to %d, got %d and %d", maxCapacity, a.Slots, a.Connections)
 	case !known:
 		return invalid("state: want warming, serving or draining, got %q", a.State)
+	case len(a.Boot) > maxName:
+		return invalid("boot: want at most %d bytes", maxName)
+	case a.ColdMillis < 0 || a.ColdMillis > maxColdMillis:
+		return invalid("cold_ms: want 0 to %d, got %d", maxColdMillis, a.ColdMillis)
 	case seconds < 1 || seconds > maxLease:
 		return invalid("lease_seconds: want 1 to %d, got %d", maxLease, a.LeaseSeconds)
 	}
--- a/internal/connection/announce/registry.go
+++ b/internal/connection/announce/registry.go
@@ -16,7 +16,11 @@
 type lease struct {
 	// announced is what the server says of itself.
 	announced presence.Server
-	until     time.Time
+	// sequence is that of the newest announcement; 0 if it does not tell.
+	sequence uint64
+	until    time.Time
+	// coldUntil is when the server has warmed up.
+	coldUntil time.Time
 	// failures counts vain dials in a row.
 	failures int
 	// since is when the server began to take work; zero while it takes none.
@@ -56,6 +60,7 @@
 // Invariant: it holds at most presence.MaxServers leases.
 type Registry struct {
 	leases map[string]*lease
+	boots  boots
 }
 
 // NewRegistry returns an empty registry.
@@ -68,16 +73,27 @@
 	if err != nil {
 		return false, err
 	}
+	if r.boots.over(a.Boot) {
+		return false, nil
+	}
 	l := r.leases[a.Address]
+	if l != nil && l.announced.Boot != a.Boot {
+		r.boots.end(l.announced.Boot)
+		l = nil
+	}
+	if l != nil && a.Sequence != 0 && a.Sequence <= l.sequence {
+		return false, nil
+	}
 	if l == nil {
-		if len(r.leases) >= presence.MaxServers {
+		if r.leases[a.Address] == nil && len(r.leases) >= presence.MaxServers {
 			return false, result.Errorf(result.AnnounceFull, "%d backend servers are announced here already", len(r.leases))
 		}
 		l = &lease{}
 		r.leases[a.Address] = l
 	}
 	before := l.server()
-	l.announced, l.until = server, now.Add(length)
+	l.announced, l.until, l.sequence = server, now.Add(length), a.Sequence
+	l.coldUntil = now.Add(time.Duration(a.ColdMillis) * time.Millisecond)
 	l.settle(now)
 	return l.server() != before, nil
 }
@@ -100,11 +116,26 @@
 
 // Delete withdraws a server and reports whether it was known.
 func (r *Registry) Delete(address string) bool {
-	_, known := r.leases[address]
+	l, known := r.leases[address]
+	if known {
+		r.boots.end(l.announced.Boot)
+	}
 	delete(r.leases, address)
 	return known
 }
 
+// End withdraws the boot named, whatever its address, and reports whether it
+// was known. Announcements of it that come later are passed over.
+func (r *Registry) End(boot string) bool {
+	r.boots.end(boot)
+	for address, l := range r.leases {
+		if boot != "" && l.announced.Boot == boot {
+			return r.Delete(address)
+		}
+	}
+	return false
+}
+
 // Expire drops leases that ran out and reports whether there were any.
 func (r *Registry) Expire(now time.Time) bool {
 	expired := false
--- a/internal/connection/announce/registry_test.go
+++ b/internal/connection/announce/registry_test.go
@@ -58,7 +58,7 @@
 func TestHandler(t *testing.T) {
 	c := qt.New(t)
 	told := 0
-	s := NewServer(func([]presence.Server) { told++ })
+	s := NewServer(true, func([]presence.Server) { told++ })
 	request := func(method, from, target, body string) int {
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(method, target, strings.NewReader(body))
--- a/internal/connection/announce/server.go
+++ b/internal/connection/announce/server.go
@@ -36,13 +36,41 @@
 	mu       sync.Mutex
 	registry *Registry
 	onChange func([]presence.Server)
+	// dials is set if servers are dialled to see whether they can be reached.
+	dials bool
 	// dialling is set while dials are under way.
 	dialling atomic.Bool
 }
 
 // NewServer returns a server that calls onChange with each new set of servers.
-func NewServer(onChange func([]presence.Server)) *Server {
-	return &Server{registry: NewRegistry(), onChange: onChange}
+// With dials it looks once a second whether each server can be reached.
+func NewServer(dials bool, onChange func([]presence.Server)) *Server {
+	return &Server{registry: NewRegistry(), dials: dials, onChange: onChange}
+}
+
+// Announce takes in what a server says of itself.
+func (s *Server) Announce(a Announcement) *result.Error {
+	var refused *result.Error
+	s.change(func() bool {
+		now := time.Now()
+		changed, err := s.registry.Put(now, a)
+		refused = err
+		if err == nil && !s.dials {
+			// A server that announces itself is alive: only the failures of
+			// requests speak against it.
+			changed = s.registry.Dialled(now, a.Address, true) || changed
+		}
+		return changed
+	})
+	return refused
+}
+
+// End takes in that a boot of a server is over.
+func (s *Server) End(boot string) { s.change(func() bool { return s.registry.End(boot) }) }
+
+// Refused takes in that nobody listens at a server's address.
+func (s *Server) Refused(address string) {
+	s.change(func() bool { return s.registry.Dialled(time.Now(), address, false) })
 }
 
 // Handler returns the routes of the announcement listener. It takes requests
@@ -90,7 +118,7 @@
 		case now := <-expire.C:
 			s.change(func() bool { return s.registry.Expire(now) })
 		case <-dial.C:
-			if s.dialling.CompareAndSwap(false, true) {
+			if s.dials && s.dialling.CompareAndSwap(false, true) {
 				go s.dialAll()
 			}
 		}
@@ -136,13 +164,7 @@
 		result.WriteHTTP(w, bodyFault(err))
 		return
 	}
-	var refused *result.Error
-	s.change(func() bool {
-		changed, err := s.registry.Put(time.Now(), a)
-		refused = err
-		return changed
-	})
-	if refused != nil {
+	if refused := s.Announce(a); refused != nil {
 		result.WriteHTTP(w, refused)
 		return
 	}
--- a/internal/connection/gateway/backend.go
+++ b/internal/connection/gateway/backend.go
@@ -48,8 +48,14 @@
 
 func (g *Gateway) setServer(s presence.Server) {
 	b := g.backends[s.Addr]
+	if b != nil && b.server.Boot != s.Boot {
+		// Another start of the server has nothing in common with the one before.
+		b.gate.Configure(admit.Config{}, true)
+		b.pool.Close()
+		b = nil
+	}
 	if b == nil || b.gone {
-		pool := newBackendPool(s.Addr)
+		pool := g.newBackendPool(s.Addr)
 		if b == nil {
 			b = &backend{gate: newGate(g.bounds(s))}
 			g.backends[s.Addr] = b
@@ -60,9 +66,9 @@
 	g.apply(b)
 }
 
-func newBackendPool(addr string) *upstream.Pool {
+func (g *Gateway) newBackendPool(addr string) *upstream.Pool {
 	return upstream.NewPool(upstream.Config{
-		Addr: addr, IdleMax: 1 << 16, IdleTimeout: backendIdleTimeout, DialTimeout: dialTimeout, Linger: true,
+		Addr: addr, IdleMax: 1 << 16, IdleTimeout: backendIdleTimeout, DialTimeout: dialTimeout, Linger: !g.cfg.Abrupt,
 	})
 }
 
--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -66,7 +66,9 @@
 	begun  atomic.Bool
 	whole  atomic.Bool
 	window *window
-	stall  time.Duration
+	// stall is the window's length after a part of the body came; 0 leaves the
+	// window as it is.
+	stall time.Duration
 }
 
 // newRequestBody reads a small body, or readies a larger one for streaming.
@@ -95,7 +97,9 @@
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.begun.Store(true)
 	n, err := b.r.Body.Read(p)
-	b.window.extend(b.stall)
+	if b.stall > 0 {
+		b.window.extend(b.stall)
+	}
 	if err == io.EOF {
 		b.whole.Store(true)
 	}
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,14 +16,21 @@
 
 // exchange is one request of a caller, while it lasts.
 type exchange struct {
-	g      *Gateway
-	w      http.ResponseWriter
-	r      *http.Request
-	seen   *watched
-	dir    *directory.Directory
-	route  *snapshot.Route
+	g     *Gateway
+	w     http.ResponseWriter
+	r     *http.Request
+	seen  *watched
+	dir   *directory.Directory
+	route *snapshot.Route
+	// target is the service that this request goes to.
+	target *snapshot.Service
 	hooked *Request
-	depth  int
+	told   CallerTold
+	// fixed is set if the deadline stands however a body flows, because the
+	// caller told it.
+	fixed bool
+	// origin is the service of the instance where the request began.
+	origin string
 	// claimed is set once Claims let the request run; settle is due then.
 	claimed bool
 	// decided is set once the table of claims has told what it knows of the key.
@@ -49,14 +57,14 @@
 		return
 	}
 	defer g.exit(x.route.Mesh)
-	x.hooked = &Request{Mesh: x.route.Mesh, Service: x.route.Service, Repeatable: x.route.Repeatable, HTTP: x.r}
+	x.hooked = &Request{Mesh: x.route.Mesh, Service: x.target.Name, Repeatable: x.route.Repeatable, HTTP: x.r}
 	x.run()
 }
 
 // refuse gives the final answer without a run.
 func (x *exchange) refuse(r *refusal) {
 	x.seen.done.Code = r.Code
-	result.WriteHTTPOutcome(x.w, r.Error, r.back, x.outcome(r.Code))
+	x.g.cfg.Dialect.Refuse(x.w, Refusal{Error: r.Error, Outcome: x.outcome(r.Code), Back: r.back})
 }
 
 // find matches the route.
@@ -77,15 +85,24 @@
 	}
 	x.route = route
 	x.seen.route(route.Mesh, route.Name)
-	depth, timeout := nesting(x.r)
-	if depth >= depthMax {
+	if most := route.Limits.BodyBytes; most > 0 {
+		if x.r.ContentLength > most {
+			return refuse(result.BodyTooLarge, strconv.FormatInt(x.r.ContentLength, 10)+" bytes")
+		}
+		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, most)
+	}
+	x.target = route.Pick(rand.Uint64())
+	x.told = x.g.cfg.Dialect.Caller(x.r)
+	if x.told.Depth >= depthMax {
 		return refuse(result.BadRequest, "the call is too deep; is there a loop?")
 	}
-	x.depth = depth
-	if timeout == 0 || timeout > route.Timeout {
-		timeout = route.Timeout
+	x.origin = x.g.cfg.Origin()
+	timeout := route.Timeout
+	if x.told.Left > 0 {
+		x.fixed = x.told.ID != ""
+		timeout = min(timeout, x.told.Left)
 	}
-	x.deadline = time.Now().Add(timeout)
+	x.deadline = x.seen.start.Add(timeout)
 	return nil
 }
 
@@ -100,7 +117,11 @@
 	ctx, win, cancel := newWindow(parent, time.Until(x.deadline))
 	defer cancel()
 	x.window = win
-	body, err := newRequestBody(x.w, x.r, win, x.route.Timeout)
+	stall := x.route.Timeout
+	if x.fixed {
+		stall = 0
+	}
+	body, err := newRequestBody(x.w, x.r, win, stall)
 	if err != nil {
 		x.refuse(refuse(result.BadRequest, "the body did not come whole: "+err.Error()))
 		return
@@ -163,8 +184,8 @@
 // dispatch carries out the actions of the flow until there is an answer to
 // relay or the caller is to be refused.
 func (x *exchange) dispatch(ctx context.Context, pin uint64) (*http.Response, *refusal) {
-	target := x.route.Target
-	course, action := x.g.service(target.Key).begin(x.dir, target, flow.Request{
+	target := x.target
+	course, action := x.g.service(target.Key).begin(x.dir, target, x.g.cfg.Retry(), flow.Request{
 		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Pin: pin,
 	})
 	x.course = course
@@ -212,24 +233,29 @@
 	}
 	return x.g.serve(ctx, &work{
 		hooked: x.hooked, body: x.body, addr: to.Server.Addr, priority: x.route.Priority,
-		depth: x.depth, deadline: x.deadline, fresh: !x.route.Repeatable,
+		depth: x.told.Depth, deadline: x.deadline, fresh: !x.route.Repeatable,
+		id: x.told.ID, origin: x.origin,
 	})
 }
 
-// answerMargin is the share of the time left that is kept for the way back, so
-// that a refusal for want of time arrives before the deadline does.
-const answerMargin = 16
+const (
+	// answerMargin is the share of the time left that is kept for the way back,
+	// so that a refusal for want of time arrives before the deadline does, and
+	// answerMarginMax the most of it: a few times the way between regions.
+	answerMargin    = 16
+	answerMarginMax = 20 * time.Millisecond
+)
 
 func (x *exchange) forward(ctx context.Context, to *directory.Candidate) (_ *http.Response, refused *refusal) {
 	out := x.body.outgoing(x.r)
 	left := time.Until(x.deadline)
 	out.Added = http.Header{
-		HeaderTimeout:  {microseconds(left - left/answerMargin)},
-		HeaderDepth:    {strconv.Itoa(x.depth)},
+		HeaderTimeout:  {microseconds(left - min(left/answerMargin, answerMarginMax))},
+		HeaderDepth:    {strconv.Itoa(x.told.Depth)},
 		headerStall:    {microseconds(x.route.Timeout)},
 		headerServer:   {to.Server.Addr},
 		headerMesh:     {x.route.Mesh},
-		headerService:  {x.route.Service},
+		headerService:  {x.target.Name},
 		headerPriority: {strconv.Itoa(x.route.Priority)},
 	}
 	if !x.route.Repeatable {
@@ -238,6 +264,12 @@
 	if x.hooked.Alone {
 		out.Added[headerAlone] = []string{"1"}
 	}
+	if x.origin != "" {
+		out.Added[headerOrigin] = []string{x.origin}
+	}
+	if x.fixed {
+		out.Added[headerFixed] = []string{"1"}
+	}
 	out.Expect, out.IdleAge = x.body.stream, peerIdleTimeout
 	span := x.g.cfg.Tracer.Send(ctx, HopForward, out.Added)
 	span.Set(SpanNode, to.Node.Name)
@@ -249,6 +281,9 @@
 	if code := resp.Header.Get(result.HeaderResult); code != "0" {
 		return nil, readRefusal(resp, code)
 	}
+	if err := hold(resp, x.g.cfg.HoldBytes); err != nil {
+		return nil, lostAnswer(ctx, err)
+	}
 	return resp, nil
 }
 
@@ -266,8 +301,6 @@
 	}
 	code := result.Code(number)
 	r := refuse(code, code.Meaning())
-	if seconds, ok := numberOf(resp.Header, "Retry-After"); ok {
-		r.back = time.Duration(seconds) * time.Second
-	}
+	r.back, _ = durationOf(resp.Header, headerBack)
 	return r
 }
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/daisygate/daisygate/internal/connection/upstream"
 	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/request/retry"
 	"github.com/daisygate/daisygate/internal/request/share"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/directory"
@@ -48,6 +49,21 @@
 	// Claims and Suspects are optional.
 	Claims   Claims
 	Suspects Suspects
+	// Dialect is how callers and backend servers speak; nil is daisygate's own.
+	Dialect Dialect
+	// Origin is the service of this instance's backend server, which its callers'
+	// requests are said to come from; nil is none.
+	Origin func() string
+	// Abrupt closes the connection of a request that was given up, and takes the
+	// slot for free at once. Else the backend server's own close is awaited.
+	Abrupt bool
+	// HoldBytes is the largest answer that is read whole before it is passed on;
+	// 0 streams every answer.
+	HoldBytes int64
+	// Refused is told of a backend server at whose address nobody listens.
+	Refused func(addr string)
+	// Retry bounds the further attempts of this daemon.
+	Retry func() retry.Limits
 }
 
 // Gateway serves calls. It is safe for concurrent use.
@@ -85,6 +101,18 @@
 	if cfg.Tracer == nil {
 		cfg.Tracer = ignore{}
 	}
+	if cfg.Dialect == nil {
+		cfg.Dialect = ownDialect{}
+	}
+	if cfg.Origin == nil {
+		cfg.Origin = func() string { return "" }
+	}
+	if cfg.Refused == nil {
+		cfg.Refused = func(string) {}
+	}
+	if cfg.Retry == nil {
+		cfg.Retry = retry.Defaults
+	}
 	if cfg.Calls == 0 {
 		cfg.Calls = defaultCalls
 	}
@@ -129,6 +157,9 @@
 
 // writeRefusal sends a final answer without a run.
 func writeRefusal(w http.ResponseWriter, r *refusal) {
+	if r.back > 0 {
+		w.Header().Set(headerBack, microseconds(r.back))
+	}
 	result.WriteHTTPRetry(w, r.Error, r.back)
 }
 
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -28,6 +28,10 @@
 	headerPriority = prefix + "Priority"
 	headerFresh    = prefix + "Fresh"
 	headerAlone    = prefix + "Alone"
+	// headerBack is when to come back after a refusal, in microseconds.
+	headerBack   = prefix + "Back"
+	headerOrigin = prefix + "Origin"
+	headerFixed  = prefix + "Fixed"
 )
 
 // depthMax is the deepest chain of calls; a deeper one is taken for a loop.
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -17,6 +17,7 @@
 	r, span := g.cfg.Tracer.Arrive(r, HopPeer)
 	code := result.AnswerLost
 	defer func() { span.End(code) }()
+	k.id = g.cfg.Dialect.Caller(r).ID
 	ctx, win, cancel := newWindow(r.Context(), timeout)
 	defer cancel()
 	body, err := newRequestBody(w, r, win, stall)
@@ -51,11 +52,15 @@
 	k = &work{
 		addr: r.Header.Get(headerServer), priority: priority, depth: depth,
 		deadline: time.Now().Add(timeout), fresh: r.Header.Get(headerFresh) != "",
+		origin: r.Header.Get(headerOrigin),
 		hooked: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Alone: r.Header.Get(headerAlone) != ""},
 	}
 	if !okTimeout || !okStall || !okPriority || !okDepth || k.addr == "" {
 		return nil, 0, 0, refuse(result.BadRequest, "not a forwarded call")
 	}
+	if r.Header.Get(headerFixed) != "" {
+		stall = 0
+	}
 	return k, timeout, stall, nil
 }
 
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,13 +22,17 @@
 	deadline time.Time
 	// fresh requests may not be repeated.
 	fresh bool
+	// id is the caller's name for the request, or "".
+	id string
+	// origin is the service of the instance where the request began, or "".
+	origin string
 }
 
 // serve runs a request on a backend server beside this daemon. The slot is held
 // until the server is done with it. The answer's body must be closed.
 func (g *Gateway) serve(ctx context.Context, k *work) (*http.Response, *refusal) {
 	b := g.backendAt(k.addr)
-	if b == nil || g.leaving.Load() {
+	if b == nil || g.leaving.Load() || !b.serves(k) {
 		return nil, refuse(result.Draining, "no new work for "+k.addr+" here")
 	}
 	if refused := g.admitSuspect(k); refused != nil {
@@ -46,13 +50,18 @@
 	return g.hand(ctx, b, k)
 }
 
+// serves reports whether the server at the address still is one of the service:
+// an address may belong to another service by now.
+func (b *backend) serves(k *work) bool {
+	return b.server.Mesh == k.hooked.Mesh && b.server.Service == k.hooked.Service
+}
+
 // hand passes a request that has its slot to the backend server.
 func (g *Gateway) hand(ctx context.Context, b *backend, k *work) (*http.Response, *refusal) {
 	out := k.body.outgoing(k.hooked.HTTP)
-	out.Added = http.Header{
-		HeaderTimeout: {microseconds(time.Until(k.deadline))},
-		HeaderDepth:   {strconv.Itoa(k.depth + 1)},
-	}
+	out.Added = g.cfg.Dialect.Server(ServerTold{
+		Left: time.Until(k.deadline), Depth: k.depth + 1, Boot: b.server.Boot, Origin: k.origin,
+	})
 	out.IdleAge = backendIdleTimeout
 	if k.fresh {
 		out.IdleAge = recentIdle
@@ -66,6 +75,9 @@
 	resp, failure := b.pool.RoundTrip(ctx, out)
 	if failure != nil {
 		refused := classify(ctx, failure, result.BackendRefused)
+		if errors.Is(failure, syscall.ECONNREFUSED) {
+			g.cfg.Refused(k.addr)
+		}
 		if run.End(fateOf(refused.Code)) {
 			refused = refuse(result.BackendCrashed, failure.Error())
 		}
@@ -73,11 +85,39 @@
 		return nil, refused
 	}
 	took = time.Since(start)
-	span.End(result.OK)
 	resp.Body = &watchedBody{ReadCloser: resp.Body, ctx: ctx, run: run}
+	refused := g.accept(ctx, k, resp)
+	span.End(codeOf(refused))
+	if refused != nil {
+		return nil, refused
+	}
 	return resp, nil
 }
 
+// accept reads what a backend server says of its answer and holds a small one.
+// An answer to another request was left on the connection by a server that
+// answered twice, or too late.
+func (g *Gateway) accept(ctx context.Context, k *work, resp *http.Response) *refusal {
+	told := g.cfg.Dialect.Answer(resp.Header)
+	switch {
+	case told.ID != "" && told.ID != k.id:
+		_ = resp.Body.Close()
+		return refuse(result.AnswerLost, "the server answered another request")
+	case told.NotRun:
+		_ = resp.Body.Close()
+		return &refusal{Error: result.Errorf(result.ServerRefused, "status %d", resp.StatusCode)}
+	}
+	if err := hold(resp, g.cfg.HoldBytes); err != nil {
+		return lostAnswer(ctx, err)
+	}
+	return nil
+}
+
+// lostAnswer says what an answer that was cut tells about the request.
+func lostAnswer(ctx context.Context, err error) *refusal {
+	return classify(ctx, &upstream.Failure{Sent: true, Err: err}, result.AnswerLost)
+}
+
 // outgoing is the request as it is sent on, less what the receiver needs.
 func (b *requestBody) outgoing(r *http.Request) *upstream.Request {
 	out := &upstream.Request{
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/daisygate/daisygate/internal/request/flow"
+	"github.com/daisygate/daisygate/internal/request/retry"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/directory"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
@@ -39,10 +40,11 @@
 	call    *flow.Call
 }
 
-func (s *service) begin(dir *directory.Directory, target *snapshot.Service, r flow.Request) (*course, flow.Action) {
+func (s *service) begin(dir *directory.Directory, target *snapshot.Service, limits retry.Limits, r flow.Request) (*course, flow.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.core.Table.Update(dir.Candidates(target.Key), target.SlowStart)
+	s.core.SetRetryLimits(limits)
 	call, action := s.core.Begin(time.Now(), rand.Uint64(), r)
 	return &course{service: s, call: call}, action
 }
--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -77,7 +77,7 @@
 	s.messages = peer.NewOutbox(outboxLimit, func(ctx context.Context, addr string, messages []replica.Message) error {
 		return d.pool.Call(ctx, addr, claimsDeliver, messages, &Empty{})
 	})
-	if !d.set.IsSource() {
+	if !d.set.IsSource() || !d.set.Source.Claims {
 		return s, nil
 	}
 	s.table = claims.New(claims.DefaultLimits())
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -11,7 +11,6 @@
 	"github.com/daisygate/daisygate/internal/process/quorum"
 	"github.com/daisygate/daisygate/internal/process/replica"
 	"github.com/daisygate/daisygate/internal/process/source"
-	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
 // The names of the control methods.
@@ -20,6 +19,7 @@
 	sourceDeliver = "Source.Deliver"
 	sourcePropose = "Source.Propose"
 	sourceSubmit  = "Source.Submit"
+	sourceRead    = "Source.Read"
 	nodeStatus    = "Node.Status"
 )
 
@@ -68,14 +68,26 @@
 }
 
 // Submit proposes a manifest.
-func (s *sourceService) Submit(m manifest.Manifest, answer *source.Answer) error {
+func (s *sourceService) Submit(o source.Order, answer *source.Answer) error {
 	if s.d.source == nil {
 		return errNotSource
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
 	var err error
-	*answer, err = s.d.source.Submit(ctx, &m)
+	*answer, err = s.d.source.Submit(ctx, &o)
+	return err
+}
+
+// Read asks for the newest manifest of a mesh.
+func (s *sourceService) Read(mesh string, answer *source.Answer) error {
+	if s.d.source == nil {
+		return errNotSource
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	var err error
+	*answer, err = s.d.source.Read(ctx, mesh)
 	return err
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -90,20 +91,35 @@
 	// lock is nil on an instance without a data folder.
 	lock    *storage.Lock
 	leaving atomic.Bool
+
+	// platform is nil where the daemon speaks its own interface.
+	platform Platform
+	// beside is the service that is announced beside this daemon, nil if none is.
+	beside atomic.Pointer[string]
 }
 
 // New opens the listeners and the data folder. Run serves.
 func New(set settings.Settings, log logr.Logger) (*Daemon, error) { return NewOn(set, log, nil) }
 
+// NewAt is New on a platform; nil is none.
+func NewAt(set settings.Settings, log logr.Logger, platform Platform) (*Daemon, error) {
+	return open(set, log, nil, platform)
+}
+
 // NewOn is New on listeners that are open already, by name; those missing are
 // opened as the settings say. The daemon owns them from here on.
-func NewOn(set settings.Settings, log logr.Logger, open map[string]net.Listener) (*Daemon, error) {
+func NewOn(set settings.Settings, log logr.Logger, listeners map[string]net.Listener) (*Daemon, error) {
+	return open(set, log, listeners, nil)
+}
+
+func open(set settings.Settings, log logr.Logger, listeners map[string]net.Listener, platform Platform) (*Daemon, error) {
 	d := &Daemon{
-		set: set, log: log.WithValues("node", set.Node), drains: newDrains(),
+		platform: platform,
+		set:      set, log: log.WithValues("node", set.Node), drains: newDrains(),
 		traffic:   &peer.Traffic{MaxMessage: set.Limits.ControlBytes},
 		listeners: map[string]net.Listener{}, limits: map[string]*limit.Listener{},
 	}
-	maps.Copy(d.listeners, open)
+	maps.Copy(d.listeners, listeners)
 	if err := d.provision(); err != nil {
 		return nil, errors.CombineErrors(err, d.release())
 	}
@@ -148,7 +164,7 @@
 	seed := xxhash.Sum64String(d.set.Node) ^ incarnation
 	control, err := mesh.New(mesh.Config{
 		View: view.Config{
-			Self: d.self, Seeds: d.seeds(), Active: activeLinks, Max: maxLinks,
+			Self: d.self, Seeds: d.otherSeeds(d.set.Seeds), Active: activeLinks, Max: maxLinks,
 			Silence: linkSilence, Interval: linkInterval, Seed: seed,
 		},
 		Spread: spread.Config{Self: d.set.Node, Seed: seed, StaleAfter: staleAfter},
@@ -167,12 +183,23 @@
 	if d.claims, err = newClaimSide(d, incarnation, seed); err != nil {
 		return err
 	}
-	d.gateway = gateway.New(gateway.Config{
+	cfg := gateway.Config{
 		Self: d.set.Node, Domain: d.set.Domain, Region: d.set.Region, QueuePerSlot: d.set.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready, Observer: d.metrics, Tracer: d.tracer(),
-		Claims: d.claims.once, Suspects: d.claims.suspects,
-	}, d.log.WithName("gateway"))
-	d.servers = announce.NewServer(d.setServers)
+		Abrupt: !d.set.Servers.Linger, HoldBytes: d.set.Servers.HoldBytes, Origin: d.origin, Retry: d.retryLimits,
+		Refused: func(addr string) { d.servers.Refused(addr) },
+	}
+	if d.platform != nil {
+		cfg.Dialect = d.platform
+	}
+	if d.set.Source.Claims {
+		cfg.Claims = d.claims.once
+	}
+	if d.set.Servers.Quarantine {
+		cfg.Suspects = d.claims.suspects
+	}
+	d.gateway = gateway.New(cfg, d.log.WithName("gateway"))
+	d.servers = announce.NewServer(d.set.Servers.Dial, d.setServers)
 	if !d.set.IsSource() {
 		return nil
 	}
@@ -184,15 +211,9 @@
 	return err
 }
 
-// seeds leaves out this node's own address.
-func (d *Daemon) seeds() []string {
-	var seeds []string
-	for _, s := range d.set.Seeds {
-		if s != d.self.Addr {
-			seeds = append(seeds, s)
-		}
-	}
-	return seeds
+// otherSeeds leaves out this node's own address.
+func (d *Daemon) otherSeeds(all []string) []string {
+	return slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == d.self.Addr })
 }
 
 func (d *Daemon) members() []string {
--- a/internal/process/daemon/drain.go
+++ b/internal/process/daemon/drain.go
@@ -67,12 +67,27 @@
 	d.drains.mu.Lock()
 	defer d.drains.mu.Unlock()
 	clear(d.drains.announced)
+	d.beside.Store(serviceBeside(announced))
 	for _, s := range announced {
 		d.drains.announced[s.Addr] = s
 	}
 	d.publishServers()
 }
 
+// serviceBeside is the service of the one server beside a daemon; nil if there
+// is none or several of different services.
+func serviceBeside(servers []presence.Server) *string {
+	if len(servers) == 0 {
+		return nil
+	}
+	for _, s := range servers {
+		if s.Service != servers[0].Service {
+			return nil
+		}
+	}
+	return &servers[0].Service
+}
+
 // publishServers tells gateway and fleet; the gateway first, so that late work
 // is refused as not run from the moment the fleet hears of the drain.
 func (d *Daemon) publishServers() {
--- a/internal/process/daemon/listeners.go
+++ b/internal/process/daemon/listeners.go
@@ -12,6 +12,7 @@
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/connection/peer"
 	"github.com/daisygate/daisygate/internal/process/telemetry"
+	"github.com/daisygate/daisygate/internal/result"
 )
 
 const (
@@ -26,9 +27,10 @@
 	addrs := map[string]string{
 		"caller": d.set.Listen.Caller, "announce": d.set.Listen.Announce,
 		"peer": d.set.Listen.Peer, "operator": d.set.Listen.Operator,
+		"control": d.set.Listen.Control, "health": d.set.Listen.Health,
 	}
 	for name, addr := range addrs {
-		if d.listeners[name] != nil {
+		if addr == "" || d.listeners[name] != nil {
 			continue
 		}
 		listener, err := net.Listen("tcp", addr)
@@ -47,9 +49,14 @@
 	}
 }
 
-// Addr returns the address of a listener: "caller", "announce", "peer" or
-// "operator".
-func (d *Daemon) Addr(listener string) string { return d.listeners[listener].Addr().String() }
+// Addr returns the address of a listener: "caller", "announce", "peer",
+// "operator", "control" or "health"; "" if the settings name none.
+func (d *Daemon) Addr(listener string) string {
+	if d.listeners[listener] == nil {
+		return ""
+	}
+	return d.listeners[listener].Addr().String()
+}
 
 // bound puts the limits of the settings around the listeners.
 func (d *Daemon) bound() {
@@ -66,8 +73,12 @@
 	connections := map[string]int{
 		"caller": callers, "announce": limits.AnnounceConnections,
 		"peer": limits.PeerConnections, "operator": limits.OperatorConnections,
+		"control": limits.OperatorConnections, "health": limits.AnnounceConnections,
 	}
 	for name, most := range connections {
+		if d.listeners[name] == nil {
+			continue
+		}
 		d.limits[name] = limit.New(d.listeners[name], limit.Config{Connections: most, StallTimeout: limits.StallTimeout})
 	}
 }
@@ -102,8 +113,17 @@
 			Token: d.token, ManifestBytes: d.set.Limits.ManifestBytes, SubmitTimeout: submitTimeout, Metrics: d.metrics,
 		}, tracedBackend{d})), d.NotReady),
 	}
+	if d.platform != nil {
+		handlers["control"] = d.platform.Control(platformControl{d, d.servers})
+		handlers["health"] = d.platform.Health(d.NotReady)
+	} else {
+		handlers["health"] = telemetry.WithHealth(result.Refuse(result.UnknownResource), d.NotReady)
+	}
 	servers := map[string]*httpServer{}
 	for name, handler := range handlers {
+		if d.listeners[name] == nil {
+			continue
+		}
 		servers[name] = d.graceful(name, &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: d.set.Limits.HeaderTimeout,
--- /dev/null
+++ b/internal/process/daemon/platform.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/daisygate/daisygate/internal/connection/announce"
+	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/request/retry"
+	"github.com/daisygate/daisygate/internal/result"
+)
+
+// Platform is an adapter to the platform that a daemon runs on: it translates
+// names, formats and calls, and decides nothing. Without one the daemon speaks
+// its own interface.
+type Platform interface {
+	gateway.Dialect
+	// Control returns what answers at listen.control.
+	Control(c Control) http.Handler
+	// Health returns what answers at listen.health; notReady says why the daemon
+	// should get no requests, or "".
+	Health(notReady func() string) http.Handler
+	// Origin is the service of this instance's backend server as the settings
+	// name it.
+	Origin() string
+}
+
+// Control is what a platform's operators and backend servers may ask for.
+type Control interface {
+	// Order hands a manifest in.
+	Order(ctx context.Context, o *source.Order) (source.Answer, error)
+	// Newest returns the newest manifest of a mesh.
+	Newest(ctx context.Context, mesh string) (source.Answer, error)
+	// Announce takes in what a backend server says of itself. When it returns
+	// nil, what was said is in force here.
+	Announce(a announce.Announcement) *result.Error
+	// End takes in that a start of a backend server is over.
+	End(boot string)
+}
+
+// platformControl joins the daemon's parts that Control asks for.
+type platformControl struct {
+	*Daemon
+	*announce.Server
+}
+
+// origin is the service of the backend server beside this daemon: the one that
+// is announced, for an address may change its service, else that of the
+// settings.
+func (d *Daemon) origin() string {
+	if service := d.beside.Load(); service != nil {
+		return *service
+	}
+	if d.platform == nil {
+		return ""
+	}
+	return d.platform.Origin()
+}
+
+// retryShare is the part of the fleet's retry slack that daemons may spend at
+// once: as much comes back within a window, and daemons know each other's number
+// late.
+const retryShare = 0.45
+
+// retryLimits is this daemon's part of what bounds the fleet's further
+// attempts.
+func (d *Daemon) retryLimits() retry.Limits {
+	daemons := 0
+	for _, r := range d.mesh.Directory().Records {
+		if len(r.Servers) > 0 {
+			daemons++
+		}
+	}
+	return retry.Limits{
+		Ratio: d.set.Retry.Ratio, Window: d.set.Retry.Window,
+		Slack: retryShare * float64(d.set.Retry.Slack) / float64(max(daemons, 1)),
+	}
+}
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -31,6 +31,12 @@
 	return &httpServer{Server: server, listener: tracker.Listen(d.limits[name], raw), tracker: tracker}
 }
 
+func (d *Daemon) drainCallers(servers map[string]*httpServer) {
+	if callers := servers["caller"]; callers != nil {
+		callers.listener.Drain(drainLimit)
+	}
+}
+
 // stop leaves the fleet first, then waits for what is in progress. New callers
 // find the port closed from the start; those on an open connection are told to
 // close it with their next answer, and idle connections get a last answer
@@ -38,14 +44,22 @@
 // began.
 func (d *Daemon) stop(servers map[string]*httpServer) {
 	d.leaving.Store(true)
-	d.gateway.Leave()
 	d.mesh.Leave()
-	servers["caller"].listener.Drain(drainLimit)
-	time.Sleep(d.set.Stop.LeaveDelay)
+	if d.set.Stop.Serve {
+		time.Sleep(d.set.Stop.LeaveDelay)
+		d.gateway.Leave()
+	} else {
+		d.gateway.Leave()
+		d.drainCallers(servers)
+		time.Sleep(d.set.Stop.LeaveDelay)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.Stop.Timeout)
 	defer cancel()
-	for _, name := range []string{"caller", "announce", "operator", "peer"} {
+	for _, name := range []string{"caller", "health", "announce", "control", "operator", "peer"} {
 		server := servers[name]
+		if server == nil {
+			continue
+		}
 		server.listener.Drain(drainLimit)
 		server.tracker.Retire()
 		if err := ignoreClosed(server.Shutdown(ctx)); err != nil {
--- a/internal/process/daemon/submit.go
+++ b/internal/process/daemon/submit.go
@@ -69,37 +69,50 @@
 	return errors.As(err, &remote) && string(remote) == errNotSource.Error()
 }
 
-// Submit implements operator.Backend: here if this daemon is a source, then at
-// each other source, until one settles it.
+// Submit implements operator.Backend.
 func (d *Daemon) Submit(ctx context.Context, m *manifest.Manifest) (source.Answer, error) {
+	return d.Order(ctx, &source.Order{Manifest: *m})
+}
+
+// Order hands a manifest in: here if this daemon is a source, then at each
+// other source, until one settles it.
+func (d *Daemon) Order(ctx context.Context, o *source.Order) (source.Answer, error) {
+	return d.anySource(ctx, sourceSubmit, *o, func(ctx context.Context) (source.Answer, error) { return d.source.Submit(ctx, o) })
+}
+
+// Newest returns the newest manifest of a mesh as its operator wrote it, never
+// one that is older than what was accepted before the question.
+func (d *Daemon) Newest(ctx context.Context, mesh string) (source.Answer, error) {
+	return d.anySource(ctx, sourceRead, mesh, func(ctx context.Context) (source.Answer, error) { return d.source.Read(ctx, mesh) })
+}
+
+// anySource asks this source, then each other one, until one settles the order.
+// here does what method does at the others.
+func (d *Daemon) anySource(ctx context.Context, method string, args any, here func(context.Context) (source.Answer, error)) (source.Answer, error) {
 	s := newSubmission()
-	if d.source != nil && s.take(d.trySubmit(ctx, m, d.submitHere)) {
+	if d.source != nil && s.take(trySubmit(ctx, here)) {
 		return s.answer, nil
 	}
 	for _, member := range d.set.Source.Members {
 		if member.Node == d.set.Node {
 			continue
 		}
-		try := func(ctx context.Context, m *manifest.Manifest) (answer source.Answer, err error) {
-			err = d.pool.Call(ctx, member.Peer, sourceSubmit, *m, &answer)
+		try := func(ctx context.Context) (answer source.Answer, err error) {
+			err = d.pool.Call(ctx, member.Peer, method, args, &answer)
 			return answer, err
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		if s.take(d.trySubmit(ctx, m, try)) {
+		if s.take(trySubmit(ctx, try)) {
 			return s.answer, nil
 		}
 	}
 	return s.unsettled(), nil
 }
 
-func (d *Daemon) submitHere(ctx context.Context, m *manifest.Manifest) (source.Answer, error) {
-	return d.source.Submit(ctx, m)
-}
-
-func (d *Daemon) trySubmit(ctx context.Context, m *manifest.Manifest, try func(context.Context, *manifest.Manifest) (source.Answer, error)) (source.Answer, error) {
+func trySubmit(ctx context.Context, try func(context.Context) (source.Answer, error)) (source.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTry)
 	defer cancel()
-	return try(ctx, m)
+	return try(ctx)
 }
--- a/internal/process/daemon/submit_test.go
+++ b/internal/process/daemon/submit_test.go
@@ -30,7 +30,7 @@
 }
 
 // Submit is the RPC method.
-func (f *fakeSource) Submit(_ manifest.Manifest, answer *source.Answer) error {
+func (f *fakeSource) Submit(_ source.Order, answer *source.Answer) error {
 	if f.lose {
 		_ = f.conn.Close()
 	}
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -68,6 +68,9 @@
 	return n, ok
 }
 
+// SetSeeds changes the peer addresses that links begin with.
+func (c *Core) SetSeeds(seeds []string) { c.view.SetSeeds(seeds) }
+
 // Seek looks for a link to another daemon.
 func (c *Core) Seek() { c.view.Seek() }
 
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -144,6 +144,11 @@
 	}
 }
 
+// SetSeeds changes the peer addresses that links begin with.
+func (m *Mesh) SetSeeds(seeds []string) {
+	m.ops <- func(time.Time) { m.members.core.SetSeeds(seeds) }
+}
+
 func (m *Mesh) tick(now time.Time) {
 	m.doMembers(now, m.members.core.Tick(now))
 	m.doSpread(m.spread.Tick(now, m.cfg.Lead(now, m.spread.Asked())))
--- a/internal/process/presence/record.go
+++ b/internal/process/presence/record.go
@@ -31,6 +31,8 @@
 	Slots       int
 	Connections int
 	State       ServerState
+	// Boot names one start of the server; "" if it does not tell.
+	Boot string
 	// Since is when the server began to take work, by the owner's clock, in Unix
 	// milliseconds: its first announcement as warming or serving after it was
 	// unknown or draining. 0 while it takes none.
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -24,6 +24,9 @@
 	minTimeout      = 10 * time.Millisecond
 	maxTimeout      = time.Hour
 	maxStopTimeout  = 24 * time.Hour
+	maxRetrySlack   = 1 << 20
+	maxHoldBytes    = 16 << 20
+	maxMemoryBytes  = 1 << 40
 )
 
 // check reports everything that is wrong with s beyond its form.
@@ -43,6 +46,10 @@
 	s.Limits.check(d)
 	d.Duration("stop.leave_delay", s.Stop.LeaveDelay, 0, maxTimeout)
 	d.Duration("stop.timeout", s.Stop.Timeout, minTimeout, maxStopTimeout)
+	strictyaml.Range(d, "retry.ratio", s.Retry.Ratio, 0, 1)
+	strictyaml.Range(d, "retry.slack", s.Retry.Slack, 0, maxRetrySlack)
+	strictyaml.Range(d, "servers.hold_bytes", s.Servers.HoldBytes, 0, maxHoldBytes)
+	d.Duration("retry.window", s.Retry.Window, minTimeout, maxTimeout)
 }
 
 func (s *Settings) checkListen(d *strictyaml.Document) {
@@ -50,9 +57,13 @@
 	listeners := []struct{ key, addr string }{
 		{"listen.caller", s.Listen.Caller}, {"listen.announce", s.Listen.Announce},
 		{"listen.peer", s.Listen.Peer}, {"listen.operator", s.Listen.Operator},
+		{"listen.control", s.Listen.Control}, {"listen.health", s.Listen.Health},
 	}
 	addrs := map[string]netip.AddrPort{}
 	for _, l := range listeners {
+		if l.addr == "" && s.mayLack(l.key) {
+			continue
+		}
 		addrs[l.key] = d.AddrPort(l.key, l.addr)
 		if addrs[l.key].Port() != 0 {
 			ports.Check(d, l.key, l.addr)
@@ -69,6 +80,19 @@
 	}
 }
 
+// mayLack reports whether a listener may be left out.
+func (s *Settings) mayLack(key string) bool {
+	switch key {
+	case "listen.control", "listen.health":
+		return true
+	case "listen.caller":
+		return s.IsSource()
+	case "listen.announce":
+		return s.IsSource() && !s.IsProxy() || s.Listen.Control != ""
+	}
+	return false
+}
+
 func (s *Settings) checkSeeds(d *strictyaml.Document) {
 	d.Count("seeds", len(s.Seeds), maxSeeds)
 	var seen strictyaml.Unique
@@ -113,4 +137,5 @@
 	strictyaml.Range(d, "limits.announce_connections", l.AnnounceConnections, 1, maxConnections)
 	strictyaml.Range(d, "limits.operator_connections", l.OperatorConnections, 1, maxConnections)
 	strictyaml.Range(d, "limits.queue_per_slot", l.QueuePerSlot, 0, maxQueuePerSlot)
+	strictyaml.Range(d, "limits.memory_bytes", l.MemoryBytes, 0, maxMemoryBytes)
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -41,11 +41,16 @@
 	Limits Limits `yaml:"limits"`
 	// Stop configures the planned stop.
 	Stop Stop `yaml:"stop"`
+	// Retry bounds the further attempts of the whole fleet.
+	Retry Retry `yaml:"retry"`
+	// Servers tells how the backend servers beside this daemon behave.
+	Servers Servers `yaml:"servers"`
 }
 
 // Listen holds the addresses of the listeners, each "ip:port".
 type Listen struct {
-	// Caller takes the requests of callers.
+	// Caller takes the requests of callers; left out on an instance that carries
+	// no calls, which then has to be a source.
 	Caller string `yaml:"caller"`
 	// Announce takes the announcements of backend servers. It is a loopback
 	// address unless AnnounceRemote is set: who can reach it can draw requests.
@@ -58,12 +63,24 @@
 	// Operator takes manifests and answers questions. It is a loopback address
 	// unless Operator.TokenFile is set.
 	Operator string `yaml:"operator"`
+	// Control takes what a platform's operators and backend servers say in the
+	// platform's own form; only where a platform is in use.
+	Control string `yaml:"control"`
+	// Health answers whether this daemon is alive and ready, on an address of its
+	// own. It is optional: listen.operator tells the same.
+	Health string `yaml:"health"`
 }
 
 // Source lists the sources.
 type Source struct {
 	// Members are the sources, an odd number, at most 7; the same on each node.
 	Members []Member `yaml:"members"`
+	// Found allows an empty data folder to take part in the founding of the
+	// sources. With false it waits until another source admits it. Default true.
+	Found bool `yaml:"found"`
+	// Claims keeps the table of requests with an idempotency key on the sources.
+	// Without it the key is passed on and nothing more. Default true.
+	Claims bool `yaml:"claims"`
 }
 
 // Member is one source.
@@ -140,6 +157,9 @@
 	// QueuePerSlot is the length of the admission queue beside a backend
 	// server, in multiples of its slots. Default 2.
 	QueuePerSlot int `yaml:"queue_per_slot"`
+	// MemoryBytes is the memory at which the collector works harder, in the hope
+	// to stay below it; 0 is no bound. Default 0.
+	MemoryBytes int64 `yaml:"memory_bytes"`
 }
 
 // Stop configures the planned stop.
@@ -150,6 +170,37 @@
 	// Timeout bounds the wait for requests in progress; what still runs then is
 	// cut. Default 1h, at most 24h.
 	Timeout time.Duration `yaml:"timeout"`
+	// Serve takes requests of callers as before during LeaveDelay, for callers
+	// that learn of the stop only by listen.health and have no other daemon.
+	// Default false.
+	Serve bool `yaml:"serve"`
+}
+
+// Retry bounds the further attempts at one service, of all daemons together: in
+// Window they are at most Ratio of the requests and Slack besides.
+type Retry struct {
+	// Ratio is the further attempts for each request. Default 0.2.
+	Ratio float64 `yaml:"ratio"`
+	// Slack is divided among the daemons that are known. Default 200.
+	Slack int `yaml:"slack"`
+	// Window is the time that the bound holds for. Default 10s.
+	Window time.Duration `yaml:"window"`
+}
+
+// Servers tells how the backend servers beside this daemon behave.
+type Servers struct {
+	// Dial opens a connection to each server once a second, to see whether it can
+	// be reached. Default true.
+	Dial bool `yaml:"dial"`
+	// Linger waits, when a request is given up, for the server to close its end
+	// of the connection, and counts the slot as taken until then. Without it the
+	// connection is closed at once. Default true.
+	Linger bool `yaml:"linger"`
+	// HoldBytes is the largest answer that is read whole before it is passed on,
+	// so that a cut one is found in time; 0 streams every answer. Default 0.
+	HoldBytes int64 `yaml:"hold_bytes"`
+	// Quarantine keeps requests away that crash servers. Default true.
+	Quarantine bool `yaml:"quarantine"`
 }
 
 // Defaults returns the documented defaults.
@@ -169,7 +220,10 @@
 			ControlBytes:        64 << 20,
 			QueuePerSlot:        2,
 		},
-		Stop: Stop{LeaveDelay: time.Second, Timeout: time.Hour},
+		Source:  Source{Found: true, Claims: true},
+		Stop:    Stop{LeaveDelay: time.Second, Timeout: time.Hour},
+		Retry:   Retry{Ratio: 0.2, Slack: 200, Window: 10 * time.Second},
+		Servers: Servers{Dial: true, Linger: true, Quarantine: true},
 	}
 }
 
@@ -205,6 +259,9 @@
 	return doc.Err()
 }
 
+// IsProxy reports whether this node carries calls.
+func (s *Settings) IsProxy() bool { return s.Listen.Caller != "" }
+
 // IsSource reports whether this node is one of the sources.
 func (s *Settings) IsSource() bool {
 	for _, m := range s.Source.Members {
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -195,7 +195,7 @@
 
 // submit proposes at one member; the answer lands in the returned pointer.
 func (c *testCluster) submit(m *testMember, mf *manifest.Manifest) *Answer {
-	raw, err := encodeCommand(mf, time.Unix(0, 0).UTC())
+	raw, err := encodeCommand(Command{Manifest: *mf, Submitted: time.Unix(0, 0).UTC()})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +21,15 @@
 	Manifest manifest.Manifest `cbor:"1,keyasint"`
 	// Submitted is when the leader took the manifest in.
 	Submitted time.Time `cbor:"2,keyasint"`
+	// Base is the operators' version that the manifest builds on, nil for any;
+	// 0 is before the first.
+	Base *uint64 `cbor:"3,keyasint,omitempty"`
+	// Text is the manifest as the operator wrote it, packed; it may be empty.
+	Text []byte `cbor:"4,keyasint,omitempty"`
+	// Read, if set, names the mesh whose newest manifest is asked for; the rest
+	// of the command is empty. As an entry of the log it is answered after all
+	// that was accepted before it.
+	Read string `cbor:"5,keyasint,omitempty"`
 }
 
 // Accepted is one line of the history.
@@ -40,6 +51,9 @@
 	// Winner is the accepted manifest that stands in the way, if refused.
 	Winner *Accepted `json:"winner,omitempty"`
 	Detail string    `json:"detail,omitempty"`
+	// Text answers a read: the newest manifest as its operator wrote it, packed;
+	// empty before the first.
+	Text []byte `json:"-"`
 }
 
 // historyLimit bounds the lines kept of one mesh, so that a busy mesh does not
@@ -51,7 +65,9 @@
 	state *fleet.State
 	// history of each mesh, oldest first.
 	history map[string][]Accepted
-	routes  routeIndex
+	// texts are the newest manifests as their operators wrote them, by mesh.
+	texts  map[string][]byte
+	routes routeIndex
 	// limit is the most lines kept of one mesh.
 	limit int
 	log   logr.Logger
@@ -61,7 +77,7 @@
 
 func newMachine(log logr.Logger, onState func(*fleet.State)) *machine {
 	return &machine{
-		state: fleet.Empty(), history: map[string][]Accepted{}, routes: routeIndex{},
+		state: fleet.Empty(), history: map[string][]Accepted{}, texts: map[string][]byte{}, routes: routeIndex{},
 		limit: historyLimit, log: log, onState: onState,
 	}
 }
@@ -70,6 +86,8 @@
 type machineImage struct {
 	Delta   []byte     `cbor:"1,keyasint"`
 	History []Accepted `cbor:"2,keyasint"`
+	// Texts are sorted by mesh when encoded.
+	Texts map[string][]byte `cbor:"3,keyasint,omitempty"`
 }
 
 // all returns every line kept, oldest first.
@@ -88,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(machineImage{Delta: delta, History: m.all()})
+	return cbor.Marshal(machineImage{Delta: delta, History: m.all(), Texts: m.texts})
 }
 
 // Restore implements quorum.StateMachine.
@@ -111,6 +129,8 @@
 	}
 	m.state = state
 	m.routes = routes
+	m.texts = map[string][]byte{}
+	maps.Copy(m.texts, image.Texts)
 	m.history = map[string][]Accepted{}
 	for _, line := range image.History {
 		line.Time = line.Time.UTC()
@@ -126,6 +146,9 @@
 	if err := cbor.Unmarshal(data, &c); err != nil {
 		return Answer{Code: result.ManifestInvalid, Detail: err.Error()}
 	}
+	if c.Read != "" {
+		return Answer{Code: result.Answered, Fleet: m.state.Version, Winner: m.newest(c.Read), Text: m.texts[c.Read]}
+	}
 	answer := m.apply(&c)
 	if answer.Code == result.Accepted {
 		m.log.Info("accepted", "mesh", c.Manifest.Mesh, "version", c.Manifest.Version, "fleet", answer.Fleet)
@@ -140,7 +163,7 @@
 	if err != nil {
 		return Answer{Code: result.ManifestInvalid, Detail: err.Error()}
 	}
-	if refusal, refused := m.refuse(&c.Manifest, content); refused {
+	if refusal, refused := m.refuse(c, content); refused {
 		return refusal
 	}
 	next, err := m.state.Accept(&c.Manifest)
@@ -149,6 +172,7 @@
 	}
 	m.state = next
 	m.routes.replace(&c.Manifest)
+	m.texts[c.Manifest.Mesh] = c.Text
 	m.remember(Accepted{
 		Fleet: next.Version, Mesh: c.Manifest.Mesh, Version: c.Manifest.Version,
 		Content: content, Time: c.Submitted.UTC(),
@@ -166,14 +190,19 @@
 
 // refuse answers what is not new: a resend, a lost race, an old version; and
 // what would take another mesh's requests.
-func (m *machine) refuse(mf *manifest.Manifest, content uint64) (Answer, bool) {
+func (m *machine) refuse(c *Command, content uint64) (Answer, bool) {
+	mf := &c.Manifest
 	if first := m.find(mf.Mesh, mf.Version); first != nil {
 		if first.Content == content {
 			return Answer{Code: result.AlreadyAccepted, Fleet: first.Fleet}, true
 		}
 		return Answer{Code: result.VersionConflict, Winner: first}, true
 	}
-	if newest := m.newest(mf.Mesh); newest != nil && mf.Version < newest.Version {
+	newest := m.newest(mf.Mesh)
+	if current := newest.version(); c.Base != nil && *c.Base != current {
+		return Answer{Code: result.BaseMoved, Winner: newest, Detail: fmt.Sprintf("builds on %d, current is %d", *c.Base, current)}, true
+	}
+	if newest != nil && mf.Version < newest.Version {
 		return Answer{Code: result.VersionOld, Winner: newest, Detail: m.forgotten(mf)}, true
 	}
 	if clash := m.routes.clash(mf); clash != nil {
@@ -191,6 +220,14 @@
 	return "it is older than the kept history, which does not tell whether it was accepted"
 }
 
+// version is the operators' number; 0 without a line.
+func (a *Accepted) version() uint64 {
+	if a == nil {
+		return 0
+	}
+	return a.Version
+}
+
 func (m *machine) newest(mesh string) *Accepted {
 	lines := m.history[mesh]
 	if len(lines) == 0 {
--- a/internal/process/source/routes.go
+++ b/internal/process/source/routes.go
@@ -67,11 +67,8 @@
 }
 
 func keysOf(m *manifest.Manifest, r *manifest.Route) []routeKey {
-	if len(m.Hosts) == 0 {
-		return []routeKey{{path: r.Path}}
-	}
 	var keys []routeKey
-	for _, host := range m.Hosts {
+	for _, host := range m.HostsOf(r) {
 		keys = append(keys, routeKey{host: strings.ToLower(host), path: r.Path})
 	}
 	return keys
--- a/internal/process/source/source.go
+++ b/internal/process/source/source.go
@@ -81,13 +81,33 @@
 	return Status{Status: s.group.Status(), Version: s.version.Load()}
 }
 
+// Order is what an operator hands in.
+type Order struct {
+	Manifest manifest.Manifest
+	// Base is the version that the manifest builds on, nil for any.
+	Base *uint64
+	// Text is the manifest as the operator wrote it, packed; it may be empty.
+	Text []byte
+}
+
 // Submit proposes a manifest here or at the leader, and waits for the commit
 // until ctx ends. What could not be put in force never enters the log.
-func (s *Source) Submit(ctx context.Context, m *manifest.Manifest) (Answer, error) {
-	if err := compiles(m); err != nil {
+func (s *Source) Submit(ctx context.Context, o *Order) (Answer, error) {
+	if err := compiles(&o.Manifest); err != nil {
 		return Answer{Code: result.ManifestInvalid, Detail: err.Error()}, nil
 	}
-	raw, err := encodeCommand(m, time.Now().UTC())
+	return s.propose(ctx, Command{Manifest: o.Manifest, Submitted: time.Now().UTC(), Base: o.Base, Text: o.Text})
+}
+
+// Read returns the newest manifest of a mesh. It goes through the log, so that
+// the answer is never older than what was accepted before the question, or is
+// none: a leader that was cut off gets no majority for it.
+func (s *Source) Read(ctx context.Context, mesh string) (Answer, error) {
+	return s.propose(ctx, Command{Read: mesh})
+}
+
+func (s *Source) propose(ctx context.Context, c Command) (Answer, error) {
+	raw, err := encodeCommand(c)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -95,8 +115,8 @@
 	return answerOf(answer, err), nil
 }
 
-func encodeCommand(m *manifest.Manifest, now time.Time) ([]byte, error) {
-	raw, err := cbor.Marshal(Command{Manifest: *m, Submitted: now})
+func encodeCommand(c Command) ([]byte, error) {
+	raw, err := cbor.Marshal(c)
 	return raw, errors.Wrap(err, "encode command")
 }
 
--- a/internal/process/view/view.go
+++ b/internal/process/view/view.go
@@ -90,6 +90,9 @@
 // large fleet.
 func (c *Core) SetFleet(n int) { c.fleet = max(n, 1) }
 
+// SetSeeds changes the peer addresses that links begin with.
+func (c *Core) SetSeeds(seeds []string) { c.cfg.Seeds = seeds }
+
 // Seek looks for a link to another node, in the place of one that is there if
 // need be: the present ones do not bring what they should.
 func (c *Core) Seek() {
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -38,6 +38,9 @@
 	return &Service{Table: balance.NewTable(self, local)}
 }
 
+// SetRetryLimits changes what bounds the further attempts.
+func (s *Service) SetRetryLimits(l retry.Limits) { s.budget.SetLimits(l) }
+
 // Kind tells what an Action is.
 type Kind uint8
 
@@ -100,6 +103,9 @@
 	tried     []*directory.Candidate
 	retries   int
 	redirects int
+	// arrived is set once an attempt came to a server: each after that spends
+	// the budget.
+	arrived bool
 	// begun is set once a part of the body was sent that cannot be sent again.
 	begun bool
 	// lost is the code of an attempt that may have run; 0 without one. From then
@@ -115,7 +121,7 @@
 func (s *Service) Begin(now time.Time, seed uint64, r Request) (*Call, Action) {
 	c := &Call{service: s, request: r}
 	c.tried = c.room[:0]
-	s.budget.Request()
+	s.budget.Request(now)
 	return c, c.try(now, seed, result.NoBackendServer)
 }
 
@@ -198,7 +204,7 @@
 
 func endOf(code result.Code) balance.End {
 	switch code {
-	case result.Overloaded, result.DeadlineTooShort:
+	case result.Overloaded, result.DeadlineTooShort, result.ServerRefused:
 		return balance.Full
 	case result.Draining, result.BackendRefused, result.DaemonRefused, result.NotReady:
 		return balance.Unreachable
@@ -214,23 +220,31 @@
 	if c.begun || !now.Before(c.request.Deadline) {
 		return false
 	}
-	switch endOf(code) {
-	case balance.Unreachable:
-		c.redirects++
-		return c.redirects <= redirectMax
-	case balance.Neutral:
+	c.arrived = c.arrived || arrives(code)
+	switch {
+	case endOf(code) == balance.Neutral:
 		return false
-	}
-	if code.Outcome() != result.NotRun && !c.request.Repeatable {
+	case code.Outcome() != result.NotRun && !c.request.Repeatable:
 		return false
-	}
-	if c.retries >= c.request.Retries || !c.service.budget.Take(now) {
+	case endOf(code) == balance.Unreachable:
+		c.redirects++
+		return c.redirects <= redirectMax && c.spend(now)
+	case c.retries >= c.request.Retries:
 		return false
 	}
 	c.retries++
-	return true
+	return c.spend(now)
+}
+
+// arrives reports whether an attempt that ended with code came to a server.
+func arrives(code result.Code) bool {
+	return code.Outcome() != result.NotRun || code == result.ServerRefused
 }
 
+// spend takes one further attempt from the budget, unless none has come to a
+// server yet: then the next is still the first that a server sees.
+func (c *Call) spend(now time.Time) bool { return !c.arrived || c.service.budget.Take(now) }
+
 // Expired tells that the deadline passed.
 func (c *Call) Expired(now time.Time) Action {
 	if c.phase != trying {
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -6,37 +6,59 @@
 
 import "time"
 
-// The budget's constants.
-const (
-	// share is what each request adds: at most one retry in five requests.
-	share = 0.2
-	// perSecond lets a service with few requests retry all the same.
-	perSecond = 2.0
-	// most is the largest number of retries saved up.
-	most = 20.0
-)
+// Limits bound the retries of one daemon to one service.
+type Limits struct {
+	// Ratio is the retries for each request.
+	Ratio float64
+	// Slack is the retries that may be saved up, and are there at the start.
+	Slack float64
+	// Window is the time in which Slack comes back by itself, for a service with
+	// few requests; 0 never lets it.
+	Window time.Duration
+}
+
+// Defaults are at most one retry in five requests, with 20 saved up, which come
+// back in ten seconds.
+func Defaults() Limits { return Limits{Ratio: 0.2, Slack: 20, Window: 10 * time.Second} }
 
 // Budget is a token bucket for the retries to one service. The zero value is
-// full. It is not safe for concurrent use.
+// full, with the limits of Defaults. It is not safe for concurrent use.
 type Budget struct {
-	// spent is between 0 and most.
+	limits Limits
+	set    bool
+	// spent is at least 0.
 	spent float64
 	last  time.Time
 }
 
+// SetLimits changes the bounds; what was spent stays spent.
+func (b *Budget) SetLimits(l Limits) { b.limits, b.set = l, true }
+
 // Request notes a first attempt.
-func (b *Budget) Request() { b.spent = max(0, b.spent-share) }
+func (b *Budget) Request(now time.Time) {
+	b.refill(now)
+	b.spent = max(0, b.spent-b.limits.Ratio)
+}
 
 // Take spends one retry and reports whether there was one left.
 func (b *Budget) Take(now time.Time) bool {
-	if b.last.IsZero() {
-		b.last = now
-	}
-	b.spent = max(0, b.spent-perSecond*max(0, now.Sub(b.last).Seconds()))
-	b.last = now
-	if b.spent+1 > most {
+	b.refill(now)
+	if b.spent+1 > b.limits.Slack {
 		return false
 	}
 	b.spent++
 	return true
 }
+
+func (b *Budget) refill(now time.Time) {
+	if !b.set {
+		b.SetLimits(Defaults())
+	}
+	if b.last.IsZero() {
+		b.last = now
+	}
+	if b.limits.Window > 0 {
+		b.spent = max(0, b.spent-b.limits.Slack*max(0, now.Sub(b.last).Seconds())/b.limits.Window.Seconds())
+	}
+	b.last = now
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -65,6 +65,7 @@
 	VersionConflict Code = 111
 	VersionOld      Code = 112
 	RouteConflict   Code = 113
+	BaseMoved       Code = 114
 	NoQuorum        Code = 120
 	CommitUnknown   Code = 121
 	StorageFailed   Code = 122
@@ -87,6 +88,8 @@
 	BackendRefused   Code = 217
 	DaemonRefused    Code = 218
 	BadRequest       Code = 219
+	ServerRefused    Code = 220
+	BodyTooLarge     Code = 221
 	AnswerLost       Code = 230
 	DeadlineExceeded Code = 231
 	CallerLeft       Code = 232
@@ -130,6 +133,7 @@
 	VersionConflict:  {"VersionConflict", NotRun, http.StatusConflict, "This version number was accepted with other content; the winner is named."},
 	VersionOld:       {"VersionOld", NotRun, http.StatusConflict, "A higher version of this mesh was accepted already."},
 	RouteConflict:    {"RouteConflict", NotRun, http.StatusConflict, "Another mesh already has a route for the same host and path."},
+	BaseMoved:        {"BaseMoved", NotRun, http.StatusPreconditionFailed, "The manifest builds on a version that is not the current one; the current one is named."},
 	NoQuorum:         {"NoQuorum", NotRun, http.StatusServiceUnavailable, "No majority of sources can be reached; nothing was accepted."},
 	CommitUnknown:    {"CommitUnknown", Unknown, http.StatusGatewayTimeout, "The manifest was handed to the sources but no commit was seen in time; send the same again."},
 	StorageFailed:    {"StorageFailed", NotRun, http.StatusInsufficientStorage, "The source cannot write to its data folder; it accepts nothing until that is mended."},
@@ -151,6 +155,8 @@
 	BackendRefused:   {"BackendRefused", NotRun, http.StatusServiceUnavailable, "The backend server's address refused the connection."},
 	DaemonRefused:    {"DaemonRefused", NotRun, http.StatusServiceUnavailable, "The daemon beside the backend server could not be reached."},
 	BadRequest:       {"BadRequest", NotRun, http.StatusBadRequest, "The request is malformed."},
+	ServerRefused:    {"ServerRefused", NotRun, http.StatusServiceUnavailable, "The backend server says that it did not run the request."},
+	BodyTooLarge:     {"BodyTooLarge", NotRun, http.StatusRequestEntityTooLarge, "The request's body is larger than the manifest allows."},
 	AnswerLost:       {"AnswerLost", Unknown, http.StatusBadGateway, "The request was handed over and no whole answer came back; it may have run."},
 	DeadlineExceeded: {"DeadlineExceeded", Unknown, http.StatusGatewayTimeout, "The deadline passed while the request was with a backend server; it may have run."},
 	CallerLeft:       {"CallerLeft", Unknown, 499, "The caller went away while the request was with a backend server."},
--- a/internal/version/diff/diff.go
+++ b/internal/version/diff/diff.go
@@ -55,7 +55,7 @@
 // version numbers are not compared.
 func Compare(from, to *manifest.Manifest) []Change {
 	var changes []Change
-	if fields := compareFields(mesh{from.Hosts}, mesh{to.Hosts}); len(fields) > 0 {
+	if fields := compareFields(mesh{from.Hosts, from.Limits}, mesh{to.Hosts, to.Limits}); len(fields) > 0 {
 		changes = append(changes, Change{Kind: Changed, Resource: "mesh", Name: to.Mesh, Fields: fields})
 	}
 	changes = append(changes, compareLists("service", from.Services, to.Services, func(s manifest.Service) string { return s.Name })...)
@@ -64,7 +64,8 @@
 
 // mesh is what a manifest has besides its services and routes.
 type mesh struct {
-	Hosts []string `yaml:"hosts"`
+	Hosts  []string        `yaml:"hosts"`
+	Limits manifest.Limits `yaml:"limits"`
 }
 
 func compareLists[T any](resource string, from, to []T, name func(T) string) []Change {
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -57,6 +57,8 @@
 	Hosts []string `cbor:"3,keyasint,omitempty"`
 	// Fleet is the fleet version that brought this manifest.
 	Fleet uint64 `cbor:"4,keyasint"`
+	// Limits bound what callers may send.
+	Limits manifest.Limits `cbor:"5,keyasint,omitempty"`
 }
 
 // State is the accepted intent at one fleet version.
@@ -131,7 +133,7 @@
 	if !ok {
 		return nil, errors.Newf("no mesh %q", mesh)
 	}
-	m := &manifest.Manifest{Mesh: mesh, Version: header.Version, Hosts: header.Hosts}
+	m := &manifest.Manifest{Mesh: mesh, Version: header.Version, Hosts: header.Hosts, Limits: header.Limits}
 	for _, k := range s.keysOf(mesh) {
 		if err := s.decodeInto(m, k); err != nil {
 			return nil, errors.Wrapf(err, "resource %s/%s/%s", k.Mesh, k.Kind, k.Name)
@@ -180,7 +182,7 @@
 	if err != nil {
 		return nil, err
 	}
-	header := MeshHeader{Version: m.Version, Content: content, Hosts: m.Hosts, Fleet: next.Version}
+	header := MeshHeader{Version: m.Version, Content: content, Hosts: m.Hosts, Fleet: next.Version, Limits: m.Limits}
 	if err := put(KindMesh, "", header); err != nil {
 		return nil, err
 	}
--- a/internal/version/manifest/check.go
+++ b/internal/version/manifest/check.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +25,10 @@
 	MaxHostBytes   = 253
 	MaxTimeout     = 24 * time.Hour
 	MaxSlowStart   = time.Hour
+	MaxShares      = 64
+	MaxWeight      = 1000000
+	MaxRouteHosts  = 64
+	maxLimitBytes  = 1 << 40
 )
 
 // methods are the methods that a route may name.
@@ -47,6 +52,14 @@
 		m.Services[i].check(d, key)
 	}
 	m.checkRoutes(d)
+	m.Limits.check(d)
+}
+
+func (l *Limits) check(d *strictyaml.Document) {
+	strictyaml.Range(d, "limits.header_bytes", l.HeaderBytes, 0, maxLimitBytes)
+	strictyaml.Range(d, "limits.body_bytes", l.BodyBytes, 0, maxLimitBytes)
+	d.Duration("limits.header_timeout", l.HeaderTimeout, 0, MaxTimeout)
+	d.Duration("limits.idle_timeout", l.IdleTimeout, 0, MaxTimeout)
 }
 
 func (m *Manifest) checkHosts(d *strictyaml.Document) {
@@ -109,8 +122,41 @@
 		route := &m.Routes[i]
 		names.Check(d, key+".name", route.Name)
 		route.check(d, key)
-		d.Reference(key+".service", route.Service, "service", services)
-		overlap.check(d, key, route)
+		route.checkServices(d, key, services)
+		overlap.check(d, key, route, m.HostsOf(route))
+	}
+}
+
+// HostsOf returns the host names of a route; "" stands for every host.
+func (m *Manifest) HostsOf(r *Route) []string {
+	switch {
+	case len(r.Hosts) > 0:
+		return r.Hosts
+	case len(m.Hosts) > 0:
+		return m.Hosts
+	}
+	return []string{""}
+}
+
+// checkServices wants a service or a split, not both.
+func (r *Route) checkServices(d *strictyaml.Document, key string, services []string) {
+	if len(r.Split) == 0 {
+		d.Reference(key+".service", r.Service, "service", services)
+		return
+	}
+	if r.Service != "" {
+		d.Add(key+".service", "want service or split, not both")
+	}
+	d.Count(key+".split", len(r.Split), MaxShares)
+	sum := 0
+	for i, share := range r.Split {
+		at := fmt.Sprintf("%s.split[%d]", key, i)
+		d.Reference(at+".service", share.Service, "service", services)
+		strictyaml.Range(d, at+".weight", share.Weight, 0, MaxWeight)
+		sum += share.Weight
+	}
+	if sum == 0 {
+		d.Add(key+".split", "want a weight above 0")
 	}
 }
 
@@ -123,7 +169,18 @@
 		seen.Check(d, at, method)
 		d.OneOf(at, method, methods...)
 	}
+	d.Count(key+".hosts", len(r.Hosts), MaxRouteHosts)
+	var hosts strictyaml.Unique
+	for i, host := range r.Hosts {
+		at := fmt.Sprintf("%s.hosts[%d]", key, i)
+		hosts.Check(d, at, host)
+		checkHost(d, at, host)
+	}
 	d.Duration(key+".timeout", r.Timeout, time.Millisecond, MaxTimeout)
+	d.Duration(key+".target", r.Target, 0, MaxTimeout)
+	if r.Upload && r.Repeatable {
+		d.Add(key+".upload", "want upload or repeatable, not both: an upload is never sent twice")
+	}
 	strictyaml.Range(d, key+".retries", r.Retries, 0, MaxRetries)
 	strictyaml.Range(d, key+".priority", r.Priority, 0, LowestPriority)
 }
@@ -153,28 +210,39 @@
 // anyMethod stands for a route without methods.
 const anyMethod = "any"
 
-// overlaps finds routes that take the same requests: same path, and a method in
-// common. Hosts need no look, for all routes of a mesh share them. It maps a
-// path to the route keys that take its methods.
-type overlaps map[string]map[string]string
+// overlaps finds routes that take the same requests: same host and path, and a
+// method in common. It maps a place to the route keys that take its methods.
+type overlaps map[place]taken
 
-func (o overlaps) check(d *strictyaml.Document, key string, r *Route) {
+// place is where a route listens.
+type place struct{ host, path string }
+
+func (o overlaps) check(d *strictyaml.Document, key string, r *Route, hosts []string) {
 	if r.Path == "" {
 		return
 	}
-	if o[r.Path] == nil {
-		o[r.Path] = map[string]string{}
+	for _, host := range slices.Compact(slices.Sorted(slices.Values(hosts))) {
+		at := place{host: host, path: r.Path}
+		if o[at] == nil {
+			o[at] = taken{}
+		}
+		o[at].check(d, key, r)
 	}
-	taken := o[r.Path]
+}
+
+// taken maps a method to the route key that takes it at one place.
+type taken map[string]string
+
+func (t taken) check(d *strictyaml.Document, key string, r *Route) {
 	wanted := r.Methods
 	if len(wanted) == 0 {
 		wanted = []string{anyMethod}
 	}
-	if method, other, shared := sharedMethod(taken, wanted); shared {
+	if method, other, shared := sharedMethod(t, wanted); shared {
 		d.Add(key+".path", "%q with method %s is already taken by %s%s", r.Path, method, other, d.InLine(other))
 	}
 	for _, method := range wanted {
-		taken[method] = key
+		t[method] = key
 	}
 }
 
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -18,6 +18,21 @@
 	Services []Service `yaml:"services" cbor:"4,keyasint"`
 	// Routes say which service answers which requests.
 	Routes []Route `yaml:"routes" cbor:"5,keyasint"`
+	// Limits bound what callers may send.
+	Limits Limits `yaml:"limits" cbor:"6,keyasint,omitempty"`
+}
+
+// Limits bound what callers of a mesh may send. Each is 0 for no bound beyond
+// those of the daemon's settings.
+type Limits struct {
+	// HeaderBytes is the most header bytes of one request.
+	HeaderBytes int `yaml:"header_bytes" cbor:"1,keyasint,omitempty"`
+	// BodyBytes is the most body bytes of one request.
+	BodyBytes int64 `yaml:"body_bytes" cbor:"2,keyasint,omitempty"`
+	// HeaderTimeout bounds the reading of a request's header.
+	HeaderTimeout time.Duration `yaml:"header_timeout" cbor:"3,keyasint,omitempty"`
+	// IdleTimeout is how long a caller's connection may be idle.
+	IdleTimeout time.Duration `yaml:"idle_timeout" cbor:"4,keyasint,omitempty"`
 }
 
 // Service is a set of interchangeable backend servers.
@@ -39,12 +54,18 @@
 // Route sends requests to a service.
 type Route struct {
 	Name string `yaml:"name" cbor:"1,keyasint"`
+	// Hosts are the host names of this route alone; empty means those of the
+	// manifest.
+	Hosts []string `yaml:"hosts" cbor:"9,keyasint,omitempty"`
 	// Path is a path prefix on segment borders; the longest match wins.
 	Path string `yaml:"path" cbor:"2,keyasint"`
 	// Methods restricts the route; empty means every method.
 	Methods []string `yaml:"methods" cbor:"3,keyasint,omitempty"`
-	// Service answers the requests of this route.
-	Service string `yaml:"service" cbor:"4,keyasint"`
+	// Service answers the requests of this route, unless Split is set.
+	Service string `yaml:"service" cbor:"4,keyasint,omitempty"`
+	// Split divides the requests of this route among services by weight, also
+	// while one of them is short of room.
+	Split []Share `yaml:"split" cbor:"10,keyasint,omitempty"`
 	// Timeout bounds a request from its arrival to its last byte of header.
 	// Default 10s.
 	Timeout time.Duration `yaml:"timeout" cbor:"5,keyasint"`
@@ -55,6 +76,19 @@
 	Retries int `yaml:"retries" cbor:"7,keyasint"`
 	// Priority orders waiting requests, 0 (first) to 9 (last). Default 5.
 	Priority int `yaml:"priority" cbor:"8,keyasint"`
+	// Target is the time within which an answer is worth most; 0 is not known.
+	// A request waits for a slot no longer than it takes to answer within it, as
+	// long as the service is full.
+	Target time.Duration `yaml:"target" cbor:"11,keyasint,omitempty"`
+	// Upload marks routes whose bodies are large. They are never repeatable.
+	Upload bool `yaml:"upload" cbor:"12,keyasint,omitempty"`
+}
+
+// Share is one service's part of the requests of a route.
+type Share struct {
+	Service string `yaml:"service" cbor:"1,keyasint"`
+	// Weight is the part, in proportion to the sum of all weights of the route.
+	Weight int `yaml:"weight" cbor:"2,keyasint"`
 }
 
 // Defaults of a route.
--- a/internal/version/manifest/parse.go
+++ b/internal/version/manifest/parse.go
@@ -24,3 +24,11 @@
 	}
 	return &m, nil
 }
+
+// Validate lists every fault of a manifest that was built in memory, or returns
+// nil.
+func (m *Manifest) Validate() error {
+	doc := strictyaml.NewDocument()
+	m.check(doc)
+	return doc.Err()
+}
--- a/internal/version/snapshot/compile_test.go
+++ b/internal/version/snapshot/compile_test.go
@@ -63,7 +63,7 @@
 			r, err := s.Match("GET", host, fmt.Sprintf("/p%d/x", path))
 			line := fmt.Sprintf("%s /p%d: none %v", host, path, err)
 			if r != nil {
-				line = fmt.Sprintf("%s /p%d: %s to %s with %d slots", host, path, r.Name, r.Target.Key, r.Target.Slots)
+				line = fmt.Sprintf("%s /p%d: %s to %s with %d slots", host, path, r.Name, r.Targets[0].Service.Key, r.Targets[0].Service.Slots)
 			}
 			lines = append(lines, line)
 		}
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -43,8 +43,31 @@
 type Route struct {
 	manifest.Route
 	Mesh string
-	// Target is never nil: a route to a missing service does not compile.
-	Target *Service
+	// Targets is never empty: a route to a missing service does not compile.
+	Targets []Target
+	// Weight is the sum of the weights of Targets, above 0.
+	Weight uint64
+	// Limits are those of the route's mesh.
+	Limits manifest.Limits
+	hosts  []string
+}
+
+// Target is one service that a route leads to.
+type Target struct {
+	Service *Service
+	Weight  uint64
+}
+
+// Pick returns the service for one request; draw is a random number.
+func (r *Route) Pick(draw uint64) *Service {
+	at := draw % r.Weight
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[0].Service
 }
 
 // Snapshot is one version, ready to answer requests.
@@ -120,24 +143,44 @@
 		p.services[service.Key] = service
 	}
 	for _, v := range m.Routes {
-		target, ok := p.services[ServiceKey{Mesh: m.Mesh, Name: v.Service}]
-		if !ok {
-			return nil, errors.Newf("route %s: no service %s", v.Name, v.Service)
+		route, err := p.route(m, v)
+		if err != nil {
+			return nil, errors.Wrapf(err, "route %s", v.Name)
 		}
-		p.routes = append(p.routes, &Route{Route: v, Mesh: m.Mesh, Target: target})
+		p.routes = append(p.routes, route)
 	}
 	return p, nil
 }
 
+// route joins a route to its services.
+func (p *part) route(m *manifest.Manifest, v manifest.Route) (*Route, error) {
+	r := &Route{Route: v, Mesh: m.Mesh, Limits: m.Limits, hosts: m.HostsOf(&v)}
+	shares := v.Split
+	if len(shares) == 0 {
+		shares = []manifest.Share{{Service: v.Service, Weight: 1}}
+	}
+	for _, share := range shares {
+		service, ok := p.services[ServiceKey{Mesh: m.Mesh, Name: share.Service}]
+		if !ok {
+			return nil, errors.Newf("no service %s", share.Service)
+		}
+		if share.Weight < 0 {
+			return nil, errors.Newf("weight %d of service %s", share.Weight, share.Service)
+		}
+		r.Targets = append(r.Targets, Target{Service: service, Weight: uint64(share.Weight)})
+		r.Weight += uint64(share.Weight)
+	}
+	if r.Weight == 0 {
+		return nil, errors.New("no weight above 0")
+	}
+	return r, nil
+}
+
 func (s *Snapshot) add(mesh string, p *part) {
 	s.parts[mesh] = p
 	maps.Copy(s.services, p.services)
-	hosts := p.header.Hosts
-	if len(hosts) == 0 {
-		hosts = []string{""}
-	}
 	for _, r := range p.routes {
-		for _, host := range hosts {
+		for _, host := range r.hosts {
 			s.addRoute(cleanHost(host), r)
 		}
 	}
