Choose the server that is expected to answer soonest; bound queues by the target

A daemon knew only its own requests in progress. Change: the daemon beside a server tells its load with each answer; a pick compares expected times, with a handicap for other failure domains (a quarter of the target: a sooner answer within it is worth nothing). A request that is expected after 0.6 of its target does not wait while the server is full; it is told when to come back. Load on answers was left out before: of little use when a daemon hears of a server twice a second. It loses its weight in 0.5 s here.

--- a/internal/connection/gateway/backend.go
+++ b/internal/connection/gateway/backend.go
@@ -7,6 +7,7 @@
 	"github.com/daisygate/daisygate/internal/connection/upstream"
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
 )
 
@@ -98,7 +99,7 @@
 		slowStart = service.SlowStart
 	}
 	slots = min(slots, g.connections(s))
-	cfg := admit.Config{Slots: slots, QueueMax: slots * g.cfg.QueuePerSlot}
+	cfg := admit.Config{Slots: slots, QueueMax: slots * g.cfg.QueuePerSlot, Fixed: g.cfg.FixedSlots}
 	if s.Since > 0 {
 		cfg.Since, cfg.SlowStart = time.UnixMilli(s.Since), slowStart
 	}
@@ -142,12 +143,12 @@
 }
 
 // LocalLoad implements balance.Local.
-func (g *Gateway) LocalLoad(addr string) (float64, bool) {
+func (g *Gateway) LocalLoad(addr string) (balance.Load, bool) {
 	g.mu.Lock()
 	b := g.backends[addr]
 	g.mu.Unlock()
 	if b == nil || b.gone {
-		return 0, false
+		return balance.Load{}, false
 	}
 	return b.gate.Load(), true
 }
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -205,7 +205,7 @@
 func (x *exchange) dispatch(ctx context.Context, pin uint64) (*http.Response, *refusal) {
 	target := x.target
 	course, action := x.g.service(target.Key).begin(x.dir, target, x.g.cfg.Retry(), flow.Request{
-		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Pin: pin,
+		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Target: x.route.Target, Pin: pin,
 	})
 	x.course = course
 	var last *refusal
@@ -254,10 +254,18 @@
 	return x.g.serve(ctx, &work{
 		hooked: x.hooked, body: x.body, addr: to.Server.Addr, priority: x.route.Priority,
 		depth: x.told.Depth, deadline: x.deadline, fresh: !x.route.Repeatable,
-		id: x.told.ID, origin: x.origin,
+		id: x.told.ID, origin: x.origin, useful: x.useful(),
 	})
 }
 
+// useful is when an answer has lost most of its worth; zero is not known.
+func (x *exchange) useful() time.Time {
+	if x.route.Target == 0 {
+		return time.Time{}
+	}
+	return x.seen.start.Add(x.route.Target)
+}
+
 const (
 	// answerMargin is the share of the time left that is kept for the way back,
 	// so that a refusal for want of time arrives before the deadline does, and
@@ -284,6 +292,9 @@
 	if x.hooked.Alone {
 		out.Added[headerAlone] = []string{"1"}
 	}
+	if x.route.Target > 0 {
+		out.Added[headerUseful] = []string{strconv.FormatInt(time.Until(x.useful()).Microseconds(), 10)}
+	}
 	if x.origin != "" {
 		out.Added[headerOrigin] = []string{x.origin}
 	}
@@ -298,6 +309,7 @@
 	if failure != nil {
 		return nil, classify(ctx, failure, result.DaemonRefused)
 	}
+	x.hearLoad(to, resp.Header)
 	if code := resp.Header.Get(result.HeaderResult); code != "0" {
 		return nil, readRefusal(resp, code)
 	}
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -120,11 +121,18 @@
 	g.deliver(g.core.Finish(time.Now(), took)...)
 }
 
-// Load is running and waiting requests per slot.
-func (g *gate) Load() float64 {
+// Load is how full the server is. A stalled one counts as full.
+func (g *gate) Load() balance.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Load(time.Now())
+	now := time.Now()
+	l := balance.Load{
+		Running: g.core.Running(), Queued: g.core.Queued(), Limit: g.core.Limit(now), Service: g.core.Service(),
+	}
+	if g.core.Stalled(now) {
+		l.Queued = max(l.Queued, l.Limit)
+	}
+	return l
 }
 
 // Running is the number of slots in use.
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -57,6 +57,9 @@
 	// Abrupt closes the connection of a request that was given up, and takes the
 	// slot for free at once. Else the backend server's own close is awaited.
 	Abrupt bool
+	// FixedSlots keeps to the slots that a backend server announces, however its
+	// latency climbs.
+	FixedSlots bool
 	// HoldBytes is the largest answer that is read whole before it is passed on;
 	// 0 streams every answer.
 	HoldBytes int64
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -28,6 +28,12 @@
 	headerPriority = prefix + "Priority"
 	headerFresh    = prefix + "Fresh"
 	headerAlone    = prefix + "Alone"
+	// headerLoad tells with each answer to a forwarded call how full the server
+	// is: running, waiting, limit, microseconds to an answer.
+	headerLoad = prefix + "Load"
+	// headerUseful is the time left in which the answer is worth most, in
+	// microseconds; it may be past.
+	headerUseful = prefix + "Useful"
 	// headerBack is when to come back after a refusal, in microseconds.
 	headerBack   = prefix + "Back"
 	headerOrigin = prefix + "Origin"
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/result"
@@ -28,6 +29,7 @@
 	k.hooked.HTTP, k.hooked.Body, k.body = r, body.small, body
 	resp, refused := g.serve(ctx, k)
 	g.setClose(w.Header())
+	g.tellLoad(w.Header(), k.addr)
 	body.announce(w.Header())
 	if refused != nil {
 		code = refused.Code
@@ -58,6 +60,9 @@
 	if !okTimeout || !okStall || !okPriority || !okDepth || k.addr == "" {
 		return nil, 0, 0, refuse(result.BadRequest, "not a forwarded call")
 	}
+	if micros, err := strconv.ParseInt(r.Header.Get(headerUseful), 10, 64); err == nil {
+		k.useful = time.Now().Add(time.Duration(micros) * time.Microsecond)
+	}
 	if r.Header.Get(headerFixed) != "" {
 		stall = 0
 	}
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -22,6 +22,8 @@
 	deadline time.Time
 	// fresh requests may not be repeated.
 	fresh bool
+	// useful is when an answer has lost most of its worth; zero is not known.
+	useful time.Time
 	// id is the caller's name for the request, or "".
 	id string
 	// origin is the service of the instance where the request began, or "".
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/request/flow"
 	"github.com/daisygate/daisygate/internal/request/retry"
 	"github.com/daisygate/daisygate/internal/result"
@@ -49,6 +50,13 @@
 	return &course{service: s, call: call}, action
 }
 
+// told takes in the load of a server.
+func (c *course) told(to *directory.Candidate, l balance.Load) {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	c.service.core.Table.Told(time.Now(), to, l)
+}
+
 func (c *course) answered() flow.Action {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -191,7 +191,7 @@
 	cfg := gateway.Config{
 		Self: d.set.Node, Domain: d.set.Domain, Region: d.set.Region, QueuePerSlot: d.set.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready, Observer: d.metrics, Tracer: d.tracer(),
-		Abrupt: !d.set.Servers.Linger, HoldBytes: d.set.Servers.HoldBytes, Origin: d.origin, Retry: d.retryLimits,
+		Abrupt: !d.set.Servers.Linger, FixedSlots: !d.set.Servers.Adapt, HoldBytes: d.set.Servers.HoldBytes, Origin: d.origin, Retry: d.retryLimits,
 		Refused: func(addr string) { d.servers.Refused(addr) },
 	}
 	if d.platform != nil {
--- a/internal/process/quorum/quorum.go
+++ b/internal/process/quorum/quorum.go
@@ -62,13 +62,13 @@
 
 // Status is what a member tells of its group.
 type Status struct {
-	Role   string `json:"role"`
-	Term   uint64 `json:"term"`
-	Lead   string `json:"lead"`
+	Role string `json:"role"`
+	Term uint64 `json:"term"`
+	Lead string `json:"lead"`
 	// Settled is set on a leader that has applied all that earlier ones
 	// committed.
-	Settled bool `json:"settled"`
-	Commit uint64 `json:"commit"`
+	Settled bool   `json:"settled"`
+	Commit  uint64 `json:"commit"`
 	// Syncs counts the disk syncs since the start.
 	Syncs uint64 `json:"syncs"`
 	// Repair is how far a member whose disk is new is from having a vote.
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -204,6 +204,10 @@
 	// of the connection, and counts the slot as taken until then. Without it the
 	// connection is closed at once. Default true.
 	Linger bool `yaml:"linger"`
+	// Adapt lowers the requests that run on a server below its slots while its
+	// latency climbs. It misleads where servers call others while they hold a
+	// slot. Default true.
+	Adapt bool `yaml:"adapt"`
 	// HoldBytes is the largest answer that is read whole before it is passed on,
 	// so that a cut one is found in time; 0 streams every answer. Default 0.
 	HoldBytes int64 `yaml:"hold_bytes"`
@@ -233,7 +237,7 @@
 		Source:  Source{Found: true, Claims: true},
 		Stop:    Stop{LeaveDelay: time.Second, Timeout: time.Hour},
 		Retry:   Retry{Ratio: 0.2, Slack: 200, Window: 10 * time.Second},
-		Servers: Servers{Dial: true, Linger: true, Quarantine: true},
+		Servers: Servers{Dial: true, Linger: true, Adapt: true, Quarantine: true},
 	}
 }
 
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -29,6 +29,11 @@
 	Priority int
 	// Deadline is when waiting has become useless.
 	Deadline time.Time
+	// Useful is when an answer has lost most of its worth; zero is not known. A
+	// ticket that would be answered later does not wait: while a server is full
+	// it answers as many requests with a short queue as with a long one, and
+	// those of a short one in time.
+	Useful time.Time
 	// Alone asks to run with no other request on the server.
 	Alone bool
 
@@ -73,6 +78,10 @@
 	// takes from then to its full slots; 0 is at once.
 	Since     time.Time
 	SlowStart time.Duration
+	// Fixed keeps the limit at Slots however the latency climbs: for servers that
+	// wait for others while they hold a slot, whose latency says little of their
+	// own load.
+	Fixed bool
 }
 
 // Core is the admission of one backend server. It is not safe for concurrent
@@ -111,7 +120,10 @@
 // Limit is the most tickets that run now: the slots, fewer while the server is
 // cold or its latency climbs; at least 1 if there are slots.
 func (c *Core) Limit(now time.Time) int {
-	limit := min(c.cfg.Slots, c.limit.value())
+	limit := c.cfg.Slots
+	if !c.cfg.Fixed {
+		limit = min(limit, c.limit.value())
+	}
 	return min(limit, warmSlots(c.cfg, now))
 }
 
@@ -132,7 +144,7 @@
 // 1 while the server stalls.
 func (c *Core) Load(now time.Time) float64 {
 	load := float64(c.running+len(c.queue)) / float64(max(c.Limit(now), 1))
-	if c.stalled(now) {
+	if c.Stalled(now) {
 		return max(load, 1)
 	}
 	return load
@@ -151,12 +163,18 @@
 	if len(c.queue) == 0 && c.mayStart(now, &t) {
 		return []Decision{c.start(now, &t)}
 	}
-	if c.stalled(now) {
+	if c.Stalled(now) {
 		return []Decision{c.refuse(t, result.Overloaded)}
 	}
-	if c.wait(now, &t) > t.Deadline.Sub(now) {
+	wait := c.wait(now, &t)
+	if wait > t.Deadline.Sub(now) {
 		return []Decision{c.refuse(t, result.DeadlineTooShort)}
 	}
+	if late := c.late(now, &t, wait); late > 0 {
+		d := c.refuse(t, result.Overloaded)
+		d.RetryAfter = max(late, comeBackLeast)
+		return []Decision{d}
+	}
 	if len(c.queue) >= c.room(t.Priority) && !c.worseWaits(now, &t) {
 		return []Decision{c.refuse(t, result.Overloaded)}
 	}
@@ -192,16 +210,16 @@
 	return c.running < c.Limit(now)
 }
 
-// The constants of stalled.
+// The constants of Stalled.
 const (
 	stallFactor = 8
 	stallMin    = 500 * time.Millisecond
 )
 
-// stalled reports whether no slot came back for much longer than a request
+// Stalled reports whether no slot came back for much longer than a request
 // takes: the server is frozen, or works on long requests only, and waiting for
 // it is useless.
-func (c *Core) stalled(now time.Time) bool {
+func (c *Core) Stalled(now time.Time) bool {
 	return c.running > 0 && now.Sub(c.moved) > max(stallMin, stallFactor*c.limit.service)
 }
 
@@ -222,6 +240,24 @@
 	return d
 }
 
+const (
+	// usefulShare is the part of the useful time within which the answer has to
+	// be expected: half of the requests take longer than expected.
+	usefulShare = 0.6
+	// comeBackLeast is the least that a ticket is told which would be late.
+	comeBackLeast = 20 * time.Millisecond
+)
+
+// late is by how much the answer is expected after the useful time; 0 or less if
+// it is in time.
+func (c *Core) late(now time.Time, t *Ticket, wait time.Duration) time.Duration {
+	if t.Useful.IsZero() {
+		return 0
+	}
+	useful := time.Duration(usefulShare * float64(t.Useful.Sub(now)))
+	return wait + c.limit.service - useful
+}
+
 // wait estimates how long t would wait for a slot behind those before it.
 func (c *Core) wait(now time.Time, t *Ticket) time.Duration {
 	ahead := 0
--- a/internal/request/admit/occupancy.go
+++ b/internal/request/admit/occupancy.go
@@ -1,7 +1,13 @@
 package admit
 
+import "time"
+
 // Queued is the number of waiting tickets.
 func (c *Core) Queued() int { return len(c.queue) }
 
+// Service is the smoothed time from the start of a request to its answer; 0
+// while none was measured.
+func (c *Core) Service() time.Duration { return c.limit.service }
+
 // Slots is the most tickets that run at a time.
 func (c *Core) Slots() int { return c.cfg.Slots }
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -1,12 +1,12 @@
-// Package balance picks the backend server for one attempt: beside this daemon
-// when it has room, then in the same failure domain, then in the same region,
-// then anywhere; within such a tier the less loaded of two random servers
-// (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
+// Package balance picks the backend server for one attempt: the one that is
+// expected to answer soonest, with a handicap for servers in other failure
+// domains and regions. Of many servers a random few are compared (Mitzenmacher,
+// "The Power of Two Choices in Randomized Load Balancing", 2001).
 //
-// The load of a server is what this daemon has in progress there; of one beside
-// it, what its gate counts. Load riding on answers was measured and left out: a
-// daemon of a large fleet hears of one server too seldom. A server that cannot
-// be reached or fails is ejected for a while that grows.
+// What is expected of a server follows from what the daemon beside it told with
+// its last answer, as long as that is fresh, and from what this daemon has in
+// progress there since; of one beside this daemon, from its gate. A server that
+// cannot be reached or fails is ejected for a while that grows.
 //
 // The package does no I/O and reads no clock.
 package balance
@@ -19,13 +19,29 @@
 )
 
 const (
-	// full is the load from which a near server is passed over for a farther
-	// one.
-	full = 0.9
 	// coldShare is the share of its work that a server begins with.
 	coldShare = 0.1
 	// draws is how often a tier is drawn from before it is searched.
 	draws = 4
+	// compared is the most servers that one pick compares.
+	compared = 16
+	// near is the handicap of a server beside another daemon of the failure
+	// domain, farther of one in another domain, and farthest of one in another
+	// region, in multiples of its time to answer: the way costs time and bytes,
+	// which have to be won back by a shorter queue.
+	near     = 0.15
+	farther  = 0.3
+	farthest = 1.0
+	// crossing is the least handicap of another failure domain, as a part of the
+	// target: an answer that comes in time is not worth more for being sooner.
+	crossing = 0.25
+	// busier is the part by which a server that is nearly full is slower than an
+	// idle one.
+	busier = 0.2
+	// noise keeps daemons that know the same from picking the same.
+	noise = 0.1
+	// usualTime stands for the time to answer while none was measured.
+	usualTime = 50 * time.Millisecond
 )
 
 // Input is what one pick depends on.
@@ -38,13 +54,24 @@
 	Tried []*directory.Candidate
 	// Pin, if not 0, picks by it alone.
 	Pin uint64
+	// Target is the time within which an answer is worth most; 0 is not known.
+	Target time.Duration
+}
+
+// Load is how full a backend server is, as its gate counts.
+type Load struct {
+	// Running and Queued are requests, Limit the most that may run now.
+	Running, Queued, Limit int
+	// Service is the smoothed time from the start of a request to its answer; 0
+	// is not known.
+	Service time.Duration
 }
 
 // Local tells the load of the servers beside this daemon, which its own gates
 // know exactly.
 type Local interface {
-	// LocalLoad returns requests per slot, and whether the server is known.
-	LocalLoad(addr string) (float64, bool)
+	// LocalLoad returns the load, and whether the server is known.
+	LocalLoad(addr string) (Load, bool)
 }
 
 // Place is where a daemon stands.
@@ -122,27 +149,84 @@
 		return t.pinned(in)
 	}
 	p := picker{table: t, in: in, random: in.Seed}
-	for i := beside; i < anywhere; i++ {
-		if c := p.twoChoices(t.tiers[i]); c != nil && t.load(in.Now, c) < full {
-			return c
-		}
-	}
 	for _, p.leave = range [...]leave{strict, anyDomain, anyUntried} {
-		if c := p.twoChoices(t.tiers[anywhere]); c != nil {
+		if c := p.soonest(); c != nil {
 			return c
 		}
 	}
 	return nil
 }
 
-// load is requests per slot that may be used now.
-func (t *Table) load(now time.Time, c *directory.Candidate) float64 {
+// soonest returns the candidate with the least expected time, or nil without
+// one that may be used.
+func (p *picker) soonest() *directory.Candidate {
+	var best *directory.Candidate
+	var least float64
+	for _, c := range p.sample() {
+		if cost := p.table.expected(&p.in, c) * (1 + noise*p.unit()); best == nil || cost < least {
+			best, least = c, cost
+		}
+	}
+	return best
+}
+
+// sample returns the usable candidates if they are few; else the nearest and a
+// random few of each tier.
+func (p *picker) sample() []*directory.Candidate {
+	all := p.table.tiers[anywhere]
+	list := p.room[:0]
+	if len(all) <= compared {
+		for _, c := range all {
+			if p.usable(c) {
+				list = append(list, c)
+			}
+		}
+		return list
+	}
+	for i := range tiers {
+		var first *directory.Candidate
+		for range 2 {
+			if c := p.draw(p.table.tiers[i], first); c != nil {
+				first = c
+				list = append(list, c)
+			}
+		}
+	}
+	return list
+}
+
+// expected is the time until a server is expected to answer a request that is
+// sent now, in seconds, with its handicap.
+func (t *Table) expected(in *Input, c *directory.Candidate) float64 {
+	now := in.Now
+	s := t.servers[c.Server.Addr]
+	l, inProgress := s.estimate(now, c.Server.Slots)
 	if t.local != nil && c.Node.Name == t.self.Node {
-		if load, ok := t.local.LocalLoad(c.Server.Addr); ok {
-			return load
+		if exact, ok := t.local.LocalLoad(c.Server.Addr); ok {
+			l, inProgress = exact, float64(exact.Running+exact.Queued)
 		}
 	}
-	return t.servers[c.Server.Addr].load(now, c.Server.Slots) / t.warmth(now, c)
+	limit := max(float64(l.Limit)*t.warmth(now, c), 1)
+	service := l.Service
+	if service == 0 {
+		service = usualTime
+	}
+	queue := max(0, inProgress+1-limit) / limit
+	crowd := busier * min(inProgress/limit, 1)
+	return service.Seconds()*(1+queue+crowd) + t.handicap(c, service, in.Target)
+}
+
+// handicap is in seconds.
+func (t *Table) handicap(c *directory.Candidate, service, target time.Duration) float64 {
+	switch t.distance(c) {
+	case beside:
+		return 0
+	case sameDomain:
+		return near * service.Seconds()
+	case sameRegion:
+		return max(farther*service.Seconds(), crossing*target.Seconds())
+	}
+	return max(farthest*service.Seconds(), 2*crossing*target.Seconds())
 }
 
 // warmth grows from coldShare to 1 while a server starts slowly.
@@ -163,6 +247,8 @@
 	in     Input
 	random uint64
 	leave  leave
+	// room keeps the sample off the heap.
+	room [compared]*directory.Candidate
 }
 
 // leave is what a pick may make do with.
@@ -187,17 +273,8 @@
 	return int(z % uint64(n))
 }
 
-func (p *picker) twoChoices(tier []*directory.Candidate) *directory.Candidate {
-	a := p.draw(tier, nil)
-	if a == nil {
-		return nil
-	}
-	b := p.draw(tier, a)
-	if b == nil || p.table.load(p.in.Now, a) <= p.table.load(p.in.Now, b) {
-		return a
-	}
-	return b
-}
+// unit is a random number in [0, 1).
+func (p *picker) unit() float64 { return float64(p.next(1<<20)) / (1 << 20) }
 
 // draw returns a random candidate that may be used, or nil without one.
 func (p *picker) draw(tier []*directory.Candidate, except *directory.Candidate) *directory.Candidate {
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/version/directory"
@@ -16,8 +17,11 @@
 	ejectFirst = 250 * time.Millisecond
 	ejectMax   = 30 * time.Second
 	// avoidFull is how long a server that refused for want of room counts as
-	// full.
+	// full, unless it tells otherwise.
 	avoidFull = 100 * time.Millisecond
+	// told is how long it takes for what a server's daemon told of its load to
+	// lose two thirds of its weight.
+	told = 500 * time.Millisecond
 )
 
 // server is what one daemon knows of one backend server.
@@ -25,6 +29,11 @@
 	// outstanding is the attempts of this daemon in progress, never below 0.
 	outstanding int
 	fullUntil   time.Time
+	// load is what the daemon beside the server told last, at heard; since is what
+	// this daemon has sent there since, less what has ended.
+	load  Load
+	heard time.Time
+	since int
 	// failures and ejections count those in a row.
 	failures, ejections int
 	ejectedUntil        time.Time
@@ -32,12 +41,30 @@
 
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
-func (s *server) load(now time.Time, slots int) float64 {
-	load := float64(s.outstanding) / float64(max(slots, 1))
+// estimate is the load of a server and the requests in progress on it.
+func (s *server) estimate(now time.Time, slots int) (Load, float64) {
+	l := s.load
+	if l.Limit == 0 {
+		l.Limit = max(slots, 1)
+	}
+	own := float64(s.outstanding)
 	if now.Before(s.fullUntil) {
-		return max(load, full)
+		// Its queue is full too.
+		own = max(own, 2*float64(l.Limit))
+	}
+	if s.heard.IsZero() {
+		return l, own
+	}
+	weight := math.Exp(-max(0, now.Sub(s.heard).Seconds()) / told.Seconds())
+	all := max(0, float64(l.Running+l.Queued+s.since))
+	return l, max(own, weight*all+(1-weight)*own)
+}
+
+// Told takes in the load that the daemon beside a server told with its answer.
+func (t *Table) Told(now time.Time, c *directory.Candidate, l Load) {
+	if s := t.servers[c.Server.Addr]; s != nil {
+		s.load, s.heard, s.since = l, now, 0
 	}
-	return load
 }
 
 // End is how an attempt ended.
@@ -62,6 +89,7 @@
 func (t *Table) Sent(c *directory.Candidate) {
 	if s := t.servers[c.Server.Addr]; s != nil {
 		s.outstanding++
+		s.since++
 	}
 }
 
@@ -72,6 +100,7 @@
 		return
 	}
 	s.outstanding = max(0, s.outstanding-1)
+	s.since--
 	switch end {
 	case Answered:
 		s.failures, s.ejections = 0, 0
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -78,6 +78,8 @@
 	Repeatable bool
 	// Retries is the most attempts after the first that failed.
 	Retries int
+	// Target is the time within which an answer is worth most; 0 is not known.
+	Target time.Duration
 	// Pin, if not 0, chooses the server: all requests with one Pin go to one.
 	Pin uint64
 }
@@ -130,7 +132,7 @@
 	if !now.Before(c.request.Deadline) {
 		return c.answer(result.DeadlineTooShort)
 	}
-	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin})
+	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target})
 	if picked == nil {
 		return c.answer(last)
 	}
