--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/daisygate/daisygate/internal/connection/graceful"
 	"github.com/daisygate/daisygate/internal/request/flow"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/directory"
@@ -187,6 +188,9 @@
 	whole := relay(x.w, resp, kept)
 	x.course.relayed(whole)
 	if !whole {
+		if !x.r.ProtoAtLeast(1, 1) {
+			graceful.Reset(x.r.Context())
+		}
 		x.settle(Settlement{Code: result.AnswerLost})
 		x.claimed = false
 		panic(http.ErrAbortHandler)
--- a/internal/connection/graceful/conn.go
+++ b/internal/connection/graceful/conn.go
@@ -22,8 +22,9 @@
 // conn is one followed connection.
 type conn struct {
 	net.Conn
-	mu    sync.Mutex
-	phase phase
+	mu      sync.Mutex
+	phase   phase
+	framing framing
 }
 
 // Read implements net.Conn. What arrives after retirement is never handed to
@@ -36,6 +37,9 @@
 	if !c.begin() {
 		return 0, io.EOF
 	}
+	c.mu.Lock()
+	c.framing.take(p[:n])
+	c.mu.Unlock()
 	return n, err
 }
 
@@ -53,6 +57,7 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.framing.next()
 	if c.phase == busy {
 		c.phase = idle
 	}
--- /dev/null
+++ b/internal/connection/graceful/framing_test.go
@@ -0,0 +1,105 @@
+package graceful
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// exchange sends text on a new connection and returns the status of each answer
+// until the connection ends.
+func exchange(c *qt.C, addr, text string) (statuses []int) {
+	client, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = client.Close() }()
+	_, err = io.WriteString(client, text)
+	c.Assert(err, qt.IsNil)
+	_ = client.(*net.TCPConn).CloseWrite()
+	for reader := bufio.NewReader(client); ; {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return statuses
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		statuses = append(statuses, resp.StatusCode)
+	}
+}
+
+// TestTwoFramings sends requests that two readers would end at different places:
+// nothing runs behind what one of them takes for the end.
+func TestTwoFramings(t *testing.T) {
+	const (
+		both    = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		chunked = "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+		plain   = "POST /c HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"
+		hidden  = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n"
+	)
+	for name, row := range map[string]struct {
+		text string
+		want []int
+		runs int32
+	}{
+		"both":                  {both + hidden, []int{400}, 0},
+		"chunked":               {chunked + hidden, []int{200, 200}, 2},
+		"plain":                 {plain + plain + hidden, []int{200, 200, 200}, 3},
+		"both behind another":   {plain + both + hidden, []int{200, 200}, 2},
+		"chunks behind another": {plain + chunked + hidden, []int{200, 200}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var runs atomic.Int32
+			s := start(c, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body)
+			}))
+			c.Check(exchange(c, s.addr, row.text), qt.DeepEquals, row.want)
+			c.Check(runs.Load(), qt.Equals, row.runs)
+		})
+	}
+}
+
+// TestFramingsOfLaterRequests holds that each request on a kept connection is
+// looked at.
+func TestFramingsOfLaterRequests(t *testing.T) {
+	c := qt.New(t)
+	var runs atomic.Int32
+	s := start(c, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	client, err := net.Dial("tcp", s.addr)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = client.Close() }()
+	reader := bufio.NewReader(client)
+	for range 3 {
+		c.Assert(ask(client, reader), qt.Equals, http.StatusOK)
+	}
+	_, err = io.WriteString(client, "POST / HTTP/1.1\r\nHost: a\r\ntransfer-encoding: chunked\r\ncontent-length: 9\r\n\r\n0\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusBadRequest)
+	c.Check(runs.Load(), qt.Equals, int32(3))
+}
+
+// TestResetIsSeen holds that a caller of HTTP/1.0 sees a cut answer as cut.
+func TestResetIsSeen(t *testing.T) {
+	c := qt.New(t)
+	s := start(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		Reset(r.Context())
+		panic(http.ErrAbortHandler)
+	}))
+	client, err := net.Dial("tcp", s.addr)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = client.Close() }()
+	_, err = io.WriteString(client, "GET / HTTP/1.0\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(client)
+	c.Check(err, qt.ErrorMatches, ".*connection reset by peer")
+	Reset(context.Background())
+}
--- a/internal/connection/graceful/graceful.go
+++ b/internal/connection/graceful/graceful.go
@@ -130,6 +130,7 @@
 
 func (t *Tracker) track(accepted net.Conn) net.Conn {
 	c := &conn{Conn: accepted}
+	c.framing.next()
 	t.mu.Lock()
 	t.conns[c] = struct{}{}
 	t.mu.Unlock()
@@ -169,8 +170,13 @@
 // with the one before, on a connection that is retired.
 func (t *Tracker) Guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.begin() {
-			panic(http.ErrAbortHandler)
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if !c.begin() {
+				panic(http.ErrAbortHandler)
+			}
+			if refuseFraming(c, w, r) {
+				return
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/connection/limit/listener.go
+++ b/internal/connection/limit/listener.go
@@ -110,6 +110,9 @@
 	once     sync.Once
 }
 
+// Unwrap returns the connection within.
+func (c *conn) Unwrap() net.Conn { return c.Conn }
+
 // Write implements net.Conn. It also gives the errors that net/http writes on
 // its own, before any handler runs, their result code.
 func (c *conn) Write(p []byte) (int, error) {
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -1,6 +1,7 @@
 package strictyaml
 
 import (
+	"bytes"
 	"fmt"
 	"reflect"
 	"strings"
@@ -14,6 +15,9 @@
 	SetDefaults()
 }
 
+// byteOrderMark may begin a text; some editors write it.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // Decode reads raw into the struct that into points to. Keys are the names in
 // the "yaml" tags; a key that the text lacks keeps its default. Fields may be
 // strings, booleans, numbers, time.Duration, structs, and slices of these.
@@ -27,7 +31,7 @@
 		d.add(Fault{Line: 1, Column: 1, Key: "document", Message: fmt.Sprintf("has %d bytes, want at most %d", len(raw), limit)})
 		return d
 	}
-	if body := d.parse(raw); body != nil {
+	if body := d.parse(bytes.TrimPrefix(raw, byteOrderMark)); body != nil {
 		d.decode("", body, reflect.ValueOf(into).Elem())
 	}
 	return d
--- a/internal/version/manifest/parse_test.go
+++ b/internal/version/manifest/parse_test.go
@@ -32,6 +32,13 @@
 	c.Assert(m.Routes[0].Priority, qt.Equals, DefaultPriority)
 }
 
+// TestByteOrderMark holds that the mark some editors begin a file with is passed
+// over.
+func TestByteOrderMark(t *testing.T) {
+	_, err := Parse([]byte("\xef\xbb\xbfmesh: a\nversion: 1\nservices: [{name: s}]\nroutes: [{name: r, path: /, service: s}]"))
+	qt.Assert(t, err, qt.IsNil)
+}
+
 // FuzzParse holds that no text makes Parse panic, and that an error is always a
 // list of faults.
 func FuzzParse(f *testing.F) {
--- a/internal/version/snapshot/match.go
+++ b/internal/version/snapshot/match.go
@@ -9,9 +9,9 @@
 )
 
 // ErrAmbiguousPath is returned for a path whose target depends on who reads it:
-// one with dot segments, an encoded slash or backslash, or a bad escape. Such a
-// request could match one route here and mean another to the backend server.
-var ErrAmbiguousPath = errors.New("the path has dot segments, an encoded slash or a bad escape")
+// one with dot segments or a backslash. Such a request could match one route
+// here and mean another to the backend server.
+var ErrAmbiguousPath = errors.New("the path has dot segments or a backslash")
 
 // table finds the routes of one host. A route's path is its key; a request
 // looks up the segment borders of its own path, longest first, so that the cost
@@ -93,24 +93,34 @@
 	return host[max(i-1, 0)] == ']' || strings.IndexByte(host, ':') == i
 }
 
-// cleanPath undoes the escapes of a path.
+// cleanPath undoes the escapes of a path, for the match alone: it is sent on as
+// it came. An encoded slash parts no segments, and a bad escape stays as it is.
 func cleanPath(path string) (string, error) {
 	if path == "" || path[0] != '/' {
 		path = "/" + path
 	}
 	if strings.IndexByte(path, '%') >= 0 {
-		plain, err := url.PathUnescape(path)
-		if err != nil || strings.Count(plain, "/") != strings.Count(path, "/") {
-			return "", ErrAmbiguousPath
-		}
-		path = plain
+		path = unescape(path)
 	}
-	if strings.IndexByte(path, '\\') >= 0 || hasDotSegment(path) {
+	if strings.IndexByte(path, '\\') >= 0 || hasDotSegment(strings.ReplaceAll(path, encodedSlash, "/")) {
 		return "", ErrAmbiguousPath
 	}
 	return path, nil
 }
 
+// encodedSlash stands for an encoded slash within a segment; no route has it.
+const encodedSlash = "\x00"
+
+func unescape(path string) string {
+	segments := strings.Split(path, "/")
+	for i, s := range segments {
+		if plain, err := url.PathUnescape(s); err == nil {
+			segments[i] = strings.ReplaceAll(plain, "/", encodedSlash)
+		}
+	}
+	return strings.Join(segments, "/")
+}
+
 func hasDotSegment(path string) bool {
 	for rest := path; ; {
 		i := strings.Index(rest, "/.")
