Replace a source that is gone for good by a newcomer at another address

Cause: the sources were those of the settings. Change: the list of voters, which stands in the log since lost disks are admitted by it, may change members. A newcomer asks the sources that its settings name, and is told the leader; it gets the log like a learner; when a voter has been silent for 2.5 s the newcomer is put in its place. Until that list is known to be committed, elections and commits need a majority of both lists. A voter that finds no leader asks whether it still has its place. A machine whose folder is new founds nothing unless it is the first start.

--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -83,7 +83,7 @@
 	s.table = claims.New(claims.DefaultLimits())
 	var err error
 	s.group, err = quorum.Open(quorum.Config{
-		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "claims"),
+		ID: d.set.Node, Members: d.configured(), DataDir: filepath.Join(d.set.DataDir, "claims"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, Seed: seed,
 		Idempotent: true,
 	}, s.table, s, d.log.WithName("claims"))
--- a/internal/process/daemon/committed.go
+++ b/internal/process/daemon/committed.go
@@ -33,7 +33,7 @@
 	ticker := time.NewTicker(committedPoll)
 	defer ticker.Stop()
 	for !d.mesh.Status().Confirmed {
-		for _, m := range d.set.Source.Members {
+		for _, m := range d.sources() {
 			if version, err := d.committedAt(ctx, m.Node, m.Peer); err == nil {
 				d.mesh.Committed(version)
 				return
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -133,15 +133,6 @@
 	return reply, err
 }
 
-func (d *Daemon) memberAddr(node string) (string, bool) {
-	for _, m := range d.set.Source.Members {
-		if m.Node == node {
-			return m.Peer, true
-		}
-	}
-	return "", false
-}
-
 // NodeStatus implements operator.Backend.
 func (d *Daemon) NodeStatus() operator.NodeStatus {
 	status := operator.NodeStatus{
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -55,6 +55,9 @@
 	// A source that was just started waits 150 ms to 300 ms for a leader, whose
 	// heartbeats are 150 ms apart.
 	sourceFirstTicks = 3
+	// sourceReplaceTicks is 2.5 s: a source that was restarted is back by then,
+	// and none is replaced unless another one that is new asks for a place.
+	sourceReplaceTicks = 50
 
 	submitTimeout = 10 * time.Second
 	outboxLimit   = 4096
@@ -209,8 +212,9 @@
 		return nil
 	}
 	d.source, err = source.Open(quorum.Config{
-		ID: d.set.Node, Members: d.members(), DataDir: filepath.Join(d.set.DataDir, "source"),
+		ID: d.set.Node, Members: d.configured(), DataDir: filepath.Join(d.set.DataDir, "source"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, FirstTicks: sourceFirstTicks, Seed: seed, Idempotent: true,
+		Joins: !d.set.Source.Found, ReplaceTicks: d.replaceTicks(),
 	}, transport{d}, d.log.WithName("source"), d.mesh.Publish)
 	d.leadership = d.newLeadership()
 	return err
@@ -221,12 +225,12 @@
 	return slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == d.self.Addr })
 }
 
-func (d *Daemon) members() []string {
-	var names []string
-	for _, m := range d.set.Source.Members {
-		names = append(names, m.Node)
+// replaceTicks is 0 where the sources are those of the settings.
+func (d *Daemon) replaceTicks() int {
+	if d.set.Source.Join {
+		return sourceReplaceTicks
 	}
-	return names
+	return 0
 }
 
 // Ready reports whether a version confirmed by the leader is in force here.
--- a/internal/process/daemon/fleet.go
+++ b/internal/process/daemon/fleet.go
@@ -52,7 +52,7 @@
 // notable are the records of the sources, of this daemon and of the laggards.
 func (d *Daemon) notable(records []*presence.Record, laggards []string) []*presence.Record {
 	wanted := map[string]bool{d.set.Node: true}
-	for _, member := range d.set.Source.Members {
+	for _, member := range d.sources() {
 		wanted[member.Node] = true
 	}
 	for _, name := range laggards {
--- a/internal/process/daemon/lead.go
+++ b/internal/process/daemon/lead.go
@@ -34,9 +34,9 @@
 	version func() uint64
 	// settled tells that all that earlier leaders committed is applied here.
 	settled func() bool
-	// others are the peer addresses of the other sources; term asks one of
+	// others returns the peer addresses of the other sources; term asks one of
 	// them.
-	others []string
+	others func() []string
 	term   func(ctx context.Context, addr string) (uint64, error)
 
 	running atomic.Bool
@@ -70,8 +70,9 @@
 	defer cancel()
 	var same atomic.Int64
 	var wait sync.WaitGroup
-	majority := int64(len(l.others)+1)/2 + 1
-	for _, addr := range l.others {
+	others := l.others()
+	majority := int64(len(others)+1)/2 + 1
+	for _, addr := range others {
 		wait.Go(func() {
 			if t, err := l.term(ctx, addr); err != nil || t != term {
 				return
@@ -96,6 +97,7 @@
 func (d *Daemon) newLeadership() *leadership {
 	l := &leadership{
 		leads:   func() (uint64, bool) { return d.source.Leads() },
+		others:  d.otherSources,
 		version: func() uint64 { return d.source.Status().Version },
 		settled: func() bool { return d.source.Settled() },
 		term: func(ctx context.Context, addr string) (uint64, error) {
@@ -103,11 +105,6 @@
 			return term, d.pool.Call(ctx, addr, sourceTerm, Empty{}, &term)
 		},
 	}
-	for _, m := range d.set.Source.Members {
-		if m.Node != d.set.Node {
-			l.others = append(l.others, m.Peer)
-		}
-	}
 	return l
 }
 
--- a/internal/process/daemon/lead_test.go
+++ b/internal/process/daemon/lead_test.go
@@ -21,7 +21,7 @@
 			leads:   func() (uint64, bool) { return 3, true },
 			version: func() uint64 { return 7 },
 			settled: func() bool { return settled },
-			others:  []string{"b", "c"},
+			others:  func() []string { return []string{"b", "c"} },
 			term: func(ctx context.Context, addr string) (uint64, error) {
 				if terms[addr] == 0 {
 					<-ctx.Done()
--- a/internal/process/daemon/submit.go
+++ b/internal/process/daemon/submit.go
@@ -93,7 +93,7 @@
 	if d.source != nil && s.take(trySubmit(ctx, here)) {
 		return s.answer, nil
 	}
-	for _, member := range d.set.Source.Members {
+	for _, member := range d.sources() {
 		if member.Node == d.set.Node {
 			continue
 		}
--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -28,7 +28,10 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	FirstTicks     int
-	Seed           uint64
+	// Joins and ReplaceTicks are passed to replica.
+	Joins        bool
+	ReplaceTicks int
+	Seed         uint64
 	// Idempotent says that the state machine answers a resent command with its
 	// first answer: Propose then resends when an outcome is unknown.
 	Idempotent bool
@@ -77,6 +80,7 @@
 	node, err := NewNode(replica.Config{
 		ID: cfg.ID, Members: cfg.Members,
 		ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks, FirstTicks: cfg.FirstTicks, Seed: cfg.Seed,
+		Joins: cfg.Joins, ReplaceTicks: cfg.ReplaceTicks,
 	}, restored, disk, machine, transport.Send, log)
 	if err != nil {
 		return nil, errors.CombineErrors(err, disk.Close())
--- a/internal/process/quorum/node.go
+++ b/internal/process/quorum/node.go
@@ -235,6 +235,9 @@
 		Role: n.core.Role().String(), Term: n.core.Term(), Lead: n.core.Lead(), Commit: n.core.Commit(), Settled: n.failed == nil && n.core.Settled(),
 		Repair: n.core.Repair(), Syncs: n.disk.Syncs(), LogBytes: n.disk.Size(),
 	}
+	for _, v := range n.core.Membership().Voters {
+		s.Members = append(s.Members, v.Member)
+	}
 	if n.failed != nil {
 		s.Lead = n.observedLead
 		s.Failure = n.failed.Error()
--- a/internal/process/quorum/quorum.go
+++ b/internal/process/quorum/quorum.go
@@ -65,6 +65,8 @@
 	Role string `json:"role"`
 	Term uint64 `json:"term"`
 	Lead string `json:"lead"`
+	// Members are those whose majority accepts; empty before the founding.
+	Members []string `json:"members,omitempty"`
 	// Settled is set on a leader that has applied all that earlier ones
 	// committed.
 	Settled bool   `json:"settled"`
--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -16,6 +16,12 @@
 	// ID is this member's name; Members lists all, this one included.
 	ID      string
 	Members []string
+	// Joins keeps a member whose folder is new out of the founding of the group:
+	// it waits to be admitted.
+	Joins bool
+	// ReplaceTicks is how long a voter has to be silent before a newcomer may
+	// take its place; 0 never lets one.
+	ReplaceTicks int
 	// ElectionTicks is the least number of ticks without a leader before a
 	// campaign; the actual number is drawn from [ElectionTicks, 2*ElectionTicks).
 	ElectionTicks int
@@ -34,7 +40,7 @@
 type Core struct {
 	cfg    Config
 	others []string
-	// group identifies the configured list of members.
+	// group identifies the group by the members that founded it.
 	group uint64
 	rand  *rand.Rand
 
@@ -48,12 +54,16 @@
 	membershipChanged bool
 	// seen holds, on a fresh member, the disks of the others that agreed.
 	seen map[string]uint64
+	// guide is the leader that another member named to one without a vote, or "".
+	guide string
+	// vouched is set on a fresh member once a voter knows it under its disk.
+	vouched bool
 	// repairTarget is the commit index a learner was first told of.
 	repairTarget uint64
 	// admitted is set when this member became a voter in this process's life.
 	admitted bool
 
-	votes    map[string]bool
+	votes    map[string]ballot
 	progress map[string]*progress
 
 	// starting is set until a leader is known for the first time.
@@ -84,12 +94,14 @@
 		seen:       map[string]uint64{},
 		starting:   cfg.FirstTicks > 0,
 	}
+	c.beginMembership()
 	c.log.restore(restored.Snapshot)
 	c.log.entries = slices.Clone(restored.Entries)
 	c.log.stable = c.log.last()
 	c.handed = c.log.last()
 	c.becomeFollower(c.term, "")
 	c.commitTo(min(restored.HardState.Commit, c.log.last()))
+	c.refreshOthers()
 	c.bootstrap()
 	return c
 }
@@ -142,6 +154,7 @@
 		c.tickLearner()
 	case c.electionElapsed >= c.electionTimeout:
 		c.campaign(PreCandidate)
+		c.askPlace()
 	}
 }
 
@@ -153,13 +166,21 @@
 			return
 		}
 	}
+	c.tickSilence()
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		c.heartbeatElapsed = 0
 		c.heartbeat()
 	}
 }
 
-func (c *Core) majority() int { return len(c.cfg.Members)/2 + 1 }
+// majority is of the newest list of voters; the number of members stays what it
+// was at the founding.
+func (c *Core) majority() int {
+	if n := len(c.membership.Voters); n > 0 {
+		return n/2 + 1
+	}
+	return len(c.cfg.Members)/2 + 1
+}
 
 func (c *Core) becomeFollower(term uint64, lead string) {
 	c.starting = c.starting && lead == ""
@@ -186,7 +207,7 @@
 func (c *Core) campaign(role Role) {
 	c.role = role
 	c.lead = ""
-	c.votes = map[string]bool{c.cfg.ID: true}
+	c.votes = map[string]ballot{c.cfg.ID: c.ballotOf(Message{From: c.cfg.ID, Disk: c.membership.Disk, Voting: true})}
 	c.resetElection()
 	kind := MsgPreVote
 	term := c.term + 1
@@ -195,7 +216,7 @@
 		c.vote = c.cfg.ID
 		kind = MsgVote
 	}
-	if len(c.votes) >= c.majority() {
+	if c.elected() {
 		c.won()
 		return
 	}
@@ -215,6 +236,7 @@
 	c.electionElapsed = 0
 	c.heartbeatElapsed = 0
 	c.progress = map[string]*progress{}
+	c.refreshOthers()
 	for _, id := range c.others {
 		c.progress[id] = &progress{next: c.log.last() + 1, disk: c.diskOf(id), active: true}
 	}
@@ -251,10 +273,12 @@
 	c.messages = append(c.messages, m)
 }
 
-// Step takes in a message from another member. Messages of members that were
-// configured with another list are dropped: two lists have no common quorum.
+// Step takes in a message from another member. Messages of another group are
+// dropped, but for the questions of newcomers and the answers to them: two
+// groups have no common quorum.
 func (c *Core) Step(m Message) {
-	if m.Group != c.group || !slices.Contains(c.others, m.From) {
+	probe := m.Type == MsgProbe || m.Type == MsgProbeReply
+	if m.From == c.cfg.ID || !probe && m.Group != c.group || probe && m.Group != 0 && c.group != 0 && m.Group != c.group {
 		return
 	}
 	switch m.Type {
@@ -272,7 +296,7 @@
 }
 
 func (c *Core) stepTerm(m Message) {
-	if m.Type == MsgVote && (!c.membership.Voting || m.Term > c.term && c.leaseHeld()) {
+	if m.Type == MsgVote && (!c.mayVote() || m.Term > c.term && c.leaseHeld()) {
 		return
 	}
 	if m.Term > c.term {
@@ -300,7 +324,7 @@
 		c.becomeFollower(m.Term, m.From)
 		c.stepSnapshot(m)
 	case MsgAppendReply:
-		if c.role == Leader {
+		if c.role == Leader && c.progress[m.From] != nil {
 			c.stepAppendReply(m)
 		}
 	}
@@ -320,7 +344,7 @@
 }
 
 func (c *Core) stepPreVote(m Message) {
-	if !c.membership.Voting {
+	if !c.mayVote() {
 		return
 	}
 	grant := m.Term > c.term && !c.leaseHeld() && c.log.upToDate(m.Index, m.LogTerm)
@@ -352,11 +376,11 @@
 }
 
 func (c *Core) countVote(m Message) {
-	if m.Reject || !c.counts(m) {
+	if m.Reject {
 		return
 	}
-	c.votes[m.From] = true
-	if len(c.votes) >= c.majority() {
+	c.votes[m.From] = c.ballotOf(m)
+	if c.elected() {
 		c.won()
 	}
 }
--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -24,6 +25,15 @@
 // A vote or an acknowledgement counts only if its sender holds that it votes,
 // and if its disk is the one in the newest list of voters in the log.
 
+// A member that is gone for good is replaced by a newcomer of another name in
+// the same way. The newcomer asks; the leader sends it the log as to a learner,
+// and once it has caught up and a voter was silent for long, appends the list in
+// which the newcomer stands in the voter's place. The newcomer does not count
+// until it knows that list to be committed, so that a majority of the old list
+// commits it: whoever has not got the list cannot win an election among the old
+// members, whether the silent one is gone or only cut off. One that comes back
+// finds that it has no place any more, and asks for one like a newcomer.
+
 // abstained is the vote of a member admitted in a term without a known leader.
 const abstained = "(abstained)"
 
@@ -69,13 +79,138 @@
 
 // bootstrap gives a member that has no others its vote at once.
 func (c *Core) bootstrap() {
-	if !c.membership.Voting && !c.membership.Learning && len(c.seen) == len(c.others) {
+	may := !c.cfg.Joins || c.membership.Founding || c.vouched
+	if may && !c.membership.Voting && !c.membership.Learning && len(c.seen) == len(c.others) {
 		c.membership.Voters = c.firstVoters()
 		c.membership.Voting = true
 		c.membershipChanged = true
+		if c.cfg.ReplaceTicks > 0 {
+			// The configured members may be others at the next start.
+			c.membership.Group = c.group
+		}
+		c.refreshOthers()
+	}
+}
+
+// beginMembership readies what a member knows of its group at the start. That a
+// fresh one may found the group lasts: it may be restarted meanwhile.
+func (c *Core) beginMembership() {
+	fresh := !c.membership.Voting && !c.membership.Learning
+	if fresh && !c.cfg.Joins && c.cfg.ReplaceTicks > 0 && !c.membership.Founding {
+		c.membership.Founding, c.membershipChanged = true, true
+	}
+	switch {
+	case c.membership.Group != 0:
+		c.group = c.membership.Group
+	case fresh && c.cfg.Joins && !c.membership.Founding:
+		c.group = 0
 	}
 }
 
+// refreshOthers brings the other members in step with the newest lists of
+// voters. A leader also sends to newcomers.
+func (c *Core) refreshOthers() {
+	names := map[string]bool{}
+	for _, list := range [][]Voter{c.membership.Voters, c.log.pendingVoters()} {
+		for _, v := range list {
+			names[v.Member] = true
+		}
+	}
+	if len(names) == 0 || !c.membership.Voting {
+		for _, id := range c.cfg.Members {
+			names[id] = true
+		}
+	}
+	for id, p := range c.progress {
+		if p.newcomer {
+			names[id] = true
+		}
+	}
+	if c.guide != "" && !c.membership.Voting {
+		names[c.guide] = true
+	}
+	delete(names, c.cfg.ID)
+	c.others = slices.Sorted(maps.Keys(names))
+	if c.role != Leader || c.progress == nil {
+		return
+	}
+	for _, id := range c.others {
+		if c.progress[id] == nil {
+			c.progress[id] = &progress{next: c.log.last() + 1, disk: c.diskOf(id), active: true}
+		}
+	}
+	maps.DeleteFunc(c.progress, func(id string, _ *progress) bool { return !names[id] })
+}
+
+// tickSilence counts the silence of the other members; a silent newcomer is
+// forgotten.
+func (c *Core) tickSilence() {
+	gone := false
+	for id, p := range c.progress {
+		p.silent++
+		if p.newcomer && p.silent > newcomerTicks {
+			delete(c.progress, id)
+			gone = true
+		}
+	}
+	if gone {
+		c.refreshOthers()
+	}
+}
+
+// newcomerTicks is how long a newcomer may be silent before the leader forgets
+// it.
+const newcomerTicks = 100
+
+// welcome begins to send the log to a newcomer.
+func (c *Core) welcome(id string, disk uint64) {
+	if c.role != Leader || c.cfg.ReplaceTicks == 0 || c.progress[id] != nil {
+		return
+	}
+	c.progress[id] = &progress{next: c.log.last() + 1, disk: disk, learner: true, newcomer: true, askedAt: c.log.last(), probing: true}
+	c.refreshOthers()
+	c.sendAppend(id, c.progress[id])
+}
+
+// silentVoter returns the voter that was silent for longest, if for long enough
+// to be replaced, or "".
+func (c *Core) silentVoter() string {
+	longest, name := c.cfg.ReplaceTicks, ""
+	for _, id := range c.others {
+		p := c.progress[id]
+		if p != nil && diskIn(c.membership.Voters, id) != 0 && p.silent >= longest {
+			longest, name = p.silent, id
+		}
+	}
+	return name
+}
+
+// askPlace has a voter that finds no leader ask whether it still has its place.
+func (c *Core) askPlace() {
+	if c.cfg.ReplaceTicks == 0 {
+		return
+	}
+	asked := slices.Concat(c.others, c.cfg.Members)
+	slices.Sort(asked)
+	for _, id := range slices.Compact(asked) {
+		if id != c.cfg.ID {
+			c.send(Message{Type: MsgProbe, To: id})
+		}
+	}
+}
+
+// losePlace takes the vote from a member that others, who are ahead of it, do
+// not know any more under this disk.
+func (c *Core) losePlace(m Message) {
+	if c.cfg.ReplaceTicks == 0 || m.Fresh || m.Placed || m.Commit <= c.log.commit || c.role == Leader {
+		return
+	}
+	c.membership.Voting, c.membership.Learning, c.membership.Newcomer = false, true, true
+	c.membershipChanged = true
+	c.becomeFollower(c.term, "")
+	c.refreshOthers()
+}
+
 func (c *Core) firstVoters() []Voter {
 	voters := []Voter{{Member: c.cfg.ID, Disk: c.membership.Disk}}
 	for id, disk := range c.seen {
@@ -90,7 +225,8 @@
 	if c.electionElapsed >= c.electionTimeout {
 		c.lead = ""
 	}
-	if c.membership.Learning || c.heartbeatElapsed < c.cfg.HeartbeatTicks {
+	waits := c.membership.Learning && (c.cfg.ReplaceTicks == 0 || c.lead != "")
+	if waits || c.heartbeatElapsed < c.cfg.HeartbeatTicks {
 		return
 	}
 	c.heartbeatElapsed = 0
@@ -104,19 +240,39 @@
 func (c *Core) stepProbe(m Message) {
 	c.send(Message{
 		Type: MsgProbeReply, To: m.From, Hint: m.Disk,
-		Fresh: !c.membership.Voting, Known: c.diskOf(m.From),
+		Fresh: !c.membership.Voting, Known: c.diskOf(m.From), Commit: c.log.commit, Lead: c.lead,
+		Placed: diskIn(c.membership.Voters, m.From) == m.Disk,
 	})
+	if c.membership.Voting && !m.Voting && c.diskOf(m.From) == 0 {
+		c.welcome(m.From, m.Disk)
+	}
 }
 
 func (c *Core) stepProbeReply(m Message) {
-	if c.membership.Voting || c.membership.Learning || m.Hint != c.membership.Disk {
+	if m.Hint != c.membership.Disk {
 		return
 	}
+	if !c.membership.Voting && m.Lead != "" && !slices.Contains(c.others, m.Lead) {
+		c.guide = m.Lead
+		c.refreshOthers()
+	}
+	if c.membership.Voting {
+		c.losePlace(m)
+		return
+	}
+	if c.membership.Learning {
+		return
+	}
+	if c.group == 0 {
+		c.group, c.membership.Group = m.Group, m.Group
+	}
 	if !m.Fresh && m.Known != c.membership.Disk {
 		c.membership.Learning = true
+		c.membership.Newcomer = m.Known == 0
 		c.membershipChanged = true
 		return
 	}
+	c.vouched = c.vouched || !m.Fresh
 	c.seen[m.From] = m.Disk
 	c.bootstrap()
 }
@@ -124,10 +280,14 @@
 // diskOf returns the disk of a member in the newest list of voters in the log,
 // committed or not; 0 is unknown.
 func (c *Core) diskOf(id string) uint64 {
-	voters := c.membership.Voters
 	if pending := c.log.pendingVoters(); pending != nil {
-		voters = pending
+		return diskIn(pending, id)
 	}
+	return diskIn(c.membership.Voters, id)
+}
+
+// diskIn returns the disk of a member in a list of voters; 0 without.
+func diskIn(voters []Voter, id string) uint64 {
 	for _, v := range voters {
 		if v.Member == id {
 			return v.Disk
@@ -136,6 +296,57 @@
 	return 0
 }
 
+// ballot is one vote for this member, by the lists in which it counts.
+type ballot struct{ committed, pending bool }
+
+// ballotOf says where a vote counts. In a list that is not committed yet a
+// newcomer's vote counts as well.
+func (c *Core) ballotOf(m Message) ballot {
+	pending := c.replacing()
+	if pending == nil {
+		return ballot{committed: c.counts(m)}
+	}
+	newcomer := diskIn(c.membership.Voters, m.From) == 0
+	return ballot{
+		committed: m.Voting && m.Disk == diskIn(c.membership.Voters, m.From),
+		pending:   (m.Voting || newcomer) && m.Disk == diskIn(pending, m.From),
+	}
+}
+
+// replacing returns the list of voters in the log that is not committed and has
+// other members than the one that is; nil without one.
+func (c *Core) replacing() []Voter {
+	pending := c.log.pendingVoters()
+	for _, v := range pending {
+		if diskIn(c.membership.Voters, v.Member) == 0 {
+			return pending
+		}
+	}
+	return nil
+}
+
+// elected reports whether the votes are enough: a majority, and while a member is
+// being replaced one of both lists (Ongaro and Ousterhout, section 6), for
+// nobody knows yet which of the two has decided something.
+func (c *Core) elected() bool {
+	var committed, pending int
+	for _, b := range c.votes {
+		if b.committed {
+			committed++
+		}
+		if b.pending {
+			pending++
+		}
+	}
+	return committed >= c.majority() && (c.replacing() == nil || pending >= c.majority())
+}
+
+// mayVote reports whether this member answers candidates: a voter, or a newcomer,
+// whose disk never lost anything that it acknowledged.
+func (c *Core) mayVote() bool {
+	return c.membership.Voting || c.membership.Newcomer && c.cfg.ReplaceTicks > 0
+}
+
 // counts reports whether a message comes from a disk that votes.
 func (c *Core) counts(m Message) bool {
 	return m.Voting && m.Disk == c.diskOf(m.From)
@@ -146,12 +357,13 @@
 	if index <= c.log.commit {
 		return
 	}
-	for _, e := range c.log.from(c.log.commit+1, int(index-c.log.commit)) {
+	entries := c.log.from(c.log.commit+1, int(index-c.log.commit))
+	c.log.commit = index
+	for _, e := range entries {
 		if e.Voters != nil {
 			c.setVoters(e.Voters)
 		}
 	}
-	c.log.commit = index
 }
 
 // setVoters takes up a committed list. It gives a learner its vote, except in
@@ -160,8 +372,12 @@
 func (c *Core) setVoters(voters []Voter) {
 	c.membership.Voters = slices.Clone(voters)
 	c.membershipChanged = true
+	defer c.refreshOthers()
 	own := slices.IndexFunc(voters, func(v Voter) bool { return v.Member == c.cfg.ID })
 	if own < 0 {
+		if c.membership.Voting {
+			c.membership.Voting, c.membership.Learning, c.membership.Newcomer = false, true, true
+		}
 		return
 	}
 	votes := voters[own].Disk == c.membership.Disk
@@ -173,6 +389,7 @@
 	}
 	c.membership.Voting = votes
 	c.membership.Learning = !votes
+	c.membership.Newcomer = false
 }
 
 // admit appends the list of voters that has the learner's disk in it, once the
@@ -183,8 +400,16 @@
 	if !p.learner || p.admitAt > 0 || p.match < p.askedAt || ownTerm != c.term || c.log.pendingVoters() != nil {
 		return
 	}
-	voters := slices.DeleteFunc(slices.Clone(c.membership.Voters), func(v Voter) bool { return v.Member == id })
+	leaves := id
+	if diskIn(c.membership.Voters, id) == 0 {
+		if leaves = c.silentVoter(); leaves == "" {
+			return
+		}
+	}
+	voters := slices.DeleteFunc(slices.Clone(c.membership.Voters), func(v Voter) bool { return v.Member == leaves })
 	voters = append(voters, Voter{Member: id, Disk: p.disk})
 	slices.SortFunc(voters, func(a, b Voter) int { return cmp.Compare(a.Member, b.Member) })
 	p.admitAt = c.append(Entry{Voters: voters})
+	p.newcomer = false
+	c.refreshOthers()
 }
--- a/internal/process/replica/progress.go
+++ b/internal/process/replica/progress.go
@@ -22,6 +22,11 @@
 	disk uint64
 	// learner members take in the log and do not count.
 	learner bool
+	// ballot says in which lists its acknowledgements count while a member is
+	// being replaced.
+	ballot ballot
+	// newcomer members are in no list of voters yet.
+	newcomer bool
 	// askedAt is the leader's last index when the learner turned up.
 	askedAt uint64
 	// admitAt is the index of the list of voters that admits it, or 0.
@@ -32,6 +37,8 @@
 	probing bool
 	// told is the commit index last sent.
 	told uint64
+	// silent counts ticks since the last answer.
+	silent int
 	// snapshotWait counts heartbeats down after a snapshot was sent.
 	snapshotWait int
 }
@@ -41,7 +48,7 @@
 func (c *Core) quorumActive() bool {
 	active := 1
 	for _, p := range c.progress {
-		if p.active && !p.learner {
+		if p.active && (!p.learner || p.ballot.committed) {
 			active++
 		}
 		p.probing = p.probing || !p.active
@@ -159,6 +166,7 @@
 	p := c.progress[m.From]
 	c.identify(p, m)
 	p.active = true
+	p.silent = 0
 	if m.Reject {
 		c.backOff(m, p)
 		return
@@ -183,12 +191,13 @@
 func (c *Core) identify(p *progress, m Message) {
 	votes := c.counts(m)
 	if p.disk != m.Disk {
-		*p = progress{disk: m.Disk, next: c.log.last() + 1, probing: true, active: p.active}
+		*p = progress{disk: m.Disk, next: c.log.last() + 1, probing: true, active: p.active, newcomer: p.newcomer}
 	}
 	if !votes && !p.learner {
 		p.askedAt = c.log.last()
 	}
 	p.learner = !votes
+	p.ballot = c.ballotOf(m)
 }
 
 // backOff goes back to where the logs may match. Refusals of anything but the
@@ -206,18 +215,31 @@
 
 // advanceCommit commits what a majority holds durably, if it is of this term.
 func (c *Core) advanceCommit() {
-	matches := []uint64{c.log.stable}
-	for _, p := range c.progress {
-		if p.learner {
-			matches = append(matches, 0)
-			continue
-		}
-		matches = append(matches, p.match)
+	var index uint64
+	if c.replacing() == nil {
+		index = c.majorityHolds(func(p *progress) bool { return !p.learner })
+	} else {
+		index = min(c.majorityHolds(func(p *progress) bool { return p.ballot.committed }),
+			c.majorityHolds(func(p *progress) bool { return p.ballot.pending }))
 	}
-	slices.Sort(matches)
-	index := matches[len(matches)-c.majority()]
 	term, held := c.log.term(index)
 	if index > c.log.commit && held && term == c.term {
 		c.commitTo(index)
 	}
 }
+
+// majorityHolds returns the highest index that a majority holds durably, among
+// this member and those that count.
+func (c *Core) majorityHolds(counts func(*progress) bool) uint64 {
+	matches := []uint64{c.log.stable}
+	for _, p := range c.progress {
+		if counts(p) {
+			matches = append(matches, p.match)
+		}
+	}
+	if len(matches) < c.majority() {
+		return 0
+	}
+	slices.Sort(matches)
+	return matches[len(matches)-c.majority()]
+}
--- a/internal/process/replica/types.go
+++ b/internal/process/replica/types.go
@@ -55,6 +55,14 @@
 	Learning bool `cbor:"3,keyasint,omitempty"`
 	// Voters has one disk for each member.
 	Voters []Voter `cbor:"4,keyasint,omitempty"`
+	// Group identifies the group by its founders; 0 is that of the configured
+	// members.
+	Group uint64 `cbor:"5,keyasint,omitempty"`
+	// Founding is set on a fresh member that may found the group.
+	Founding bool `cbor:"6,keyasint,omitempty"`
+	// Newcomer is set on a learner that the group does not know, or not any more.
+	// It votes in lists that are not committed yet.
+	Newcomer bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Snapshot stands for all entries up to Index.
@@ -100,7 +108,7 @@
 	// Disk is the sender's disk, Voting whether the sender holds that it votes.
 	Disk   uint64
 	Voting bool
-	// Group identifies the list of members the sender was configured with.
+	// Group identifies the sender's group; 0 on a newcomer that knows of none.
 	Group uint64
 	// Term is the sender's term; in a pre-vote the term it would campaign in.
 	Term uint64
@@ -119,6 +127,11 @@
 	Known uint64
 	// Fresh is, in a probe's reply, whether the sender has no voters yet.
 	Fresh bool
+	// Placed is, in a probe's reply, whether the asker's disk is in the list of
+	// voters that the sender knows to be committed.
+	Placed bool
+	// Lead is, in a probe's reply, the leader that the sender knows, or "".
+	Lead string
 }
 
 // Role is what a member is in its term.
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -107,7 +107,7 @@
 func (s *Settings) checkSource(d *strictyaml.Document) {
 	members := s.Source.Members
 	d.Count("source.members", len(members), maxSources)
-	if n := len(members); n > 0 && n%2 == 0 {
+	if n := len(members); n > 0 && n%2 == 0 && !s.Source.Join {
 		d.Add("source.members", "want an odd number, such as 3 or 5: of %d, as many may fail as of %d", n, n-1)
 	}
 	var nodes, peers strictyaml.Unique
@@ -121,6 +121,9 @@
 			d.Add(key+".peer", "want listen.peer of this node, %q, got %q", s.Listen.Peer, m.Peer)
 		}
 	}
+	if _, err := netip.ParseAddr(s.Node); s.Source.Join && err != nil {
+		d.Add("node", "want the IP number of listen.peer, for source.join is set, got %q", s.Node)
+	}
 	if s.IsSource() && s.DataDir == "" {
 		d.Add("data_dir", "is required on a source, which %q is", s.Node)
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -79,6 +79,12 @@
 type Source struct {
 	// Members are the sources, an odd number, at most 7; the same on each node.
 	Members []Member `yaml:"members"`
+	// Join makes this node a source although it may be missing in Members: it
+	// takes the place of a source that is gone for good, once another one admits
+	// it. Nodes are then named by their IP number, and listen.peer has the same
+	// port everywhere, so that sources find each other when Members are out of
+	// date. Default false.
+	Join bool `yaml:"join"`
 	// Found allows an empty data folder to take part in the founding of the
 	// sources. With false it waits until another source admits it. Default true.
 	Found bool `yaml:"found"`
@@ -278,6 +284,9 @@
 
 // IsSource reports whether this node is one of the sources.
 func (s *Settings) IsSource() bool {
+	if s.Source.Join {
+		return true
+	}
 	for _, m := range s.Source.Members {
 		if m.Node == s.Node {
 			return true
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -30,6 +30,12 @@
 	// compactAfter and historyLimit are passed to each node.
 	compactAfter uint64
 	historyLimit int
+	// replaceTicks lets newcomers take the place of silent voters; founders are
+	// the members configured then.
+	replaceTicks int
+	founders     []string
+	// seeds are the members that a newcomer was told of.
+	seeds map[string][]string
 }
 
 type testMember struct {
@@ -60,6 +66,10 @@
 
 func (c *testCluster) start(id string) error {
 	m := c.members[id]
+	if c.seeds != nil {
+		// The settings of a restarted member name those that are there.
+		c.seeds[id] = slices.Clone(c.ids)
+	}
 	disk, restored, err := storage.Open(m.dir)
 	if err != nil {
 		return err
@@ -71,7 +81,8 @@
 		m.machine.limit = c.historyLimit
 	}
 	m.node, err = quorum.NewNode(replica.Config{
-		ID: id, Members: c.ids, ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
+		ID: id, Members: c.configured(id), ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
+		ReplaceTicks: c.replaceTicks, Joins: len(c.founders) > 0 && !slices.Contains(c.founders, id),
 	}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
 	if err == nil && c.compactAfter > 0 {
 		m.node.SetCompactAfter(c.compactAfter)
@@ -79,6 +90,48 @@
 	return err
 }
 
+func (c *testCluster) configured(id string) []string {
+	if seeds := c.seeds[id]; seeds != nil {
+		return seeds
+	}
+	if len(c.founders) > 0 {
+		return c.founders
+	}
+	return c.ids
+}
+
+// open lets newcomers in from here on; the members that are there are the
+// founders.
+func (c *testCluster) open(replaceTicks int) {
+	c.founders, c.replaceTicks = slices.Clone(c.ids), replaceTicks
+	for _, id := range c.ids {
+		c.crash(id, 0, false)
+		c.members[id].dir = newMemDir()
+		if err := c.start(id); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// join starts a newcomer.
+func (c *testCluster) join(id string) {
+	if c.seeds == nil {
+		c.seeds = map[string][]string{}
+	}
+	c.seeds[id] = slices.Clone(c.ids)
+	c.ids = append(c.ids, id)
+	c.members[id] = &testMember{id: id, dir: newMemDir(), lost: true}
+	if err := c.start(id); err != nil {
+		panic(err)
+	}
+}
+
+// remove takes a member away for good.
+func (c *testCluster) remove(id string) {
+	c.members[id].node = nil
+	c.ids = slices.DeleteFunc(c.ids, func(other string) bool { return other == id })
+}
+
 func (c *testCluster) crash(id string, keep int, oldNames bool) {
 	m := c.members[id]
 	m.node = nil
