Serve for all until a stopping daemon's callers know; leave a failure domain less

Cause: with stop.serve a daemon left the fleet at the order to stop and served its own callers for 2.5 s more: for that time the server beside it was lost to everyone else. Bytes between domains were the second price after machines. Change: it leaves 150 ms before it takes no more work.

--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -13,6 +13,9 @@
 // drainLimit bounds how long a closing listener takes what still comes.
 const drainLimit = time.Second
 
+// leaveSpread is how long the news that a daemon leaves takes to all others.
+const leaveSpread = 150 * time.Millisecond
+
 // httpServer is the server of one listener with what its planned stop needs.
 type httpServer struct {
 	*http.Server
@@ -44,11 +47,15 @@
 // began.
 func (d *Daemon) stop(servers map[string]*httpServer) {
 	d.leaving.Store(true)
-	d.mesh.Leave()
 	if d.set.Stop.Serve {
+		// Callers that have no other daemon come as before until they know; the
+		// server beside works for everyone meanwhile.
 		time.Sleep(d.set.Stop.LeaveDelay)
+		d.mesh.Leave()
+		time.Sleep(leaveSpread)
 		d.gateway.Leave()
 	} else {
+		d.mesh.Leave()
 		d.gateway.Leave()
 		d.drainCallers(servers)
 		time.Sleep(d.set.Stop.LeaveDelay)
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -34,7 +34,7 @@
 	farthest = 1.0
 	// crossing is the least handicap of another failure domain, as a part of the
 	// target: an answer that comes in time is not worth more for being sooner.
-	crossing = 0.25
+	crossing = 0.6
 	// busier is the part by which a server that is nearly full is slower than an
 	// idle one.
 	busier = 0.2
