--- a/bench/fleet/processes.go
+++ b/bench/fleet/processes.go
@@ -116,7 +116,7 @@
 	defer func() { _ = log.Close() }()
 	free(p.nodes[i].Listen)
 	cmd := exec.Command(p.program, "serve", "--settings", path)
-	cmd.Stderr = log
+	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start daemon")
 	}
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -19,7 +19,7 @@
 
 func TestManifests(t *testing.T) {
 	c := qt.New(t)
-	for file, routes := range map[string]int{"ahnenbach.yaml": 4, "ramdin.yaml": 8} {
+	for file, routes := range map[string]int{"ahnenbach.yaml": 4, "canary.yaml": 2, "ramdin.yaml": 8} {
 		raw, err := os.ReadFile(file)
 		c.Assert(err, qt.IsNil)
 		m, err := manifest.Parse(raw)
@@ -34,7 +34,7 @@
 func TestMeshesTogether(t *testing.T) {
 	c := qt.New(t)
 	state := fleet.Empty()
-	for _, file := range []string{"ahnenbach.yaml", "ramdin.yaml"} {
+	for _, file := range []string{"ahnenbach.yaml", "canary.yaml", "ramdin.yaml"} {
 		raw, err := os.ReadFile(file)
 		c.Assert(err, qt.IsNil)
 		m, err := manifest.Parse(raw)
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/daisygate/daisygate/examples"
 	"github.com/daisygate/daisygate/internal/connection/operator"
@@ -125,7 +126,7 @@
 		}
 	}
 	if o.verbose {
-		log, err := telemetry.NewLog(settings.Log{Format: "text"})
+		log, err := telemetry.NewLog(settings.Log{Format: "text"}, zapcore.Lock(os.Stderr))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -69,7 +69,9 @@
 	if err != nil {
 		return result.Errorf(result.UsageError, "%v", err)
 	}
-	log, err := telemetry.NewLog(set.Log)
+	sink := telemetry.NewSink(os.Stdout)
+	defer sink.Close()
+	log, err := telemetry.NewLog(set.Log, sink)
 	if err != nil {
 		return err
 	}
--- a/internal/process/telemetry/log.go
+++ b/internal/process/telemetry/log.go
@@ -4,7 +4,6 @@
 package telemetry
 
 import (
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,9 +15,10 @@
 	"github.com/daisygate/daisygate/internal/process/settings"
 )
 
-// NewLog builds the logger that the settings ask for; it writes to stderr.
-func NewLog(cfg settings.Log) (logr.Logger, error) {
-	return newLog(cfg, zapcore.Lock(os.Stderr))
+// NewLog builds the logger that the settings ask for. out must be safe for
+// concurrent use, as a Sink is.
+func NewLog(cfg settings.Log, out zapcore.WriteSyncer) (logr.Logger, error) {
+	return newLog(cfg, out)
 }
 
 func newLog(cfg settings.Log, out zapcore.WriteSyncer) (logr.Logger, error) {
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -128,6 +128,9 @@
 	cmd := exec.Command(path, args...)
 	p := &process{cmd: cmd, log: &bytes.Buffer{}}
 	cmd.Stderr = p.log
+	if firstLine == nil {
+		cmd.Stdout = p.log
+	}
 	var out io.Reader
 	if firstLine != nil {
 		pipe, err := cmd.StdoutPipe()
