--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
@@ -25,15 +24,6 @@
 // A vote or an acknowledgement counts only if its sender holds that it votes,
 // and if its disk is the one in the newest list of voters in the log.
 
-// A member that is gone for good is replaced by a newcomer of another name in
-// the same way. The newcomer asks; the leader sends it the log as to a learner,
-// and once it has caught up and a voter was silent for long, appends the list in
-// which the newcomer stands in the voter's place. The newcomer does not count
-// until it knows that list to be committed, so that a majority of the old list
-// commits it: whoever has not got the list cannot win an election among the old
-// members, whether the silent one is gone or only cut off. One that comes back
-// finds that it has no place any more, and asks for one like a newcomer.
-
 // abstained is the vote of a member admitted in a term without a known leader.
 const abstained = "(abstained)"
 
@@ -107,110 +97,6 @@
 	}
 }
 
-// refreshOthers brings the other members in step with the newest lists of
-// voters. A leader also sends to newcomers.
-func (c *Core) refreshOthers() {
-	names := map[string]bool{}
-	for _, list := range [][]Voter{c.membership.Voters, c.log.pendingVoters()} {
-		for _, v := range list {
-			names[v.Member] = true
-		}
-	}
-	if len(names) == 0 || !c.membership.Voting {
-		for _, id := range c.cfg.Members {
-			names[id] = true
-		}
-	}
-	for id, p := range c.progress {
-		if p.newcomer {
-			names[id] = true
-		}
-	}
-	if c.guide != "" && !c.membership.Voting {
-		names[c.guide] = true
-	}
-	delete(names, c.cfg.ID)
-	c.others = slices.Sorted(maps.Keys(names))
-	if c.role != Leader || c.progress == nil {
-		return
-	}
-	for _, id := range c.others {
-		if c.progress[id] == nil {
-			c.progress[id] = &progress{next: c.log.last() + 1, disk: c.diskOf(id), active: true}
-		}
-	}
-	maps.DeleteFunc(c.progress, func(id string, _ *progress) bool { return !names[id] })
-}
-
-// tickSilence counts the silence of the other members; a silent newcomer is
-// forgotten.
-func (c *Core) tickSilence() {
-	gone := false
-	for id, p := range c.progress {
-		p.silent++
-		if p.newcomer && p.silent > newcomerTicks {
-			delete(c.progress, id)
-			gone = true
-		}
-	}
-	if gone {
-		c.refreshOthers()
-	}
-}
-
-// newcomerTicks is how long a newcomer may be silent before the leader forgets
-// it.
-const newcomerTicks = 100
-
-// welcome begins to send the log to a newcomer.
-func (c *Core) welcome(id string, disk uint64) {
-	if c.role != Leader || c.cfg.ReplaceTicks == 0 || c.progress[id] != nil {
-		return
-	}
-	c.progress[id] = &progress{next: c.log.last() + 1, disk: disk, learner: true, newcomer: true, askedAt: c.log.last(), probing: true}
-	c.refreshOthers()
-	c.sendAppend(id, c.progress[id])
-}
-
-// silentVoter returns the voter that was silent for longest, if for long enough
-// to be replaced, or "".
-func (c *Core) silentVoter() string {
-	longest, name := c.cfg.ReplaceTicks, ""
-	for _, id := range c.others {
-		p := c.progress[id]
-		if p != nil && diskIn(c.membership.Voters, id) != 0 && p.silent >= longest {
-			longest, name = p.silent, id
-		}
-	}
-	return name
-}
-
-// askPlace has a voter that finds no leader ask whether it still has its place.
-func (c *Core) askPlace() {
-	if c.cfg.ReplaceTicks == 0 {
-		return
-	}
-	asked := slices.Concat(c.others, c.cfg.Members)
-	slices.Sort(asked)
-	for _, id := range slices.Compact(asked) {
-		if id != c.cfg.ID {
-			c.send(Message{Type: MsgProbe, To: id})
-		}
-	}
-}
-
-// losePlace takes the vote from a member that others, who are ahead of it, do
-// not know any more under this disk.
-func (c *Core) losePlace(m Message) {
-	if c.cfg.ReplaceTicks == 0 || m.Fresh || m.Placed || m.Commit <= c.log.commit || c.role == Leader {
-		return
-	}
-	c.membership.Voting, c.membership.Learning, c.membership.Newcomer = false, true, true
-	c.membershipChanged = true
-	c.becomeFollower(c.term, "")
-	c.refreshOthers()
-}
-
 func (c *Core) firstVoters() []Voter {
 	voters := []Voter{{Member: c.cfg.ID, Disk: c.membership.Disk}}
 	for id, disk := range c.seen {
@@ -296,57 +182,6 @@
 	return 0
 }
 
-// ballot is one vote for this member, by the lists in which it counts.
-type ballot struct{ committed, pending bool }
-
-// ballotOf says where a vote counts. In a list that is not committed yet a
-// newcomer's vote counts as well.
-func (c *Core) ballotOf(m Message) ballot {
-	pending := c.replacing()
-	if pending == nil {
-		return ballot{committed: c.counts(m)}
-	}
-	newcomer := diskIn(c.membership.Voters, m.From) == 0
-	return ballot{
-		committed: m.Voting && m.Disk == diskIn(c.membership.Voters, m.From),
-		pending:   (m.Voting || newcomer) && m.Disk == diskIn(pending, m.From),
-	}
-}
-
-// replacing returns the list of voters in the log that is not committed and has
-// other members than the one that is; nil without one.
-func (c *Core) replacing() []Voter {
-	pending := c.log.pendingVoters()
-	for _, v := range pending {
-		if diskIn(c.membership.Voters, v.Member) == 0 {
-			return pending
-		}
-	}
-	return nil
-}
-
-// elected reports whether the votes are enough: a majority, and while a member is
-// being replaced one of both lists (Ongaro and Ousterhout, section 6), for
-// nobody knows yet which of the two has decided something.
-func (c *Core) elected() bool {
-	var committed, pending int
-	for _, b := range c.votes {
-		if b.committed {
-			committed++
-		}
-		if b.pending {
-			pending++
-		}
-	}
-	return committed >= c.majority() && (c.replacing() == nil || pending >= c.majority())
-}
-
-// mayVote reports whether this member answers candidates: a voter, or a newcomer,
-// whose disk never lost anything that it acknowledged.
-func (c *Core) mayVote() bool {
-	return c.membership.Voting || c.membership.Newcomer && c.cfg.ReplaceTicks > 0
-}
-
 // counts reports whether a message comes from a disk that votes.
 func (c *Core) counts(m Message) bool {
 	return m.Voting && m.Disk == c.diskOf(m.From)
