Judge what waits by the time of its own route

Cause: a gate took the mean time of all requests for each. Of a service with calls of 15 ms, target 60 ms, and uploads of 72 ms, target 300 ms, calls were refused that would have been in time, and uploads waited that were not. Change: the gate keeps a smoothed time for each route.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -258,7 +258,7 @@
 	return x.g.serve(ctx, &work{
 		hooked: x.hooked, body: x.body, addr: to.Server.Addr, priority: x.route.Priority,
 		depth: x.told.Depth, deadline: x.deadline, fresh: !x.route.Repeatable,
-		id: x.told.ID, origin: x.origin, useful: x.useful(),
+		id: x.told.ID, origin: x.origin, useful: x.useful(), route: x.route.Name,
 	})
 }
 
@@ -289,6 +289,7 @@
 		headerMesh:     {x.route.Mesh},
 		headerService:  {x.target.Name},
 		headerPriority: {strconv.Itoa(x.route.Priority)},
+		headerRoute:    {x.route.Name},
 	}
 	if !x.route.Repeatable {
 		out.Added[headerFresh] = []string{"1"}
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -99,7 +99,7 @@
 	g.mu.Unlock()
 	if !waiting {
 		if d := <-reply; d.Verdict == admit.Start {
-			g.Leave(0)
+			g.Leave("", 0)
 		}
 	}
 	return refuse(code, code.Meaning())
@@ -114,11 +114,12 @@
 	}
 }
 
-// Leave returns a slot; took is the time to the answer's header, 0 without one.
-func (g *gate) Leave(took time.Duration) {
+// Leave returns the slot of a request of a kind; took is the time to the answer's
+// header, 0 without one.
+func (g *gate) Leave(kind string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.core.Finish(time.Now(), took)...)
+	g.deliver(g.core.Finish(time.Now(), kind, took)...)
 }
 
 // Load is how full the server is. A stalled one counts as full.
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -26,6 +26,7 @@
 	headerMesh     = prefix + "Mesh"
 	headerService  = prefix + "Service"
 	headerPriority = prefix + "Priority"
+	headerRoute    = prefix + "Route"
 	headerFresh    = prefix + "Fresh"
 	headerAlone    = prefix + "Alone"
 	// headerLoad tells with each answer to a forwarded call how full the server
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -77,7 +77,7 @@
 }
 
 func (k *work) ticket(now time.Time) admit.Ticket {
-	t := admit.Ticket{Priority: k.priority, Deadline: k.deadline, Useful: k.useful, Alone: k.hooked.Alone}
+	t := admit.Ticket{Priority: k.priority, Deadline: k.deadline, Useful: k.useful, Kind: k.route, Alone: k.hooked.Alone}
 	if wait := now.Add(aloneWait); t.Alone && wait.Before(t.Deadline) {
 		t.Deadline = wait
 	}
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -22,6 +22,8 @@
 	deadline time.Time
 	// fresh requests may not be repeated.
 	fresh bool
+	// route names the route in its mesh; requests of one take about the same time.
+	route string
 	// useful is when an answer has lost most of its worth; zero is not known.
 	useful time.Time
 	// id is the caller's name for the request, or "".
@@ -46,7 +48,7 @@
 		return nil, refused
 	}
 	if refused := g.admitSuspect(k); refused != nil {
-		b.gate.Leave(0)
+		b.gate.Leave("", 0)
 		return nil, refused
 	}
 	return g.hand(ctx, b, k)
@@ -72,7 +74,7 @@
 	span.Set(SpanServer, k.addr)
 	run := g.begin(k.addr, k.hooked)
 	var took time.Duration
-	out.Done = func() { b.gate.Leave(took) }
+	out.Done = func() { b.gate.Leave(k.route, took) }
 	start := time.Now()
 	resp, failure := b.pool.RoundTrip(ctx, out)
 	if failure != nil {
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -34,6 +34,8 @@
 	// it answers as many requests with a short queue as with a long one, and
 	// those of a short one in time.
 	Useful time.Time
+	// Kind groups tickets that take about the same time; "" is no group.
+	Kind string
 	// Alone asks to run with no other request on the server.
 	Alone bool
 
@@ -95,6 +97,7 @@
 	queue    []Ticket // in order of arrival; len is at most cfg.QueueMax
 	draining bool
 	limit    limiter
+	kinds    kinds
 	// moved is when a slot was last returned, or the first was taken.
 	moved time.Time
 }
@@ -255,7 +258,7 @@
 		return 0
 	}
 	useful := time.Duration(usefulShare * float64(t.Useful.Sub(now)))
-	return wait + c.limit.service - useful
+	return wait + c.kinds.service(t.Kind, c.limit.service) - useful
 }
 
 // wait estimates how long t would wait for a slot behind those before it.
@@ -297,10 +300,11 @@
 	return worst
 }
 
-// Finish returns a slot after took, the time to the header of the answer; 0
-// tells nothing. It decides who gets the slot.
-func (c *Core) Finish(now time.Time, took time.Duration) []Decision {
+// Finish returns the slot of a ticket of a kind after took, the time to the header
+// of the answer; 0 tells nothing. It decides who gets the slot.
+func (c *Core) Finish(now time.Time, kind string, took time.Duration) []Decision {
 	if took > 0 {
+		c.kinds.sample(kind, took)
 		c.limit.sample(now, took, c.running, c.cfg.Slots)
 	}
 	c.moved = now
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -43,7 +43,7 @@
 		}
 	case "finish":
 		for range max(1, number("times")) {
-			out = append(out, s.core.Finish(now, ms("took"))...)
+			out = append(out, s.core.Finish(now, "", ms("took"))...)
 		}
 	case "busy":
 		// busy keeps the slots full with requests that take so long, and longer
@@ -54,7 +54,7 @@
 			for s.core.Running() < s.core.Limit(now) {
 				s.core.Arrive(now, Ticket{ID: uint64(1000 + i), Deadline: now.Add(time.Minute)})
 			}
-			s.core.Finish(now, took)
+			s.core.Finish(now, "", took)
 		}
 	case "cancel":
 		return fmt.Sprintln("was waiting:", s.core.Cancel(uint64(number("id"))))
--- a/internal/request/balance/balance_test.go
+++ b/internal/request/balance/balance_test.go
@@ -88,7 +88,7 @@
 			}
 			took := exponential(serviceTime)
 			after(took, func() {
-				decide(gate.Finish(clock(), took))
+				decide(gate.Finish(clock(), "", took))
 				t.Ended(clock(), c, Answered)
 			})
 		}
--- a/internal/request/flow/flow_test.go
+++ b/internal/request/flow/flow_test.go
@@ -163,7 +163,7 @@
 			w.fail(a, d)
 		case !s.up:
 			w.fail(a, admit.Decision{Code: result.BackendRefused})
-			w.decide(s, s.gate.Finish(w.now, 0))
+			w.decide(s, s.gate.Finish(w.now, "", 0))
 		default:
 			w.run(s, a)
 		}
@@ -194,7 +194,7 @@
 	a := s.running[0]
 	s.running = s.running[1:]
 	w.do(a.caller, a.caller.call.Answered())
-	w.decide(s, s.gate.Finish(w.now, time.Millisecond*time.Duration(rapid.IntRange(1, 900).Draw(t, "took"))))
+	w.decide(s, s.gate.Finish(w.now, "", time.Millisecond*time.Duration(rapid.IntRange(1, 900).Draw(t, "took"))))
 }
 
 // crash ends everything that runs on a server, and flips whether it is up.
@@ -205,7 +205,7 @@
 	s.running = nil
 	for _, a := range lost {
 		w.fail(a, admit.Decision{Code: result.AnswerLost})
-		w.decide(s, s.gate.Finish(w.now, 0))
+		w.decide(s, s.gate.Finish(w.now, "", 0))
 	}
 }
 
