--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -246,7 +246,7 @@
 const (
 	// usefulShare is the part of the useful time within which the answer has to
 	// be expected: half of the requests take longer than expected.
-	usefulShare = 0.6
+	usefulShare = 0.5
 	// comeBackLeast is the least that a ticket is told which would be late.
 	comeBackLeast = 20 * time.Millisecond
 )
--- a/internal/request/admit/target_test.go
+++ b/internal/request/admit/target_test.go
@@ -43,7 +43,7 @@
 		c.Check(decisions[0].Code, qt.Equals, result.Overloaded)
 		c.Check(decisions[0].RetryAfter >= comeBackLeast, qt.IsTrue)
 	}
-	// 0.6 of 300 ms less 100 ms leave 80 ms to wait: one ahead takes 50 ms.
+	// half of 300 ms less 100 ms leaves 50 ms to wait: one ahead takes 50 ms.
 	c.Check(waiting, qt.Equals, 2)
 	// Without a target the deadline alone counts.
 	c.Check(core.Arrive(now, Ticket{ID: 30, Deadline: now.Add(time.Second)}), qt.HasLen, 0)
