--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -244,9 +244,9 @@
 }
 
 const (
-	// usefulShare is the part of the useful time within which the answer has to
+	// UsefulShare is the part of the useful time within which the answer has to
 	// be expected: half of the requests take longer than expected.
-	usefulShare = 0.5
+	UsefulShare = 0.5
 	// comeBackLeast is the least that a ticket is told which would be late.
 	comeBackLeast = 20 * time.Millisecond
 )
@@ -257,7 +257,7 @@
 	if t.Useful.IsZero() {
 		return 0
 	}
-	useful := time.Duration(usefulShare * float64(t.Useful.Sub(now)))
+	useful := time.Duration(UsefulShare * float64(t.Useful.Sub(now)))
 	return wait + c.kinds.service(t.Kind, c.limit.service) - useful
 }
 
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/version/directory"
 )
 
@@ -213,7 +214,12 @@
 	}
 	queue := max(0, inProgress+1-limit) / limit
 	crowd := busier * min(inProgress/limit, 1)
-	return service.Seconds()*(1+queue+crowd) + t.handicap(c, service, in.Target)
+	soonest := service.Seconds()*(1+queue) + t.handicap(c, service, in.Target)
+	if queue > 0 && service.Seconds()*(1+queue) > admit.UsefulShare*in.Target.Seconds() {
+		// Its gate is expected to refuse, which costs more than any way.
+		soonest += in.Target.Seconds()
+	}
+	return soonest + service.Seconds()*crowd
 }
 
 // handicap is in seconds.
