Look at the settings now and then; hold that SIGHUP cuts nothing

The settings may change without a signal: they are read each five seconds and taken in when they differ. TestHangupCutsNothing sends SIGHUP to daemons that carry calls, and faulty settings.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -84,23 +86,34 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	go reloads(ctx, hangups, d, load, log)
+	go reloads(ctx, hangups, d, load, set, log)
 	return d.Run(ctx)
 }
 
-// reloads reads the settings again at each hangup. Faulty ones change nothing.
-func reloads(ctx context.Context, hangups <-chan os.Signal, d *daemon.Daemon, load LoadPlatform, log logr.Logger) {
+// settingsPoll is how often the settings are looked at without a signal.
+const settingsPoll = 5 * time.Second
+
+// reloads reads the settings again at each hangup, and now and then, for they
+// may change without one. Faulty ones change nothing.
+func reloads(ctx context.Context, hangups <-chan os.Signal, d *daemon.Daemon, load LoadPlatform, last settings.Settings, log logr.Logger) {
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
 	for {
+		asked := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
+			asked = true
+		case <-ticker.C:
 		}
 		set, _, err := load()
-		if err != nil {
+		switch {
+		case err != nil:
 			log.Error(err, "settings not read again: the ones in force stay")
-			continue
+		case asked || !reflect.DeepEqual(set, last):
+			last = set
+			d.Reload(set)
 		}
-		d.Reload(set)
 	}
 }
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,7 +49,27 @@
 // process is one running process of the cluster.
 type process struct {
 	cmd *exec.Cmd
-	log *bytes.Buffer
+	log *logBuffer
+}
+
+// logBuffer gathers what a process writes, to be read meanwhile.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what was written so far.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 func (p *process) kill() {
@@ -126,7 +147,7 @@
 
 func launch(c *qt.C, firstLine *string, path string, args ...string) *process {
 	cmd := exec.Command(path, args...)
-	p := &process{cmd: cmd, log: &bytes.Buffer{}}
+	p := &process{cmd: cmd, log: &logBuffer{}}
 	cmd.Stderr = p.log
 	if firstLine == nil {
 		cmd.Stdout = p.log
--- /dev/null
+++ b/test/e2e/hangup_test.go
@@ -0,0 +1,39 @@
+package e2e
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+// TestHangupCutsNothing sends SIGHUP to daemons that carry calls: the settings
+// are read again, faulty ones change nothing, and no call is cut.
+func TestHangupCutsNothing(t *testing.T) {
+	c := qt.New(t)
+	cl := newArchive(c, 3, 0, 1)
+	load := cl.startLoad("/records/")
+	logged := func(n *node, text string) {
+		cl.eventually("the log line "+text, func() error {
+			if !strings.Contains(n.process.log.String(), text) {
+				return errors.Newf("no %q in the log", text)
+			}
+			return nil
+		})
+	}
+	for _, n := range cl.nodes {
+		c.Assert(n.process.cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+		logged(n, "settings read again")
+	}
+	faulty := cl.nodes[0]
+	c.Assert(os.WriteFile(cl.settingsPath(faulty), []byte("node: ["), 0o600), qt.IsNil)
+	c.Assert(faulty.process.cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	logged(faulty, "settings not read again")
+	sent := load.stop()
+	c.Check(len(sent) > 0, qt.IsTrue)
+	c.Check(load.errors, qt.HasLen, 0)
+	c.Check(get(faulty, "/records/1", "", "archive\n"), qt.IsNil)
+}
