Try servers that nobody has measured; read an announcement under its lock

A server without a measured time was taken for one of 50 ms, one that answered in 1 ms got everything; one that was slow once would have stayed out as long. And a data race: a request read the announcement that a drain replaced. Change: an unknown server counts as one like the others, a measured time loses its weight within seconds in which nobody uses the server; the announcement is read under the lock and its boot goes with the request. Before: TestUnknownServersAreTried fails. After: passes; the packages of requests and the gateway pass under the race detector.

--- a/internal/connection/gateway/backend.go
+++ b/internal/connection/gateway/backend.go
@@ -21,7 +21,7 @@
 
 // backend is one backend server beside this daemon.
 type backend struct {
-	// server is its newest announcement.
+	// server is its newest announcement; Gateway.mu guards it.
 	server presence.Server
 	gate   *gate
 	pool   *upstream.Pool
@@ -121,9 +121,10 @@
 	return snap.Service(snapshot.ServiceKey{Mesh: s.Mesh, Name: s.Service})
 }
 
-// backendAt returns the backend server at addr, or nil if none is announced. A
-// version that came into force since is applied first.
-func (g *Gateway) backendAt(addr string) *backend {
+// backendAt returns the backend server at addr and its newest announcement, or
+// nil if none is announced. A version that came into force since is applied
+// first.
+func (g *Gateway) backendAt(addr string) (*backend, presence.Server) {
 	snap := g.cfg.Directory().Snapshot
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -137,9 +138,9 @@
 	}
 	b := g.backends[addr]
 	if b == nil || b.gone {
-		return nil
+		return nil, presence.Server{}
 	}
-	return b
+	return b, b.server
 }
 
 // LocalLoad implements balance.Local.
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -128,7 +128,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	l := balance.Load{
-		Running: g.core.Running(), Queued: g.core.Queued(), Limit: g.core.Limit(now), Service: g.core.Service(),
+		Running: g.core.Running(), Queued: g.core.Queued(), Limit: g.core.Limit(now), Service: g.core.Service(), Idle: g.core.Idle(now),
 	}
 	if g.core.Stalled(now) {
 		l.Queued = max(l.Queued, l.Limit)
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/daisygate/daisygate/internal/connection/upstream"
+	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -30,13 +31,15 @@
 	id string
 	// origin is the service of the instance where the request began, or "".
 	origin string
+	// boot is the start of the server that the request was let in for, or "".
+	boot string
 }
 
 // serve runs a request on a backend server beside this daemon. The slot is held
 // until the server is done with it. The answer's body must be closed.
 func (g *Gateway) serve(ctx context.Context, k *work) (*http.Response, *refusal) {
-	b := g.backendAt(k.addr)
-	if b == nil || g.leaving.Load() || !b.serves(k) {
+	b, server := g.backendAt(k.addr)
+	if b == nil || g.leaving.Load() || !k.isFor(&server) {
 		return nil, refuse(result.Draining, "no new work for "+k.addr+" here")
 	}
 	if refused := g.admitSuspect(k); refused != nil {
@@ -51,20 +54,21 @@
 		b.gate.Leave("", 0)
 		return nil, refused
 	}
+	k.boot = server.Boot
 	return g.hand(ctx, b, k)
 }
 
-// serves reports whether the server at the address still is one of the service:
-// an address may belong to another service by now.
-func (b *backend) serves(k *work) bool {
-	return b.server.Mesh == k.hooked.Mesh && b.server.Service == k.hooked.Service
+// isFor reports whether the server at the address still is one of the service: an
+// address may belong to another service by now.
+func (k *work) isFor(s *presence.Server) bool {
+	return s.Mesh == k.hooked.Mesh && s.Service == k.hooked.Service
 }
 
 // hand passes a request that has its slot to the backend server.
 func (g *Gateway) hand(ctx context.Context, b *backend, k *work) (*http.Response, *refusal) {
 	out := k.body.outgoing(k.hooked.HTTP)
 	out.Added = g.cfg.Dialect.Server(ServerTold{
-		Left: time.Until(k.deadline), Depth: k.depth + 1, Boot: b.server.Boot, Origin: k.origin,
+		Left: time.Until(k.deadline), Depth: k.depth + 1, Boot: k.boot, Origin: k.origin,
 	})
 	out.IdleAge = backendIdleTimeout
 	if k.fresh {
--- a/internal/request/admit/occupancy.go
+++ b/internal/request/admit/occupancy.go
@@ -9,5 +9,8 @@
 // while none was measured.
 func (c *Core) Service() time.Duration { return c.limit.service }
 
+// Idle is how long ago the last request ended.
+func (c *Core) Idle(now time.Time) time.Duration { return now.Sub(c.moved) }
+
 // Slots is the most tickets that run at a time.
 func (c *Core) Slots() int { return c.cfg.Slots }
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -12,6 +12,8 @@
 package balance
 
 import (
+	"cmp"
+	"math"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
@@ -41,8 +43,15 @@
 	busier = 0.2
 	// noise keeps daemons that know the same from picking the same.
 	noise = 0.1
-	// usualTime stands for the time to answer while none was measured.
+	// usualTime stands for the time to answer while none was measured at any
+	// server.
 	usualTime = 50 * time.Millisecond
+	// usualShare is the weight of one server's time in that of all.
+	usualShare = 0.05
+	// forget is how long it takes for the time of a server that nobody uses to
+	// lose two thirds of its weight against that of all: one that was slow once
+	// is tried again.
+	forget = 5 * time.Second
 )
 
 // Input is what one pick depends on.
@@ -66,6 +75,8 @@
 	// Service is the smoothed time from the start of a request to its answer; 0
 	// is not known.
 	Service time.Duration
+	// Idle is how long ago Service was measured.
+	Idle time.Duration
 }
 
 // Local tells the load of the servers beside this daemon, which its own gates
@@ -97,6 +108,8 @@
 	slowStart  time.Duration
 	candidates []*directory.Candidate
 	tiers      [tiers][]*directory.Candidate
+	// usual is the smoothed time to answer of all servers; 0 is not known.
+	usual time.Duration
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
 }
@@ -205,13 +218,13 @@
 	if t.local != nil && c.Node.Name == t.self.Node {
 		if exact, ok := t.local.LocalLoad(c.Server.Addr); ok {
 			l, inProgress = exact, float64(exact.Running+exact.Queued)
+			if t.usual == 0 {
+				t.note(exact)
+			}
 		}
 	}
 	limit := max(float64(l.Limit)*t.warmth(now, c), 1)
-	service := l.Service
-	if service == 0 {
-		service = usualTime
-	}
+	service := t.timeOf(l)
 	queue := max(0, inProgress+1-limit) / limit
 	crowd := busier * min(inProgress/limit, 1)
 	soonest := service.Seconds()*(1+queue) + t.handicap(c, service, in.Target)
@@ -222,6 +235,28 @@
 	return soonest + service.Seconds()*crowd
 }
 
+// timeOf is the time to answer that is expected of a server without a queue. One
+// that was never measured is taken for one of all.
+func (t *Table) timeOf(l Load) time.Duration {
+	usual := cmp.Or(t.usual, usualTime)
+	if l.Service == 0 {
+		return usual
+	}
+	weight := math.Exp(-l.Idle.Seconds() / forget.Seconds())
+	return usual + time.Duration(weight*float64(l.Service-usual))
+}
+
+// note takes a measured time into that of all.
+func (t *Table) note(l Load) {
+	switch {
+	case l.Service == 0:
+	case t.usual == 0:
+		t.usual = l.Service
+	default:
+		t.usual += time.Duration(usualShare * float64(l.Service-t.usual))
+	}
+}
+
 // handicap is in seconds.
 func (t *Table) handicap(c *directory.Candidate, service, target time.Duration) float64 {
 	switch t.distance(c) {
--- /dev/null
+++ b/internal/request/balance/expected_test.go
@@ -0,0 +1,59 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/view"
+	"github.com/daisygate/daisygate/internal/version/directory"
+)
+
+func at(node, domain string) *directory.Candidate {
+	return &directory.Candidate{
+		Node:   view.Node{Name: node, Domain: domain},
+		Server: presence.Server{Addr: node, Slots: 4, State: presence.Serving},
+	}
+}
+
+// picks counts what a table picks, each time as if nothing was in progress.
+func picks(t *Table, now time.Time, target time.Duration) map[string]int {
+	count := map[string]int{}
+	for i := range 100 {
+		count[t.Pick(Input{Now: now, Seed: uint64(i), Target: target}).Node.Name]++
+	}
+	return count
+}
+
+// TestUnknownServersAreTried holds that a server nobody has measured is taken for
+// one like the others, and one that was slow once is tried again.
+func TestUnknownServersAreTried(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Place{Node: "here", Domain: "d"}, nil)
+	here, there := at("here", "d"), at("there", "d")
+	table.Update([]*directory.Candidate{here, there}, 0)
+	now := time.Unix(1000, 0)
+	table.Told(now, there, Load{Limit: 4, Service: time.Millisecond})
+	c.Check(picks(table, now, 0)["here"] > 80, qt.IsTrue)
+	table.Told(now, here, Load{Limit: 4, Service: 20 * time.Millisecond})
+	c.Check(picks(table, now, 0)["here"], qt.Equals, 0)
+	c.Check(picks(table, now.Add(time.Minute), 0)["here"] > 80, qt.IsTrue)
+}
+
+// TestFartherServers holds that another failure domain is used only for a gain
+// that matters within the target, or where the near one would refuse.
+func TestFartherServers(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Place{Node: "caller", Domain: "d"}, nil)
+	near, far := at("near", "d"), at("far", "e")
+	table.Update([]*directory.Candidate{near, far}, 0)
+	now := time.Unix(1000, 0)
+	const target = 200 * time.Millisecond
+	table.Told(now, far, Load{Limit: 4, Service: 20 * time.Millisecond})
+	table.Told(now, near, Load{Limit: 4, Service: 60 * time.Millisecond})
+	c.Check(picks(table, now, target)["near"], qt.Equals, 100)
+	table.Told(now, near, Load{Limit: 4, Running: 4, Queued: 8, Service: 60 * time.Millisecond})
+	c.Check(picks(table, now, target)["far"], qt.Equals, 100)
+}
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -44,6 +44,7 @@
 // estimate is the load of a server and the requests in progress on it.
 func (s *server) estimate(now time.Time, slots int) (Load, float64) {
 	l := s.load
+	l.Idle += max(0, now.Sub(s.heard))
 	if l.Limit == 0 {
 		l.Limit = max(slots, 1)
 	}
@@ -64,6 +65,7 @@
 func (t *Table) Told(now time.Time, c *directory.Candidate, l Load) {
 	if s := t.servers[c.Server.Addr]; s != nil {
 		s.load, s.heard, s.since = l, now, 0
+		t.note(l)
 	}
 }
 
