--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -22,7 +22,6 @@
 	"github.com/daisygate/daisygate/internal/process/settings"
 	"github.com/daisygate/daisygate/internal/process/telemetry"
 	"github.com/daisygate/daisygate/internal/result"
-	"github.com/daisygate/daisygate/internal/version/diff"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
@@ -252,8 +251,8 @@
 	if err != nil {
 		return "", errors.Wrap(err, "build request")
 	}
-	if len(d.manifest.Hosts) > 0 {
-		req.Host = d.manifest.Hosts[0]
+	if host := d.manifest.HostsOf(r)[0]; host != "" {
+		req.Host = host
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -275,8 +274,8 @@
 	if m := method(r); m != http.MethodGet {
 		options.WriteString("-X " + m + " ")
 	}
-	if len(d.manifest.Hosts) > 0 {
-		options.WriteString("-H 'Host: " + d.manifest.Hosts[0] + "' ")
+	if host := d.manifest.HostsOf(r)[0]; host != "" {
+		options.WriteString("-H 'Host: " + host + "' ")
 	}
 	return fmt.Sprintf("curl %shttp://%s%s", options.String(), n.Caller, r.Path)
 }
@@ -302,54 +301,3 @@
 	}
 	fmt.Fprintln(d.out, "\nInterrupt (Ctrl-C) ends it.")
 }
-
-// demo shows a request, a change, and the request again.
-func (d *devMesh) demo(ctx context.Context) error {
-	entry, route := d.mesh.Nodes[len(d.mesh.Nodes)-1], &d.manifest.Routes[0]
-	if err := d.show(ctx, "A request to daemon "+entry.Name, entry, route); err != nil {
-		return err
-	}
-	before := d.manifest
-	next, err := moved(before)
-	if err != nil {
-		return err
-	}
-	d.manifest = next
-	fmt.Fprintln(d.out, "\nA change:")
-	for _, c := range diff.Compare(before, next) {
-		fmt.Fprintln(d.out, "  "+c.String())
-	}
-	if err := d.apply(ctx); err != nil {
-		return err
-	}
-	return d.show(ctx, "The same request after the change", entry, &next.Routes[0])
-}
-
-func (d *devMesh) show(ctx context.Context, title string, n dev.Node, r *manifest.Route) error {
-	answer, err := d.request(ctx, n, r)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(d.out, "\n%s:\n  $ %s\n  %s\n", title, d.curl(n, r), strings.TrimSpace(answer))
-	return nil
-}
-
-// moved is the next version of m, with its first route at another service.
-func moved(m *manifest.Manifest) (*manifest.Manifest, error) {
-	raw, err := yaml.Marshal(m)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode manifest")
-	}
-	next, err := manifest.Parse(raw)
-	if err != nil {
-		return nil, errors.Wrap(err, "copy manifest")
-	}
-	next.Version++
-	for _, s := range next.Services {
-		if s.Name != next.Routes[0].Service {
-			next.Routes[0].Service = s.Name
-			return next, nil
-		}
-	}
-	return nil, usage("--demo needs a manifest with two services")
-}
--- /dev/null
+++ b/internal/cli/dev_demo.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"github.com/daisygate/daisygate/internal/process/dev"
+	"github.com/daisygate/daisygate/internal/version/diff"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// demo shows a request, a change, and the request again.
+func (d *devMesh) demo(ctx context.Context) error {
+	entry, route := d.mesh.Nodes[len(d.mesh.Nodes)-1], &d.manifest.Routes[0]
+	if err := d.show(ctx, "A request to daemon "+entry.Name, entry, route); err != nil {
+		return err
+	}
+	before := d.manifest
+	next, err := moved(before)
+	if err != nil {
+		return err
+	}
+	d.manifest = next
+	fmt.Fprintln(d.out, "\nA change:")
+	for _, c := range diff.Compare(before, next) {
+		fmt.Fprintln(d.out, "  "+c.String())
+	}
+	if err := d.apply(ctx); err != nil {
+		return err
+	}
+	if err := d.show(ctx, "The same request after the change", entry, &next.Routes[0]); err != nil {
+		return err
+	}
+	return d.showSplit(ctx, entry)
+}
+
+// The route that the demo adds: a host of its own, shared by two services.
+const (
+	splitRoute    = "demo-split"
+	splitHost     = "split.example"
+	splitRequests = 100
+)
+
+// withSplit adds the demo's route to m, unless it is there.
+func withSplit(m *manifest.Manifest, services [2]string) {
+	if slices.ContainsFunc(m.Routes, func(r manifest.Route) bool { return r.Name == splitRoute }) {
+		return
+	}
+	var route manifest.Route
+	route.SetDefaults()
+	route.Name, route.Path, route.Repeatable = splitRoute, "/", true
+	route.Hosts = []string{splitHost}
+	route.Split = []manifest.Share{{Service: services[0], Weight: 90}, {Service: services[1], Weight: 10}}
+	m.Routes = append(m.Routes, route)
+}
+
+// showSplit counts which service answers the requests of the demo's route.
+func (d *devMesh) showSplit(ctx context.Context, n dev.Node) error {
+	at := slices.IndexFunc(d.manifest.Routes, func(r manifest.Route) bool { return r.Name == splitRoute })
+	if at < 0 {
+		return nil
+	}
+	route := &d.manifest.Routes[at]
+	counts := map[string]int{}
+	for range splitRequests {
+		answer, err := d.request(ctx, n, route)
+		if err != nil {
+			return err
+		}
+		service, _, _ := strings.Cut(strings.TrimPrefix(answer, "answered by service "), " ")
+		counts[service]++
+	}
+	fmt.Fprintf(d.out, "\n%d requests to a host of its own, shared by weight:\n  $ %s\n", splitRequests, d.curl(n, route))
+	for _, share := range route.Split {
+		fmt.Fprintf(d.out, "  %s, weight %d: %d answers\n", share.Service, share.Weight, counts[share.Service])
+	}
+	return nil
+}
+
+func (d *devMesh) show(ctx context.Context, title string, n dev.Node, r *manifest.Route) error {
+	answer, err := d.request(ctx, n, r)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(d.out, "\n%s:\n  $ %s\n  %s\n", title, d.curl(n, r), strings.TrimSpace(answer))
+	return nil
+}
+
+// moved is the next version of m, with its first route at another service.
+func moved(m *manifest.Manifest) (*manifest.Manifest, error) {
+	raw, err := yaml.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode manifest")
+	}
+	next, err := manifest.Parse(raw)
+	if err != nil {
+		return nil, errors.Wrap(err, "copy manifest")
+	}
+	next.Version++
+	for _, s := range next.Services {
+		if s.Name != next.Routes[0].Service {
+			withSplit(next, [2]string{next.Routes[0].Service, s.Name})
+			next.Routes[0].Service = s.Name
+			return next, nil
+		}
+	}
+	return nil, usage("--demo needs a manifest with two services")
+}
