--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -89,6 +89,7 @@
 
 // find matches the route.
 func (x *exchange) find() *refusal {
+	x.told = x.g.cfg.Dialect.Caller(x.r)
 	if !x.g.cfg.Ready() {
 		return &refusal{Error: result.Errorf(result.NotReady, "no confirmed version yet"), back: retryAfterBusy}
 	}
@@ -112,7 +113,6 @@
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, most)
 	}
 	x.target = route.Pick(rand.Uint64())
-	x.told = x.g.cfg.Dialect.Caller(x.r)
 	if x.told.Depth >= depthMax {
 		return refuse(result.BadRequest, "the call is too deep; is there a loop?")
 	}
--- a/internal/connection/gateway/dialect_test.go
+++ b/internal/connection/gateway/dialect_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/result"
@@ -166,6 +167,23 @@
 	})
 }
 
+// TestRefusalsAreLogged holds that each refusal is logged with the request's id,
+// also one that was made before a route was found.
+func TestRefusalsAreLogged(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1)
+	f.speak()
+	var lines []string
+	f.gateways[0].log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	f.do(0, "GET", "/x", nil, "X-Id", "q1")
+	f.gateways[0].cfg.Ready = func() bool { return false }
+	f.do(0, "GET", "/x", nil, "X-Id", "q2")
+	c.Assert(lines, qt.HasLen, 2)
+	c.Check(lines[0], qt.Contains, `"id"="q1"`)
+	c.Check(lines[0], qt.Contains, `"servers"=0`)
+	c.Check(lines[1], qt.Contains, `"id"="q2" "result"="216 NotReady" "outcome"="not-run"`)
+}
+
 // TestOtherServiceAtTheAddress holds that the daemon beside a server refuses a
 // request for the service that its address had before.
 func TestOtherServiceAtTheAddress(t *testing.T) {
