Take resets for resets where a crashed server is away for seconds

What ran there was suspected and ran alone, which empties a server for one request. Change: servers.slow_restart, set on the platform, whose pages say that a crashed server is back after seconds: one that listens has not crashed. Before: TestResetsAreNoCrash fails. After: passes.

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -93,6 +93,8 @@
 	Directory func() *directory.Directory
 	// Publish replaces what this daemon reports.
 	Publish func([]presence.Suspect)
+	// SlowRestart is passed to package quarantine.
+	SlowRestart bool
 }
 
 // Quarantine keeps requests that crash backend servers away from the rest. It
@@ -109,7 +111,9 @@
 
 // NewQuarantine returns a Quarantine.
 func NewQuarantine(cfg QuarantineConfig, log logr.Logger) *Quarantine {
-	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(quarantine.DefaultConfig())}
+	core := quarantine.DefaultConfig()
+	core.SlowRestart = cfg.SlowRestart
+	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(core)}
 }
 
 // Screen implements Suspects.
--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -312,6 +312,7 @@
 func newSuspects(d *Daemon) *gateway.Quarantine {
 	return gateway.NewQuarantine(gateway.QuarantineConfig{
 		Self: d.set.Node, Directory: d.mesh.Directory, Publish: d.mesh.SetSuspects,
+		SlowRestart: d.set.Servers.SlowRestart,
 	}, d.log.WithName("quarantine"))
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -217,6 +217,10 @@
 	// HoldBytes is the largest answer that is read whole before it is passed on,
 	// so that a cut one is found in time; 0 streams every answer. Default 0.
 	HoldBytes int64 `yaml:"hold_bytes"`
+	// SlowRestart says that a server that crashed is away for seconds. Else one
+	// that still listens but lost several connections at one time is taken for
+	// crashed and back. Default false.
+	SlowRestart bool `yaml:"slow_restart"`
 	// Quarantine keeps requests away that crash servers. Default true.
 	Quarantine bool `yaml:"quarantine"`
 }
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -115,7 +115,7 @@
 		changed = c.ledger.clear(now, r.identity.Fingerprint())
 	case fate == Lost && r.blamed:
 		crashed = true
-	case fate == Lost && (!listening || c.restarted(addr)):
+	case fate == Lost && (!listening || !c.ledger.cfg.SlowRestart && c.restarted(addr)):
 		crashed, changed = true, true
 		c.crash(now, addr)
 	}
--- a/internal/request/quarantine/crash_test.go
+++ b/internal/request/quarantine/crash_test.go
@@ -40,3 +40,25 @@
 		})
 	}
 }
+
+// TestResetsAreNoCrash loses several connections of a server that goes on
+// listening: where a crash takes seconds, nobody is blamed.
+func TestResetsAreNoCrash(t *testing.T) {
+	for slow, want := range map[bool]quarantine.Mode{false: quarantine.Alone, true: quarantine.Free} {
+		c := qt.New(t)
+		cfg := quarantine.DefaultConfig()
+		cfg.SlowRestart = slow
+		core := quarantine.New(cfg)
+		a, b := core.Begin(start, "s", identity("a"), false), core.Begin(start, "s", identity("b"), false)
+		core.Drop(start, "s", a)
+		core.Drop(start, "s", b)
+		for _, run := range []uint64{a, b} {
+			core.End(start, "s", run, quarantine.Lost, true)
+		}
+		c.Check(core.Judge(start, fingerprint("a")).Mode, qt.Equals, want, qt.Commentf("slow restart %t", slow))
+		lost := core.Begin(start, "s", identity("c"), false)
+		core.Drop(start, "s", lost)
+		core.End(start, "s", lost, quarantine.Lost, false)
+		c.Check(core.Judge(start, fingerprint("c")).Mode, qt.Equals, quarantine.Alone)
+	}
+}
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -31,6 +31,10 @@
 	FirstHold, MaxHold time.Duration
 	// Max bounds the reports of one daemon.
 	Max int
+	// SlowRestart says that a server that crashed takes longer to come back than
+	// it is looked for: one that still listens has not crashed, however many
+	// connections it lost at one time.
+	SlowRestart bool
 }
 
 // DefaultConfig returns the documented settings.
