--- a/internal/connection/announce/announcement.go
+++ b/internal/connection/announce/announcement.go
@@ -38,10 +38,12 @@
 }
 
 const (
-	defaultLease  = 5
-	maxLease      = 60
-	maxName       = 128
-	maxCapacity   = 100000
+	defaultLease = 5
+	maxLease     = 60
+	maxName      = 128
+	// MaxCapacity is the most slots and connections of one server; as its
+	// connections it stands for no bound but the manifest's.
+	MaxCapacity   = 100000
 	maxColdMillis = 3600 * 1000
 )
 
@@ -79,7 +81,7 @@
 	case addrErr != nil || addr.Port() == 0 || addr.Addr().IsUnspecified():
 		return invalid("address: want ip:port, got %q", a.Address)
 	case !validCapacity(a.Slots) || !validCapacity(a.Connections):
-		return invalid("slots and connections: want 1 to %d, got %d and %d", maxCapacity, a.Slots, a.Connections)
+		return invalid("slots and connections: want 1 to %d, got %d and %d", MaxCapacity, a.Slots, a.Connections)
 	case !known:
 		return invalid("state: want warming, serving or draining, got %q", a.State)
 	case len(a.Boot) > maxName:
@@ -94,4 +96,4 @@
 
 func validName(s string) bool { return s != "" && len(s) <= maxName }
 
-func validCapacity(n int) bool { return n >= 1 && n <= maxCapacity }
+func validCapacity(n int) bool { return n >= 1 && n <= MaxCapacity }
--- a/internal/process/daemon/beside.go
+++ b/internal/process/daemon/beside.go
@@ -21,8 +21,6 @@
 	// besideUntil is when the server has announced itself in any case.
 	besideUntil = 3 * time.Second
 	healthBytes = 4 << 10
-	// besideConnections stands for no bound but the manifest's.
-	besideConnections = 100000
 )
 
 // askBeside finds the backend server beside a daemon that was restarted, ahead
@@ -86,7 +84,7 @@
 	}
 	refused := d.servers.Announce(announce.Announcement{
 		Mesh: beside.Mesh, Service: beside.Service, Address: beside.Addr, Slots: h.Slots,
-		Connections: besideConnections, LeaseSeconds: beside.LeaseSeconds, Boot: h.Boot,
+		Connections: announce.MaxCapacity, LeaseSeconds: beside.LeaseSeconds, Boot: h.Boot,
 	})
 	if refused != nil {
 		d.log.Error(refused, "backend server beside not taken in", "server", beside.Addr)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -104,6 +104,8 @@
 	platform Platform
 	// beside is the service that is announced beside this daemon, nil if none is.
 	beside atomic.Pointer[string]
+	// retries is the newest part of the fleet's retries.
+	retries atomic.Pointer[retryPart]
 }
 
 // New opens the listeners and the data folder. Run serves.
