Kill the server that has the upload, and keep short requests near

Ruled out: an upload that two servers got; the killed server was not the one chosen. Change: the handicap of another daemon is at least 1 ms, of another failure domain at least 2 ms (TestShortRequestsStay, failed before). The test asks the server whether the upload is there before it kills; one that went elsewhere has to be answered and run once, and the next one is tried. As strict: the same two kills with the same checks have to happen, or the test fails.

--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -38,6 +38,12 @@
 	// crossing is the least handicap of another failure domain, as a part of the
 	// target: an answer that comes in time is not worth more for being sooner.
 	crossing = 0.6
+	// nearLeast and fartherLeast are the least handicaps of another daemon and of
+	// another failure domain: what a second daemon and a round trip take at the
+	// least. Without them a request of less than a millisecond is sent away for a
+	// difference that its way costs more than once.
+	nearLeast    = time.Millisecond
+	fartherLeast = 2 * time.Millisecond
 	// busier is the part by which a server that is nearly full is slower than an
 	// idle one.
 	busier = 0.2
@@ -263,11 +269,11 @@
 	case beside:
 		return 0
 	case sameDomain:
-		return near * service.Seconds()
+		return max(near*service.Seconds(), nearLeast.Seconds())
 	case sameRegion:
-		return max(farther*service.Seconds(), crossing*target.Seconds())
+		return max(farther*service.Seconds(), crossing*target.Seconds(), fartherLeast.Seconds())
 	}
-	return max(farthest*service.Seconds(), 2*crossing*target.Seconds())
+	return max(farthest*service.Seconds(), 2*crossing*target.Seconds(), 2*fartherLeast.Seconds())
 }
 
 // warmth grows from coldShare to 1 while a server starts slowly.
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -57,3 +57,16 @@
 	table.Told(now, near, Load{Limit: 4, Running: 4, Queued: 8, Service: 60 * time.Millisecond})
 	c.Check(picks(table, now, target)["far"], qt.Equals, 100)
 }
+
+// TestShortRequestsStay holds that a request of less than a millisecond is not
+// sent to another failure domain for a difference that the way costs again.
+func TestShortRequestsStay(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Place{Node: "here", Domain: "d"}, nil)
+	here, far := at("here", "d"), at("far", "e")
+	table.Update([]*directory.Candidate{here, far}, 0)
+	now := time.Unix(1000, 0)
+	table.Told(now, here, Load{Limit: 4, Service: 900 * time.Microsecond})
+	table.Told(now, far, Load{Limit: 4, Service: 100 * time.Microsecond})
+	c.Check(picks(table, now, 0)["here"], qt.Equals, 100)
+}
--- a/test/e2e/call_test.go
+++ b/test/e2e/call_test.go
@@ -256,20 +256,38 @@
 
 // TestKilledInMidUpload kills the backend server, then the daemon beside
 // another, that an upload flows to: the caller sees the answer cut or learns
-// that the outcome is unknown, and no other server gets a part of it.
+// that the outcome is unknown, and no other server gets a part of it. An upload
+// that another server took is answered, and the next one is tried.
 func TestKilledInMidUpload(t *testing.T) {
 	c := qt.New(t)
 	cl := callMesh(c)
 	client := &http.Client{Transport: &http.Transport{}}
-	upload := func(id string, victim *process) {
-		s := sendCall(client, cl.nodes[:1], "POST", "/transfers/1", id, &drip{parts: 400, at: 200, call: victim.kill})
-		c.Check(s.err != nil || s.outcome == result.Unknown, qt.IsTrue, qt.Commentf("%+v", s))
+	upload := func(name string, at *backend, victim *process) string {
+		for i := range 50 {
+			id := fmt.Sprint(name, i)
+			flowing := false
+			body := &drip{parts: 400, at: 200, call: func() {
+				if flowing = at.runs(c)[id] > 0; flowing {
+					victim.kill()
+				}
+			}}
+			s := sendCall(client, cl.nodes[:1], "POST", "/transfers/1", id, body)
+			if flowing {
+				c.Check(s.err != nil || s.outcome == result.Unknown, qt.IsTrue, qt.Commentf("%+v", s))
+				return id
+			}
+			c.Assert(s.err, qt.IsNil)
+			c.Check(s.outcome, qt.Equals, result.Run)
+			c.Check(cl.survivorRuns()[id], qt.Equals, 1)
+		}
+		c.Fatalf("none of 50 uploads came to %s", at.addr)
+		return ""
 	}
-	upload("local", cl.backends[0].process)
-	c.Check(cl.survivorRuns()["local"], qt.Equals, 0)
+	local := upload("local", cl.backends[0], cl.backends[0].process)
+	c.Check(cl.survivorRuns()[local], qt.Equals, 0)
 	cl.backends[2].process.kill()
-	upload("forwarded", cl.nodes[1].process)
-	c.Check(cl.survivorRuns()["forwarded"], qt.Equals, 1)
+	forwarded := upload("forwarded", cl.backends[1], cl.nodes[1].process)
+	c.Check(cl.survivorRuns()[forwarded], qt.Equals, 1)
 }
 
 // TestFrozenServer stops a backend server with SIGSTOP: repeatable and other
