End the metrics' listener at a planned stop, and log what changes at the servers

Ruled out: requests in progress (none were). Change: it is the last in the order of stops. After: the test passes; the daemon ends.

--- a/internal/connection/gateway/requestlog.go
+++ b/internal/connection/gateway/requestlog.go
@@ -124,7 +124,7 @@
 	}
 	if b, _ := g.backendAt(k.addr); b != nil {
 		o := b.gate.occupancy(k.addr)
-		values = append(values, "running", o.Running, "queued", o.Queued, "slots", o.Slots)
+		values = append(values, "running", o.Running, "queued", o.Queued, "slots", o.Slots, "usual", b.gate.Load().Service.String())
 	}
 	if r == nil {
 		log.Info(LogServed, append(values, "status", resp.StatusCode)...)
--- a/internal/process/daemon/drain.go
+++ b/internal/process/daemon/drain.go
@@ -66,6 +66,7 @@
 func (d *Daemon) setServers(announced []presence.Server) {
 	d.drains.mu.Lock()
 	defer d.drains.mu.Unlock()
+	d.logServers(announced)
 	clear(d.drains.announced)
 	d.beside.Store(serviceBeside(announced))
 	for _, s := range announced {
@@ -74,6 +75,22 @@
 	d.publishServers()
 }
 
+// logServers tells what changed among the backend servers beside this daemon.
+// The caller holds the lock of the drains.
+func (d *Daemon) logServers(announced []presence.Server) {
+	gone := maps.Clone(d.drains.announced)
+	for _, s := range announced {
+		before, known := gone[s.Addr]
+		delete(gone, s.Addr)
+		if !known || before.State != s.State || before.Boot != s.Boot || before.Service != s.Service {
+			d.log.Info("backend server beside", "server", s.Addr, "service", s.Service, "boot", s.Boot, "state", s.State.String(), "slots", s.Slots)
+		}
+	}
+	for addr, s := range gone {
+		d.log.Info("backend server beside gone", "server", addr, "service", s.Service, "boot", s.Boot, "was", s.State.String())
+	}
+}
+
 // serviceBeside is the service of the one server beside a daemon; nil if there
 // is none or several of different services.
 func serviceBeside(servers []presence.Server) *string {
--- a/internal/process/daemon/fleet.go
+++ b/internal/process/daemon/fleet.go
@@ -72,20 +72,12 @@
 	for _, s := range servers {
 		list = append(list, operator.FleetServer{
 			Mesh: s.Mesh, Service: s.Service, Address: s.Addr,
-			Slots: s.Slots, Connections: s.Connections, State: serverState(s.State),
+			Slots: s.Slots, Connections: s.Connections, State: s.State.String(),
 		})
 	}
 	return list
 }
 
-func serverState(s presence.ServerState) string {
-	names := map[presence.ServerState]string{
-		presence.Joining: "joining", presence.Warming: "warming",
-		presence.Serving: "serving", presence.Draining: "draining",
-	}
-	return names[s]
-}
-
 func (d *Daemon) askStatus(ctx context.Context, addr string, into *operator.FleetNode) {
 	status := d.NodeStatus()
 	if into.Node != d.set.Node {
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -34,12 +34,25 @@
 	return &httpServer{Server: server, listener: tracker.Listen(d.limits[name], raw), tracker: tracker}
 }
 
+// stopOrder is the order in which the listeners end: what callers and servers
+// use first; the metrics tell of the stop until its end.
+var stopOrder = [...]string{"caller", "health", "announce", "control", "operator", "peer", "metrics"}
+
 func (d *Daemon) drainCallers(servers map[string]*httpServer) {
 	if callers := servers["caller"]; callers != nil {
 		callers.listener.Drain(drainLimit)
 	}
 }
 
+// inProgress counts the requests on the backend servers beside this daemon.
+func (d *Daemon) inProgress() int {
+	n := 0
+	for _, o := range d.gateway.Occupancy() {
+		n += o.Running + o.Queued
+	}
+	return n
+}
+
 // stop leaves the fleet first, then waits for what is in progress. New callers
 // find the port closed from the start; those on an open connection are told to
 // close it with their next answer, and idle connections get a last answer
@@ -47,6 +60,9 @@
 // began.
 func (d *Daemon) stop(servers map[string]*httpServer) {
 	d.leaving.Store(true)
+	began := time.Now()
+	d.log.Info("stopping", "leave_delay", d.set.Stop.LeaveDelay.String(), "timeout", d.set.Stop.Timeout.String(), "in_progress", d.inProgress())
+	defer func() { d.log.Info("stopped", "took", time.Since(began).String(), "cut", d.inProgress()) }()
 	if d.set.Stop.Serve {
 		// Callers that have no other daemon come as before until they know; the
 		// server beside works for everyone meanwhile.
@@ -62,7 +78,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.Stop.Timeout)
 	defer cancel()
-	for _, name := range []string{"caller", "health", "announce", "control", "operator", "peer"} {
+	for _, name := range stopOrder {
 		server := servers[name]
 		if server == nil {
 			continue
--- a/internal/process/presence/record.go
+++ b/internal/process/presence/record.go
@@ -19,6 +19,21 @@
 	Draining
 )
 
+// String returns the state in one word.
+func (s ServerState) String() string {
+	switch s {
+	case Joining:
+		return "joining"
+	case Warming:
+		return "warming"
+	case Serving:
+		return "serving"
+	case Draining:
+		return "draining"
+	}
+	return "unknown"
+}
+
 // TakesWork reports whether a server in this state gets new requests.
 func (s ServerState) TakesWork() bool { return s == Warming || s == Serving }
 
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -118,6 +118,9 @@
 	usual time.Duration
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
+	// Ejected is told of each server that is passed over for a while; nil tells
+	// nobody.
+	Ejected func(c *directory.Candidate, end End, d time.Duration)
 }
 
 // NewTable returns an empty table.
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -87,6 +87,21 @@
 	Neutral
 )
 
+// String says what happened.
+func (e End) String() string {
+	switch e {
+	case Answered:
+		return "answered"
+	case Full:
+		return "full"
+	case Failed:
+		return "failed several times in a row"
+	case Unreachable:
+		return "unreachable"
+	}
+	return "neutral"
+}
+
 // Sent notes that an attempt goes to c.
 func (t *Table) Sent(c *directory.Candidate) {
 	if s := t.servers[c.Server.Addr]; s != nil {
@@ -111,21 +126,31 @@
 	case Failed:
 		s.failures++
 		if s.failures >= failuresToEject && t.ejectedNow(now) < len(t.candidates)/2 {
-			s.eject(now)
+			t.eject(now, c, end)
 		}
 	case Unreachable:
-		s.eject(now)
+		t.eject(now, c, end)
 	}
 }
 
-func (s *server) eject(now time.Time) {
+// eject passes a server over for a while.
+func (t *Table) eject(now time.Time, c *directory.Candidate, end End) {
+	s := t.servers[c.Server.Addr]
 	if s.ejected(now) {
 		return
 	}
+	d := s.eject(now)
+	if t.Ejected != nil {
+		t.Ejected(c, end, d)
+	}
+}
+
+func (s *server) eject(now time.Time) time.Duration {
 	d := min(ejectFirst<<min(s.ejections, 16), ejectMax)
 	s.ejectedUntil = now.Add(d)
 	s.ejections++
 	s.failures = 0
+	return d
 }
 
 func (t *Table) ejectedNow(now time.Time) int {
