--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -322,6 +322,9 @@
 func TestRackFailureBlamesNobody(t *testing.T) {
 	c := qt.New(t)
 	cl := newArchive(c, 5, 0, 1, 2, 3, 4)
+	for i, n := range cl.nodes {
+		cl.answersBeside(n, cl.backends[i])
+	}
 	ctx := context.Background()
 	slow := map[string]string{standin.HeaderDelay: "1s", standin.HeaderID: "rack"}
 	get := func(n *node) told { return send(ctx, n, http.MethodGet, "/records/1", "", slow) }
