Let the sources grow to five voters where two disks may be lost at once

Ruled out: a daemon that was slow to take the version in (all went back at one time, right after the final fault). Change: source.voters, by the losses to be borne (2n+1). Three seeds found the group as before, the leader takes newcomers in one at a time until there are as many; the lists before and after need their own majorities while one is not known to be committed. No order is accepted by fewer in the first 3 s. A source that the settings do not name never founds. One that does not lead passes the question for the committed version on, for the leader need not be a seed. Tried and reverted: calling every learner not fresh (a learner then takes the vote from those who have one: TestFaults).

--- a/internal/process/daemon/committed.go
+++ b/internal/process/daemon/committed.go
@@ -7,7 +7,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-const sourceCommitted = "Source.Committed"
+// The names of the control methods for the committed version.
+const (
+	sourceCommitted     = "Source.Committed"
+	sourceCommittedHere = "Source.CommittedHere"
+)
 
 // The direct question of a daemon that starts.
 const (
@@ -57,8 +61,25 @@
 }
 
 // Committed returns the version that is committed, if this source leads and a
-// majority has told so since the question.
+// majority has told so since the question. One that does not lead asks the leader:
+// daemons know only the sources that their settings name.
 func (s *sourceService) Committed(_ Empty, version *uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), committedTimeout)
+	defer cancel()
+	err := s.CommittedHere(Empty{}, version)
+	if !errors.Is(err, errNotLeading) {
+		return err
+	}
+	lead := s.d.source.Status().Lead
+	addr, known := s.d.memberAddr(lead)
+	if lead == s.d.set.Node || !known {
+		return err
+	}
+	return s.d.pool.Call(ctx, addr, sourceCommittedHere, Empty{}, version)
+}
+
+// CommittedHere is Committed at a source that is taken for the leader.
+func (s *sourceService) CommittedHere(_ Empty, version *uint64) error {
 	if s.d.leadership == nil {
 		return errNotSource
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -217,7 +217,7 @@
 	d.source, err = source.Open(quorum.Config{
 		ID: d.set.Node, Members: d.configured(), DataDir: filepath.Join(d.set.DataDir, "source"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, FirstTicks: sourceFirstTicks, Seed: seed, Idempotent: true,
-		Joins: !d.set.Source.Found, ReplaceTicks: d.replaceTicks(),
+		Joins: !d.founds(), ReplaceTicks: d.replaceTicks(), Voters: d.set.Source.Voters,
 	}, transport{d}, d.log.WithName("source"), d.mesh.Publish)
 	d.leadership = d.newLeadership()
 	return err
@@ -228,6 +228,12 @@
 	return slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == d.self.Addr })
 }
 
+// founds reports whether this source may found the group: one that the settings
+// do not name waits to be admitted.
+func (d *Daemon) founds() bool {
+	return d.set.Source.Found && (!d.set.Source.Join || slices.Contains(d.configured(), d.set.Node))
+}
+
 // replaceTicks is 0 where the sources are those of the settings.
 func (d *Daemon) replaceTicks() int {
 	if d.set.Source.Join {
--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -28,9 +28,10 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	FirstTicks     int
-	// Joins and ReplaceTicks are passed to replica.
+	// Joins, ReplaceTicks and Voters are passed to replica.
 	Joins        bool
 	ReplaceTicks int
+	Voters       int
 	Seed         uint64
 	// Idempotent says that the state machine answers a resent command with its
 	// first answer: Propose then resends when an outcome is unknown.
@@ -80,7 +81,7 @@
 	node, err := NewNode(replica.Config{
 		ID: cfg.ID, Members: cfg.Members,
 		ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks, FirstTicks: cfg.FirstTicks, Seed: cfg.Seed,
-		Joins: cfg.Joins, ReplaceTicks: cfg.ReplaceTicks,
+		Joins: cfg.Joins, ReplaceTicks: cfg.ReplaceTicks, Voters: cfg.Voters,
 	}, restored, disk, machine, transport.Send, log)
 	if err != nil {
 		return nil, errors.CombineErrors(err, disk.Close())
--- a/internal/process/replica/ballot.go
+++ b/internal/process/replica/ballot.go
@@ -3,16 +3,18 @@
 // ballot is one vote for this member, by the lists in which it counts.
 type ballot struct{ committed, pending bool }
 
-// ballotOf says where a vote counts. In a list that is not committed yet a
-// newcomer's vote counts as well.
+// ballotOf says where a vote counts. That of a newcomer counts in the lists that
+// name its disk although it does not know yet that it votes: its disk lost
+// nothing, and those who know that the list is committed may be too few without
+// it.
 func (c *Core) ballotOf(m Message) ballot {
 	pending := c.replacing()
 	if pending == nil {
-		return ballot{committed: c.counts(m)}
+		return ballot{committed: c.counts(m) || m.Newcomer && m.Disk == c.diskOf(m.From)}
 	}
-	newcomer := diskIn(c.membership.Voters, m.From) == 0
+	newcomer := m.Newcomer || diskIn(c.membership.Voters, m.From) == 0
 	return ballot{
-		committed: m.Voting && m.Disk == diskIn(c.membership.Voters, m.From),
+		committed: (m.Voting || m.Newcomer) && m.Disk == diskIn(c.membership.Voters, m.From),
 		pending:   (m.Voting || newcomer) && m.Disk == diskIn(pending, m.From),
 	}
 }
@@ -30,7 +32,8 @@
 			pending++
 		}
 	}
-	return committed >= c.majority() && (c.replacing() == nil || pending >= c.majority())
+	replacing := c.replacing()
+	return committed >= c.majority() && (replacing == nil || pending >= majorityOf(replacing))
 }
 
 // mayVote reports whether this member answers candidates: a voter, or a newcomer,
--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -22,6 +22,9 @@
 	// ReplaceTicks is how long a voter has to be silent before a newcomer may
 	// take its place; 0 never lets one.
 	ReplaceTicks int
+	// Voters is how many voters the group grows to as newcomers ask; fewer than
+	// founded it is no growth.
+	Voters int
 	// ElectionTicks is the least number of ticks without a leader before a
 	// campaign; the actual number is drawn from [ElectionTicks, 2*ElectionTicks).
 	ElectionTicks int
@@ -173,15 +176,17 @@
 	}
 }
 
-// majority is of the newest list of voters; the number of members stays what it
-// was at the founding.
+// majority is of the committed list of voters, or of the configured members
+// before the founding.
 func (c *Core) majority() int {
 	if n := len(c.membership.Voters); n > 0 {
-		return n/2 + 1
+		return majorityOf(c.membership.Voters)
 	}
 	return len(c.cfg.Members)/2 + 1
 }
 
+func majorityOf(voters []Voter) int { return len(voters)/2 + 1 }
+
 func (c *Core) append(e Entry) uint64 {
 	e.Term = c.term
 	e.Index = c.log.last() + 1
@@ -206,6 +211,7 @@
 	m.From = c.cfg.ID
 	m.Disk = c.membership.Disk
 	m.Voting = c.membership.Voting
+	m.Newcomer = c.membership.Newcomer
 	m.Group = c.group
 	c.messages = append(c.messages, m)
 }
--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -152,7 +152,8 @@
 	if c.group == 0 {
 		c.group, c.membership.Group = m.Group, m.Group
 	}
-	if !m.Fresh && m.Known != c.membership.Disk {
+	// One that has lost its place founds no group either.
+	if (!m.Fresh || m.Newcomer) && m.Known != c.membership.Disk {
 		c.membership.Learning = true
 		c.membership.Newcomer = m.Known == 0
 		c.membershipChanged = true
@@ -237,7 +238,7 @@
 	}
 	leaves := id
 	if diskIn(c.membership.Voters, id) == 0 {
-		if leaves = c.silentVoter(); leaves == "" {
+		if leaves = c.silentVoter(); leaves == "" && len(c.membership.Voters) >= c.cfg.Voters {
 			return
 		}
 	}
--- a/internal/process/replica/progress.go
+++ b/internal/process/replica/progress.go
@@ -216,11 +216,11 @@
 // advanceCommit commits what a majority holds durably, if it is of this term.
 func (c *Core) advanceCommit() {
 	var index uint64
-	if c.replacing() == nil {
-		index = c.majorityHolds(func(p *progress) bool { return !p.learner })
+	if replacing := c.replacing(); replacing == nil {
+		index = c.heldBy(c.majority(), func(p *progress) bool { return !p.learner })
 	} else {
-		index = min(c.majorityHolds(func(p *progress) bool { return p.ballot.committed }),
-			c.majorityHolds(func(p *progress) bool { return p.ballot.pending }))
+		index = min(c.heldBy(c.majority(), func(p *progress) bool { return p.ballot.committed }),
+			c.heldBy(majorityOf(replacing), func(p *progress) bool { return p.ballot.pending }))
 	}
 	term, held := c.log.term(index)
 	if index > c.log.commit && held && term == c.term {
@@ -228,18 +228,18 @@
 	}
 }
 
-// majorityHolds returns the highest index that a majority holds durably, among
-// this member and those that count.
-func (c *Core) majorityHolds(counts func(*progress) bool) uint64 {
+// heldBy returns the highest index that so many members hold durably, of this one
+// and those that count.
+func (c *Core) heldBy(members int, counts func(*progress) bool) uint64 {
 	matches := []uint64{c.log.stable}
 	for _, p := range c.progress {
 		if counts(p) {
 			matches = append(matches, p.match)
 		}
 	}
-	if len(matches) < c.majority() {
+	if len(matches) < members {
 		return 0
 	}
 	slices.Sort(matches)
-	return matches[len(matches)-c.majority()]
+	return matches[len(matches)-members]
 }
--- a/internal/process/replica/replace.go
+++ b/internal/process/replica/replace.go
@@ -11,6 +11,10 @@
 // voter was silent for long, appends the list in which the newcomer stands in the
 // voter's place.
 //
+// A group that is smaller than it should be takes newcomers in without anyone
+// leaving. One more takes its place at a time, so that any majority of the list
+// before and any of the list after have a member in common.
+//
 // Until that list is known to be committed, elections and commits need a majority
 // of both lists, for nobody knows which of the two has decided something. One
 // that comes back finds that it has no place any more, and asks for one like a
--- a/internal/process/replica/types.go
+++ b/internal/process/replica/types.go
@@ -108,6 +108,8 @@
 	// Disk is the sender's disk, Voting whether the sender holds that it votes.
 	Disk   uint64
 	Voting bool
+	// Newcomer is set if the sender has no vote yet, and its disk lost nothing.
+	Newcomer bool
 	// Group identifies the sender's group; 0 on a newcomer that knows of none.
 	Group uint64
 	// Term is the sender's term; in a pre-vote the term it would campaign in.
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -112,6 +112,12 @@
 	if n := len(members); n > 0 && n%2 == 0 && !s.Source.Join {
 		d.Add("source.members", "want an odd number, such as 3 or 5: of %d, as many may fail as of %d", n, n-1)
 	}
+	if n := s.Source.Voters; n != 0 {
+		strictyaml.Range(d, "source.voters", n, 1, maxSources)
+		if n%2 == 0 {
+			d.Add("source.voters", "want an odd number, such as 3 or 5: of %d, as many may fail as of %d", n, n-1)
+		}
+	}
 	var nodes, peers strictyaml.Unique
 	for i, m := range members {
 		key := fmt.Sprintf("source.members[%d]", i)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -88,6 +88,10 @@
 	// port everywhere, so that sources find each other when Members are out of
 	// date. Default false.
 	Join bool `yaml:"join"`
+	// Voters is how many sources vote, an odd number: while there are fewer, those
+	// that join are taken in beside the others. Three bear the loss of one, five of
+	// two. 0 is as many as Members. Default 0.
+	Voters int `yaml:"voters"`
 	// Found allows an empty data folder to take part in the founding of the
 	// sources. With false it waits until another source admits it. Default true.
 	Found bool `yaml:"found"`
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -34,8 +34,12 @@
 	// the members configured then.
 	replaceTicks int
 	founders     []string
+	// voters is the number of voters that the group grows to.
+	voters int
 	// seeds are the members that a newcomer was told of.
 	seeds map[string][]string
+	// fixedSeeds keeps the settings of members that are restarted.
+	fixedSeeds bool
 }
 
 type testMember struct {
@@ -66,7 +70,7 @@
 
 func (c *testCluster) start(id string) error {
 	m := c.members[id]
-	if c.seeds != nil {
+	if c.seeds != nil && !c.fixedSeeds {
 		// The settings of a restarted member name those that are there.
 		c.seeds[id] = slices.Clone(c.ids)
 	}
@@ -82,7 +86,7 @@
 	}
 	m.node, err = quorum.NewNode(replica.Config{
 		ID: id, Members: c.configured(id), ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
-		ReplaceTicks: c.replaceTicks, Joins: len(c.founders) > 0 && !slices.Contains(c.founders, id),
+		ReplaceTicks: c.replaceTicks, Voters: c.voters, Joins: len(c.founders) > 0 && !slices.Contains(c.founders, id),
 	}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
 	if err == nil && c.compactAfter > 0 {
 		m.node.SetCompactAfter(c.compactAfter)
--- a/internal/process/source/replace_test.go
+++ b/internal/process/source/replace_test.go
@@ -22,6 +22,51 @@
 	return c
 }
 
+// openGrowing returns a cluster of three founders that has grown to five voters,
+// with one more member that has no place.
+func openGrowing() *testCluster {
+	cl := newTestCluster(3, fuzzCompactAfter)
+	cl.voters, cl.fixedSeeds = 5, true
+	cl.open(replaceAfter)
+	for _, id := range []string{"d", "e", "f"} {
+		cl.join(id)
+		cl.seeds[id] = []string{"a", "b", "c"}
+	}
+	cl.run(200)
+	return cl
+}
+
+// TestGroupGrows holds that three founders take in two more voters and leave a
+// sixth out, and that what was accepted then outlasts the loss of two disks at
+// one time, whichever they are, while everyone else loses power.
+func TestGroupGrows(t *testing.T) {
+	for first := range 6 {
+		for second := range first {
+			t.Run(fmt.Sprint(second, first), func(t *testing.T) {
+				c := qt.New(t)
+				cl := openGrowing()
+				c.Assert(len(cl.leader().node.Status().Members), qt.Equals, 5)
+				c.Assert(cl.accept(1), qt.IsTrue)
+				lost := []string{cl.ids[first], cl.ids[second]}
+				for _, id := range cl.ids {
+					cl.crash(id, 0, false)
+				}
+				for _, id := range lost {
+					cl.loseDisk(id)
+				}
+				for _, id := range cl.ids {
+					c.Assert(cl.start(id), qt.IsNil)
+				}
+				cl.run(400)
+				c.Assert(cl.leader(), qt.IsNotNil)
+				c.Check(cl.leader().machine.state.Version, qt.Equals, uint64(1))
+				c.Check(cl.accept(2), qt.IsTrue)
+				c.Check(cl.fault, qt.Equals, "")
+			})
+		}
+	}
+}
+
 func (c *testCluster) votes(id string) bool {
 	state := c.members[id].node.Status().Repair.State
 	return state == replica.RepairNone || state == replica.RepairDone
@@ -147,6 +192,32 @@
 	f.healReplaced()
 }
 
+// TestGrownGroupUnderFaults draws faults at random against five voters and one
+// more member; two disks are lost at one time.
+func TestGrownGroupUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &faulty{testCluster: openGrowing(), t: t, versions: map[string]uint64{}}
+		loseTwo := func() {
+			if f.voting() < 5 {
+				return // the last loss is not made good yet
+			}
+			f.loseDisk(f.pick().id)
+			f.loseDisk(f.pick().id)
+		}
+		actions := []func(){
+			f.submitSome, f.submitSome, f.deliverSome, f.deliverSome, f.deliverTo, f.campaign, f.runSome, f.runSome, f.runSome,
+			f.dropSome, f.partition, f.healLinks, f.crashOne, f.startAll, f.startAll, f.hold, f.release, loseTwo,
+		}
+		for range rapid.IntRange(20, 100).Draw(t, "steps") {
+			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
+			if f.fault != "" {
+				t.Fatal(f.fault)
+			}
+		}
+		f.healReplaced()
+	})
+}
+
 // voting counts the members of the newest list that run and know that they vote.
 func (f *faulty) voting() (count int) {
 	var newest quorum.Status
--- a/internal/process/source/source.go
+++ b/internal/process/source/source.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -33,11 +34,20 @@
 	machine  *machine
 	version  atomic.Uint64
 	onAccept func(*fleet.State)
+	// voters is how many sources are to vote; until growUntil nothing is accepted
+	// by fewer.
+	voters    int
+	growUntil time.Time
 }
 
+// growTime is how long a source that starts waits for the group to have all its
+// voters: what fewer accept does not outlast the losses that are allowed for. A
+// newcomer is admitted within a second; after that the group makes do.
+const growTime = 3 * time.Second
+
 // Open reads the data folder. onAccept is called from Run with each new state.
 func Open(cfg quorum.Config, transport quorum.Transport, log logr.Logger, onAccept func(*fleet.State)) (*Source, error) {
-	s := &Source{onAccept: onAccept}
+	s := &Source{onAccept: onAccept, voters: cfg.Voters, growUntil: time.Now().Add(growTime)}
 	running := false
 	s.machine = newMachine(log, func(state *fleet.State) {
 		s.version.Store(state.Version)
@@ -100,6 +110,9 @@
 	if err := compiles(&o.Manifest); err != nil {
 		return Answer{Code: result.ManifestInvalid, Detail: err.Error()}, nil
 	}
+	if n := len(s.group.Status().Members); n < s.voters && time.Now().Before(s.growUntil) {
+		return Answer{Code: result.NoQuorum, Detail: fmt.Sprintf("the sources are being founded: %d of %d vote", n, s.voters)}, nil
+	}
 	return s.propose(ctx, Command{Manifest: o.Manifest, Submitted: time.Now().UTC(), Base: o.Base, Text: o.Text})
 }
 
