Let large bodies come in over a thin link two at a time

Ruled out: the servers (3 to 7 of 9 slots busy, nothing queued), the processor (0.008 of 0.16 cores).

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,22 @@
 	// stall is the window's length after a part of the body came; 0 leaves the
 	// window as it is.
 	stall time.Duration
+	// came and left, if set, are told of the parts of a streamed body, and once of
+	// its end.
+	came func(bytes int)
+	left func()
+}
+
+// counts has the parts of the body told to came, and its end to left.
+func (b *requestBody) counts(came func(bytes int), left func()) {
+	b.came, b.left = came, sync.OnceFunc(left)
+}
+
+// leave tells that no more of the body comes.
+func (b *requestBody) leave() {
+	if b.left != nil {
+		b.left()
+	}
 }
 
 // newRequestBody reads a small body, or readies a larger one for streaming.
@@ -100,6 +117,12 @@
 	if b.stall > 0 {
 		b.window.extend(b.stall)
 	}
+	if b.came != nil {
+		b.came(n)
+	}
+	if err != nil {
+		b.leave()
+	}
 	if err == io.EOF {
 		b.whole.Store(true)
 	}
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -130,6 +130,7 @@
 		x.refuse(refuse(result.BadRequest, "the body did not come whole: "+err.Error()))
 		return
 	}
+	defer body.leave()
 	x.body = body
 	pin, refused := x.screen()
 	if refused != nil {
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -136,6 +136,13 @@
 	return l
 }
 
+// usual is the time that requests of a kind take.
+func (g *gate) usual(kind string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Usual(kind)
+}
+
 // Running is the number of slots in use.
 func (g *gate) Running() int {
 	g.mu.Lock()
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -63,6 +63,9 @@
 	// HoldBytes is the largest answer that is read whole before it is passed on;
 	// 0 streams every answer.
 	HoldBytes int64
+	// LinkBytes is what the instance's link takes in, in bytes a second; 0 is not
+	// known, and large bodies then come as they like.
+	LinkBytes float64
 	// Refused is told of a backend server at whose address nobody listens.
 	Refused func(addr string)
 	// Retry bounds the further attempts of this daemon.
@@ -78,6 +81,7 @@
 	cfg      Config
 	log      logr.Logger
 	requests *requestLog
+	link     *link
 	peers    *peers
 	started  time.Time
 	leaving  atomic.Bool
@@ -125,7 +129,7 @@
 		cfg.Calls = defaultCalls
 	}
 	return &Gateway{
-		cfg: cfg, log: log, requests: newRequestLog(cfg.RequestLog, cfg.RequestLines), started: time.Now(), peers: newPeers(), shares: share.New(cfg.Calls),
+		cfg: cfg, log: log, requests: newRequestLog(cfg.RequestLog, cfg.RequestLines), link: newLink(cfg.LinkBytes), started: time.Now(), peers: newPeers(), shares: share.New(cfg.Calls),
 		backends: map[string]*backend{}, services: map[snapshot.ServiceKey]*service{},
 	}
 }
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -26,6 +26,7 @@
 		code = result.CallerLeft
 		panic(http.ErrAbortHandler)
 	}
+	defer body.leave()
 	k.hooked.HTTP, k.hooked.Body, k.body = r, body.small, body
 	resp, refused := g.serve(ctx, k)
 	g.setClose(w.Header())
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -54,10 +54,14 @@
 	if refused := g.admitSuspect(k); refused != nil {
 		return nil, refused
 	}
+	if refused := g.link.enter(ctx, k, b.gate.usual(k.route)); refused != nil {
+		return nil, refused
+	}
 	entered := time.Now()
 	refused := b.gate.Enter(ctx, k.ticket(entered))
 	k.waited = time.Since(entered)
 	if refused != nil {
+		k.body.leave()
 		g.cfg.Observer.Refused(Refused{Server: k.addr, Code: refused.Code, Waited: k.waited})
 		return nil, refused
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -198,6 +198,7 @@
 		Directory: d.mesh.Directory, Ready: d.Ready, Observer: d.metrics, Tracer: d.tracer(),
 		Abrupt: !d.set.Servers.Linger, FixedSlots: !d.set.Servers.Adapt, HoldBytes: d.set.Servers.HoldBytes, Origin: d.origin, Retry: d.retryLimits,
 		Refused:    func(addr string) { d.servers.Refused(addr) },
+		LinkBytes:  float64(d.set.Limits.LinkBytes),
 		RequestLog: d.log.WithName(telemetry.RequestsLogger), RequestLines: d.set.Log.RequestsPerSecond,
 	}
 	if d.platform != nil {
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -28,6 +28,7 @@
 	maxRetrySlack   = 1 << 20
 	maxHoldBytes    = 16 << 20
 	maxMemoryBytes  = 1 << 40
+	maxLinkBytes    = 1 << 40
 )
 
 // check reports everything that is wrong with s beyond its form.
@@ -149,5 +150,6 @@
 	strictyaml.Range(d, "limits.announce_connections", l.AnnounceConnections, 1, maxConnections)
 	strictyaml.Range(d, "limits.operator_connections", l.OperatorConnections, 1, maxConnections)
 	strictyaml.Range(d, "limits.queue_per_slot", l.QueuePerSlot, 0, maxQueuePerSlot)
+	strictyaml.Range(d, "limits.link_bytes", l.LinkBytes, 0, maxLinkBytes)
 	strictyaml.Range(d, "limits.memory_bytes", l.MemoryBytes, 0, maxMemoryBytes)
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -182,6 +182,9 @@
 	// QueuePerSlot is the length of the admission queue beside a backend
 	// server, in multiples of its slots. Default 2.
 	QueuePerSlot int `yaml:"queue_per_slot"`
+	// LinkBytes is what the instance's link carries each way, in bytes a second:
+	// large bodies then come in one after the other. 0 is not known. Default 0.
+	LinkBytes int64 `yaml:"link_bytes"`
 	// MemoryBytes is the memory at which the collector works harder, in the hope
 	// to stay below it; 0 is no bound. Default 0.
 	MemoryBytes int64 `yaml:"memory_bytes"`
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -164,6 +164,9 @@
 // Running is the number of slots in use.
 func (c *Core) Running() int { return c.running }
 
+// Usual is the smoothed time that tickets of a kind take.
+func (c *Core) Usual(kind string) time.Duration { return c.kinds.service(kind, c.limit.service) }
+
 // Limit is the most tickets that run now: the slots, fewer while the server is
 // cold or its latency climbs; at least 1 if there are slots.
 func (c *Core) Limit(now time.Time) int {
