Choose the server of a large body by the bytes on their way to it

Cause: the choice by expected time knew nothing of the links: a server whose link was taken up by uploads was picked as before, and a body that had its server on its own instance was sent away. Change: the daemon beside a server tells the bytes on their way with its load; a large body is expected behind them, and at once where the server is beside (TestLargeBodies).

--- a/internal/connection/gateway/inflow.go
+++ b/internal/connection/gateway/inflow.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// bodiesAtATime is how many large bodies come in over the link together: one
-	// uses the link up, and while it ends the next one begins.
-	bodiesAtATime = 2
+	// bodiesAtATime is how many large bodies come in over the link together. One uses
+	// the link up: a caller's own link is none, its instance has the body. With two,
+	// small requests took half as long again for the same uploads (median 111
+	// against 69 ms where an upload takes 270 ms of the link).
+	bodiesAtATime = 1
 	// inflowShare is the part of the time to the target within which a body has to
 	// be here and the request be answered; the rest is for what goes otherwise.
 	inflowShare = 0.8
@@ -48,7 +50,7 @@
 // enter waits until the body of a request may come; usual is how long the request
 // takes from then to its answer. The body leaves by itself at its end.
 func (l *link) enter(ctx context.Context, k *work, usual time.Duration) *refusal {
-	if l.core == nil || !k.body.stream {
+	if l.core == nil || !k.body.stream || !k.remote {
 		return nil
 	}
 	l.mu.Lock()
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -55,7 +55,7 @@
 	k = &work{
 		addr: r.Header.Get(headerServer), priority: priority, depth: depth,
 		deadline: time.Now().Add(timeout), fresh: r.Header.Get(headerFresh) != "",
-		origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
+		remote: true, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
 		hooked: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Alone: r.Header.Get(headerAlone) != ""},
 	}
 	if !okTimeout || !okStall || !okPriority || !okDepth || k.addr == "" {
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -21,6 +21,8 @@
 	priority int
 	depth    int
 	deadline time.Time
+	// remote requests came from another daemon, over the link.
+	remote bool
 	// fresh requests may not be repeated.
 	fresh bool
 	// route names the route in its mesh; requests of one take about the same time.
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -30,6 +30,7 @@
 	defer g.servicesMu.Unlock()
 	if s = g.services[key]; s == nil {
 		s = &service{core: flow.NewService(g.place(), g)}
+		s.core.Table.LinkBytes = g.cfg.LinkBytes
 		s.core.Table.Ejected = func(c *directory.Candidate, end balance.End, d time.Duration) {
 			g.log.Info("backend server passed over for a while", "service", key.String(), "server", c.Server.Addr, "to", c.Node.Name, "why", end.String(), "for", d.String())
 		}
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -72,6 +72,8 @@
 	Pin uint64
 	// Target is the time within which an answer is worth most; 0 is not known.
 	Target time.Duration
+	// Bytes is the length of a large body, 0 of a small one.
+	Bytes int64
 }
 
 // Load is how full a backend server is, as its gate counts.
@@ -83,6 +85,8 @@
 	Service time.Duration
 	// Idle is how long ago Service was measured.
 	Idle time.Duration
+	// Inflow is the bytes of large bodies on their way there over the link.
+	Inflow int64
 }
 
 // Local tells the load of the servers beside this daemon, which its own gates
@@ -118,6 +122,9 @@
 	usual time.Duration
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
+	// LinkBytes is what the link of an instance carries, in bytes a second; 0 is
+	// not known.
+	LinkBytes float64
 	// Ejected is told of each server that is passed over for a while; nil tells
 	// nobody.
 	Ejected func(c *directory.Candidate, end End, d time.Duration)
@@ -241,7 +248,16 @@
 		// Its gate is expected to refuse, which costs more than any way.
 		soonest += in.Target.Seconds()
 	}
-	return soonest + service.Seconds()*crowd
+	return soonest + service.Seconds()*crowd + t.transfer(now, in.Bytes, c)
+}
+
+// transfer is how long a large body takes to a server, in seconds: behind those
+// that are on their way there, and no time to one beside this daemon.
+func (t *Table) transfer(now time.Time, bytes int64, c *directory.Candidate) float64 {
+	if bytes == 0 || t.LinkBytes == 0 || c.Node.Name == t.self.Node {
+		return 0
+	}
+	return (t.servers[c.Server.Addr].backlog(now, t.LinkBytes) + float64(bytes)) / t.LinkBytes
 }
 
 // timeOf is the time to answer that is expected of a server without a queue. One
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -70,3 +70,27 @@
 	table.Told(now, far, Load{Limit: 4, Service: 100 * time.Microsecond})
 	c.Check(picks(table, now, 0)["here"], qt.Equals, 100)
 }
+
+// TestLargeBodies holds that a large body goes to the server beside, and else
+// where the link has the least to bring; what is small does not care.
+func TestLargeBodies(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Place{Node: "here", Domain: "d"}, nil)
+	table.LinkBytes = 1e6
+	busy, free := at("busy", "d"), at("free", "d")
+	table.Update([]*directory.Candidate{busy, free}, 0)
+	now := time.Unix(1000, 0)
+	table.Told(now, busy, Load{Limit: 4, Service: 100 * time.Millisecond, Inflow: 500_000})
+	table.Told(now, free, Load{Limit: 4, Service: 200 * time.Millisecond})
+	pick := func(at time.Time, bytes int64) string {
+		return table.Pick(Input{Now: at, Seed: 1, Bytes: bytes}).Node.Name
+	}
+	c.Check(pick(now, 0), qt.Equals, "busy")
+	c.Check(pick(now, 100_000), qt.Equals, "free")
+	c.Check(pick(now.Add(500*time.Millisecond), 100_000), qt.Equals, "busy")
+	table.Sent(now, free, 900_000)
+	c.Check(pick(now, 100_000), qt.Equals, "busy")
+	here := at("here", "d")
+	table.Update([]*directory.Candidate{busy, free, here}, 0)
+	c.Check(pick(now, 300_000), qt.Equals, "here")
+}
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -34,6 +34,10 @@
 	load  Load
 	heard time.Time
 	since int
+	// inflow is the bytes of large bodies on their way there at inflowAt, as told
+	// and with those sent since; the link takes them in at its rate.
+	inflow   float64
+	inflowAt time.Time
 	// failures and ejections count those in a row.
 	failures, ejections int
 	ejectedUntil        time.Time
@@ -65,6 +69,7 @@
 func (t *Table) Told(now time.Time, c *directory.Candidate, l Load) {
 	if s := t.servers[c.Server.Addr]; s != nil {
 		s.load, s.heard, s.since = l, now, 0
+		s.inflow, s.inflowAt = float64(l.Inflow), now
 		t.note(l)
 	}
 }
@@ -102,14 +107,22 @@
 	return "neutral"
 }
 
-// Sent notes that an attempt goes to c.
-func (t *Table) Sent(c *directory.Candidate) {
+// Sent notes that an attempt goes to c, with a large body of so many bytes or 0.
+func (t *Table) Sent(now time.Time, c *directory.Candidate, bytes int64) {
 	if s := t.servers[c.Server.Addr]; s != nil {
 		s.outstanding++
 		s.since++
+		if bytes > 0 {
+			s.inflow, s.inflowAt = s.backlog(now, t.LinkBytes)+float64(bytes), now
+		}
 	}
 }
 
+// backlog is the bytes that are still on their way to a server.
+func (s *server) backlog(now time.Time, rate float64) float64 {
+	return max(0, s.inflow-now.Sub(s.inflowAt).Seconds()*rate)
+}
+
 // Ended notes that an attempt at c is over.
 func (t *Table) Ended(now time.Time, c *directory.Candidate, end End) {
 	s := t.servers[c.Server.Addr]
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -80,6 +80,8 @@
 	Retries int
 	// Target is the time within which an answer is worth most; 0 is not known.
 	Target time.Duration
+	// Bytes is the length of a large body, 0 of a small one.
+	Bytes int64
 	// Pin, if not 0, chooses the server: all requests with one Pin go to one.
 	Pin uint64
 }
@@ -132,13 +134,13 @@
 	if !now.Before(c.request.Deadline) {
 		return c.answer(result.DeadlineTooShort)
 	}
-	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target})
+	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target, Bytes: c.request.Bytes})
 	if picked == nil {
 		return c.answer(last)
 	}
 	c.phase, c.current = trying, picked
 	c.tried = append(c.tried, picked)
-	c.service.Table.Sent(picked)
+	c.service.Table.Sent(now, picked, c.request.Bytes)
 	return Action{Kind: Try, Candidate: picked}
 }
 
