Find restarted sources again within a second of the missed heartbeat

Ruled out: slow spreading (0.3 to 0.6 s once linked) and thin links. Change: missed after 2.5 s; each daemon then looks at random times, so that the fleet as a whole does ten times a second however large it is (TestSeekingGoesOn), every second time at a seed and at once.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -43,9 +43,10 @@
 	suspectFor       = 1500 * time.Millisecond
 	forgetAfter      = 2 * time.Hour
 	probeInterval    = 10 * time.Second
-	staleAfter       = 5 * time.Second
-	activeLinks      = 5
-	maxLinks         = 7
+	// staleAfter is two heartbeats and the way down the tree.
+	staleAfter  = 2500 * time.Millisecond
+	activeLinks = 5
+	maxLinks    = 7
 
 	// A source campaigns 0.5 s to 1 s after it last heard of a leader, which
 	// makes itself heard each 150 ms.
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -160,6 +160,7 @@
 
 func (m *Mesh) tick(now time.Time) {
 	m.doMembers(now, m.members.core.Tick(now))
+	m.spread.SetFleet(m.members.core.Presence().Len())
 	m.doSpread(m.spread.Tick(now, m.cfg.Lead(now, m.spread.Asked())))
 	m.publishStatus(now)
 }
--- a/internal/process/spread/core.go
+++ b/internal/process/spread/core.go
@@ -86,8 +86,10 @@
 	heartbeat Heartbeat
 	beatAt    time.Time
 	first     string
-	seekAt    time.Time
-	seekAfter time.Duration
+	// seekAt is when another link is asked for; zero while the heartbeat comes.
+	seekAt time.Time
+	// fleet is the number of daemons, as far as it is known.
+	fleet int
 	// lead is set while this node is the leader; parent is then "".
 	lead   *Lead
 	parent string
@@ -208,25 +210,36 @@
 	return c.flush()
 }
 
-// maxSeekInterval bounds the growth of the interval between two requests for
-// other links: an outage of the sources may last for hours.
+// maxSeekInterval bounds the mean time between two requests for other links.
 const maxSeekInterval = time.Minute
 
-// seek asks for another link while the heartbeat is missed, less and less
-// often.
+// seek asks for another link while the heartbeat is missed. Each daemon asks at
+// times drawn at random, so seldom that the fleet as a whole asks once in
+// Config.SeekShare: the first that finds the leader again brings its heartbeat to
+// all the others.
 func (c *Core) seek() {
 	if !c.Stale(c.now) || c.now.Sub(c.start) <= c.cfg.StaleAfter {
-		c.seekAfter = c.cfg.SeekInterval
+		c.seekAt = time.Time{}
 		return
 	}
+	if c.seekAt.IsZero() {
+		c.seekAt = c.now.Add(c.seekPause())
+	}
 	if c.now.Before(c.seekAt) {
 		return
 	}
-	c.seekAt = c.now.Add(c.seekAfter)
-	c.seekAfter = min(2*c.seekAfter, maxSeekInterval)
+	c.seekAt = c.now.Add(c.seekPause())
 	c.out = append(c.out, Action{Seek: true})
 }
 
+func (c *Core) seekPause() time.Duration {
+	mean := min(max(c.cfg.SeekInterval, time.Duration(c.fleet)*c.cfg.SeekShare), maxSeekInterval)
+	return time.Duration(c.rand.Int64N(int64(2*mean) + 1))
+}
+
+// SetFleet tells how many daemons there are.
+func (c *Core) SetFleet(daemons int) { c.fleet = daemons }
+
 // digestInterval spares a child the digest that the next heartbeat makes
 // redundant.
 func (c *Core) digestInterval(l *link) time.Duration {
--- a/internal/process/spread/types.go
+++ b/internal/process/spread/types.go
@@ -168,9 +168,11 @@
 	DigestInterval time.Duration
 	// StaleAfter is how long the leader's heartbeat may be missed.
 	StaleAfter time.Duration
-	// SeekInterval is the time between the first two requests for other links;
-	// it doubles up to a minute.
+	// SeekInterval is the least mean time between two requests of this daemon for
+	// other links, SeekShare that of all daemons together: an outage of the sources
+	// may last for hours, and its end has to be noticed at once by one of them.
 	SeekInterval time.Duration
+	SeekShare    time.Duration
 	// ParentPatience is how long the parent may be behind on a heartbeat that
 	// came by another link.
 	ParentPatience time.Duration
@@ -202,8 +204,9 @@
 const (
 	DefaultBeatInterval   = time.Second
 	DefaultDigestInterval = time.Second
-	DefaultStaleAfter     = 5 * time.Second
-	DefaultSeekInterval   = 2 * time.Second
+	DefaultStaleAfter     = 2500 * time.Millisecond
+	DefaultSeekInterval   = 500 * time.Millisecond
+	DefaultSeekShare      = 100 * time.Millisecond
 	DefaultParentPatience = 300 * time.Millisecond
 	DefaultPullAfter      = 200 * time.Millisecond
 	DefaultPullTimeout    = time.Second
@@ -229,6 +232,7 @@
 	orDefault(&c.DigestInterval, DefaultDigestInterval)
 	orDefault(&c.StaleAfter, DefaultStaleAfter)
 	orDefault(&c.SeekInterval, DefaultSeekInterval)
+	orDefault(&c.SeekShare, DefaultSeekShare)
 	orDefault(&c.ParentPatience, DefaultParentPatience)
 	orDefault(&c.PullAfter, DefaultPullAfter)
 	orDefault(&c.PullTimeout, DefaultPullTimeout)
--- a/internal/process/view/view.go
+++ b/internal/process/view/view.go
@@ -45,8 +45,9 @@
 	candidates candidates
 	attempt    *attempt
 
-	// restless asks for one link more than wanted.
+	// restless asks for one link more than wanted; seeks counts the calls of Seek.
 	restless bool
+	seeks    int
 	// fleet is the number of daemons known.
 	fleet int
 	// seedNext is when a seed is asked next; seedFailures counts vain attempts.
@@ -99,8 +100,10 @@
 // Seek looks for a link to another node, in the place of one that is there if
 // need be: the present ones do not bring what they should.
 func (c *Core) Seek() {
-	c.restless = true
-	c.seedNext = time.Time{}
+	// A source that was restarted knows nobody: the seeds, every second time.
+	c.seeks++
+	c.restless = c.seeks%2 == 0
+	c.seedNext = time.Unix(0, 0)
 }
 
 // Heard notes that a node said something, whatever it was.
