--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -129,6 +130,7 @@
 	now := time.Now()
 	l := balance.Load{
 		Running: g.core.Running(), Queued: g.core.Queued(), Limit: g.core.Limit(now), Service: g.core.Service(), Idle: g.core.Idle(now),
+		Failing: g.core.Failing(),
 	}
 	if g.core.Stalled(now) {
 		l.Queued = max(l.Queued, l.Limit)
@@ -136,6 +138,22 @@
 	return l
 }
 
+// Ended takes in how a request that came to the server ended there.
+func (g *gate) Ended(resp *http.Response, r *refusal) {
+	failed := false
+	switch {
+	case r == nil:
+		failed = resp.StatusCode >= http.StatusInternalServerError
+	case r.Code == result.AnswerLost, r.Code == result.DeadlineExceeded, r.Code == result.BackendCrashed, r.Code == result.ServerRefused:
+		failed = true
+	default:
+		return // it says nothing of the server
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Ended(failed)
+}
+
 // usual is the time that requests of a kind take.
 func (g *gate) usual(kind string) time.Duration {
 	g.mu.Lock()
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -72,7 +72,9 @@
 		return nil, refused
 	}
 	k.boot = server.Boot
-	return g.hand(ctx, b, k)
+	resp, refused := g.hand(ctx, b, k)
+	b.gate.Ended(resp, refused)
+	return resp, refused
 }
 
 // isFor reports whether the server at the address still is one of the service: an
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -142,6 +142,8 @@
 	draining bool
 	limit    limiter
 	kinds    kinds
+	// failing is the smoothed share of the requests that fail.
+	failing float64
 	// moved is when a slot was last returned, or the first was taken.
 	moved time.Time
 }
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -47,6 +47,12 @@
 	// busier is the part by which a server that is nearly full is slower than an
 	// idle one.
 	busier = 0.2
+	// failurePrice is what a failed request costs, in multiples of its target: it
+	// loses its whole worth, and another attempt its time.
+	failurePrice = 2.0
+	// failingNoise is what the share of failed requests differs by among servers that
+	// are alike.
+	failingNoise = 0.1
 	// noise keeps daemons that know the same from picking the same.
 	noise = 0.1
 	// usualTime stands for the time to answer while none was measured at any
@@ -85,6 +91,8 @@
 	Service time.Duration
 	// Idle is how long ago Service was measured.
 	Idle time.Duration
+	// Failing is the smoothed share of the requests there that fail.
+	Failing float64
 	// Inflow is the bytes of large bodies on their way there over the link.
 	Inflow int64
 }
@@ -118,8 +126,10 @@
 	slowStart  time.Duration
 	candidates []*directory.Candidate
 	tiers      [tiers][]*directory.Candidate
-	// usual is the smoothed time to answer of all servers; 0 is not known.
-	usual time.Duration
+	// usual is the smoothed time to answer of all servers; 0 is not known. failing is
+	// the smoothed share of the requests at all servers that fail.
+	usual   time.Duration
+	failing float64
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
 	// LinkBytes is what the link of an instance carries, in bytes a second; 0 is
@@ -248,7 +258,19 @@
 		// Its gate is expected to refuse, which costs more than any way.
 		soonest += in.Target.Seconds()
 	}
-	return soonest + service.Seconds()*crowd + t.transfer(now, in.Bytes, c)
+	return soonest + service.Seconds()*crowd + t.transfer(now, in.Bytes, c) + t.failure(l, service, in.Target)
+}
+
+// failure is what a server costs that fails more of its requests than the others
+// do, in seconds. What all fail alike, such as calls that lead to a full service,
+// says nothing of one.
+func (t *Table) failure(l Load, service, target time.Duration) float64 {
+	weight := math.Exp(-l.Idle.Seconds() / forget.Seconds())
+	more := weight*l.Failing - t.failing
+	if more <= failingNoise {
+		return 0
+	}
+	return more * failurePrice * max(target, 2*service).Seconds()
 }
 
 // transfer is how long a large body takes to a server, in seconds: behind those
@@ -273,6 +295,7 @@
 
 // note takes a measured time into that of all.
 func (t *Table) note(l Load) {
+	t.failing += usualShare * (l.Failing - t.failing)
 	switch {
 	case l.Service == 0:
 	case t.usual == 0:
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -94,3 +94,27 @@
 	table.Update([]*directory.Candidate{busy, free, here}, 0)
 	c.Check(pick(now, 300_000), qt.Equals, "here")
 }
+
+// TestFailingServer holds that a server that fails many of its requests is left
+// for one farther away, for a while, and that a service of which all servers fail
+// as many is served as before.
+func TestFailingServer(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Place{Node: "caller", Domain: "d"}, nil)
+	near, far := at("near", "d"), at("far", "e")
+	table.Update([]*directory.Candidate{near, far}, 0)
+	now := time.Unix(1000, 0)
+	const target = 200 * time.Millisecond
+	told := func(c *directory.Candidate, failing float64) {
+		table.Told(now, c, Load{Limit: 4, Service: 20 * time.Millisecond, Failing: failing})
+	}
+	told(far, 0)
+	told(near, 0.5)
+	c.Check(picks(table, now, target)["far"], qt.Equals, 100)
+	c.Check(picks(table, now.Add(time.Minute), target)["near"] > 90, qt.IsTrue)
+	for range 200 {
+		told(far, 0.5)
+		told(near, 0.5)
+	}
+	c.Check(picks(table, now, target)["near"], qt.Equals, 100)
+}
