--- a/docs/operating_test.go
+++ b/docs/operations_test.go
@@ -45,11 +45,11 @@
 }
 
 // TestOperatingNamesRealThings holds that the metrics, log lines and result
-// codes of OPERATING.md exist; other tests hold METRICS.md and RESULT-CODES.md
+// codes of OPERATIONS.md exist; other tests hold METRICS.md and RESULT-CODES.md
 // to the code.
 func TestOperatingNamesRealThings(t *testing.T) {
 	c := qt.New(t)
-	page, metrics := read(c, "OPERATING.md"), read(c, "METRICS.md")
+	page, metrics := read(c, "OPERATIONS.md"), read(c, "METRICS.md")
 	for _, name := range metricName.FindAllString(page, -1) {
 		c.Check(strings.Contains(metrics, "`"+name), qt.IsTrue, qt.Commentf("no metric %s", name))
 	}
@@ -78,10 +78,10 @@
 	return all.String()
 }
 
-// TestOperatingCommands runs the marked commands of OPERATING.md in their order.
+// TestOperatingCommands runs the marked commands of OPERATIONS.md in their order.
 func TestOperatingCommands(t *testing.T) {
 	c := qt.New(t)
-	page := read(c, "OPERATING.md")
+	page := read(c, "OPERATIONS.md")
 	mesh, err := dev.Start(dev.Config{Nodes: 4, Log: logr.Discard(), Servers: []dev.Server{
 		{Node: 0, Mesh: "ahnenbach", Service: "archive"}, {Node: 1, Mesh: "ahnenbach", Service: "archive"},
 	}})
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -84,6 +84,16 @@
 	return reply, own
 }
 
+// Would returns the refusal that a ticket would get now, nil if none.
+func (g *gate) Would(t admit.Ticket) *refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d, refused := g.core.Refuses(time.Now(), &t); refused {
+		return refusalOf(d)
+	}
+	return nil
+}
+
 func refusalOf(d admit.Decision) *refusal {
 	if d.Verdict == admit.Start {
 		return nil
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -205,30 +205,12 @@
 // Arrive decides on a new ticket, and with it perhaps on others: without a
 // decision on it, it waits.
 func (c *Core) Arrive(now time.Time, t Ticket) []Decision {
-	switch {
-	case c.draining:
-		return []Decision{c.refuse(t, result.Draining, Draining)}
-	case !t.Deadline.After(now):
-		return []Decision{c.refuse(t, result.DeadlineTooShort, Expired)}
-	}
 	t.arrived = now
-	if len(c.queue) == 0 && c.mayStart(now, &t) {
-		return []Decision{c.start(now, &t)}
-	}
-	if c.Stalled(now) {
-		return []Decision{c.refuse(t, result.Overloaded, Stalled)}
-	}
-	wait := c.wait(now, &t)
-	if wait > t.Deadline.Sub(now) {
-		return []Decision{c.refuse(t, result.DeadlineTooShort, BeyondDeadline)}
-	}
-	if late := c.late(now, &t, wait); late > 0 {
-		d := c.refuse(t, result.Overloaded, Late)
-		d.RetryAfter = max(late, comeBackLeast)
+	if d, refused := c.Refuses(now, &t); refused {
 		return []Decision{d}
 	}
-	if len(c.queue) >= c.room(t.Priority) && !c.worseWaits(now, &t) {
-		return []Decision{c.refuse(t, result.Overloaded, QueueFull)}
+	if len(c.queue) == 0 && c.mayStart(now, &t) {
+		return []Decision{c.start(now, &t)}
 	}
 	c.queue = append(c.queue, t)
 	decisions := c.fill(now)
@@ -240,6 +222,35 @@
 	return decisions
 }
 
+// Refuses returns the refusal that a ticket gets if it arrives now, if there is
+// one.
+func (c *Core) Refuses(now time.Time, t *Ticket) (Decision, bool) {
+	switch {
+	case c.draining:
+		return c.refuse(*t, result.Draining, Draining), true
+	case !t.Deadline.After(now):
+		return c.refuse(*t, result.DeadlineTooShort, Expired), true
+	case len(c.queue) == 0 && c.mayStart(now, t):
+		return Decision{}, false
+	case c.Stalled(now):
+		return c.refuse(*t, result.Overloaded, Stalled), true
+	}
+	t.arrived = now
+	wait := c.wait(now, t)
+	if wait > t.Deadline.Sub(now) {
+		return c.refuse(*t, result.DeadlineTooShort, BeyondDeadline), true
+	}
+	if late := c.late(now, t, wait); late > 0 {
+		d := c.refuse(*t, result.Overloaded, Late)
+		d.RetryAfter = max(late, comeBackLeast)
+		return d, true
+	}
+	if len(c.queue) >= c.room(t.Priority) && !c.worseWaits(now, t) {
+		return c.refuse(*t, result.Overloaded, QueueFull), true
+	}
+	return Decision{}, false
+}
+
 // keptFree is the part of the queue that the worst class leaves free.
 const keptFree = 4
 
--- /dev/null
+++ b/soak/operators.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	orderPause = 600 * time.Millisecond
+	// orderTries is how often an order without a clear answer is sent again.
+	orderTries = 40
+	readBack   = 10 * time.Second
+)
+
+// operators is what the operators share: the newest version acknowledged.
+type operators struct {
+	mu     sync.Mutex
+	newest uint64
+}
+
+func versionText(v uint64) string { return "r" + strconv.FormatUint(v, 10) }
+
+// startOperators changes and reads the configuration until ctx ends: one operator
+// at a time, now and then two that build on the same version.
+func (w *world) startOperators(ctx context.Context) {
+	random := rand.New(rand.NewPCG(w.o.Seed, 99))
+	w.wait.Go(func() {
+		for ctx.Err() == nil {
+			w.sleep(ctx, time.Duration(random.Int64N(int64(2*orderPause))))
+			w.operators.mu.Lock()
+			base := w.operators.newest
+			w.operators.mu.Unlock()
+			service := []string{serviceA, serviceB}[random.IntN(2)]
+			version := base + 1 + uint64(random.IntN(4))
+			var both sync.WaitGroup
+			both.Go(func() { w.order(ctx, version, base, service) })
+			if random.IntN(5) == 0 {
+				both.Go(func() { w.order(ctx, version+1, base, service) })
+			}
+			both.Wait()
+			w.learn(ctx)
+		}
+	})
+}
+
+// order sends a change until it has a clear answer.
+func (w *world) order(ctx context.Context, version, base uint64, moving string) bool {
+	raw, _ := json.Marshal(configurationOf(version, moving)) // plain values always encode
+	o := Order{Version: version, Base: base, Moving: moving, At: time.Now()}
+	defer func() { note(w.history, &w.history.Orders, o) }()
+	for range orderTries {
+		switch status := w.replace(ctx, raw, base); {
+		case status == http.StatusOK && o.Acked.IsZero():
+			o.Acked = time.Now()
+			w.operators.mu.Lock()
+			w.operators.newest = max(w.operators.newest, version)
+			w.operators.mu.Unlock()
+			if rand.IntN(4) > 0 {
+				return true
+			} // the others send what was acknowledged once more
+		case status == http.StatusOK:
+			return true
+		case status/100 == 4 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
+			w.operators.mu.Lock()
+			still := w.operators.newest == version
+			w.operators.mu.Unlock()
+			o.AfterAck = !o.Acked.IsZero() && still
+			o.Refused = o.Acked.IsZero()
+			return false
+		}
+		if ctx.Err() != nil {
+			return !o.Acked.IsZero()
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	return !o.Acked.IsZero()
+}
+
+func (w *world) replace(ctx context.Context, raw []byte, base uint64) int {
+	status, _ := w.control(ctx, callReplace, raw, map[string]string{headerBase: versionText(base)})
+	return status
+}
+
+// control calls one source, drawn at random.
+func (w *world) control(ctx context.Context, call string, body []byte, header map[string]string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	s := w.sources[rand.IntN(len(w.sources))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.addr(s, portControl)+controlPath+call, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for key, value := range header {
+		req.Header.Set(key, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	raw, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, raw
+}
+
+// learn reads the configuration and takes its version as the one to build on.
+func (w *world) learn(ctx context.Context) bool {
+	at := time.Now()
+	status, raw := w.control(ctx, callRead, nil, nil)
+	var c configuration
+	if status != http.StatusOK || json.Unmarshal(raw, &c) != nil {
+		return false
+	}
+	version, err := strconv.ParseUint(strings.TrimPrefix(c.Version, "r"), 10, 64)
+	if err != nil {
+		return false
+	}
+	note(w.history, &w.history.Reads, Read{At: at, Version: version})
+	w.operators.mu.Lock()
+	w.operators.newest = max(w.operators.newest, version)
+	w.operators.mu.Unlock()
+	return true
+}
+
+// readBack reads the configuration at the end, until it comes.
+func (w *world) readBack() {
+	w.history.End = time.Now()
+	for end := time.Now().Add(readBack); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if w.learn(context.Background()) {
+			w.history.Reads[len(w.history.Reads)-1].Last = true
+			return
+		}
+	}
+	fmt.Println("the configuration could not be read back")
+}
--- /dev/null
+++ b/soak/wire.go
@@ -0,0 +1,74 @@
+package main
+
+// The platform's names, as its page on the protocol has them.
+const (
+	headerID        = "Request-Id"
+	headerDeadline  = "Request-Deadline"
+	headerInstance  = "Expected-Instance"
+	headerOrigin    = "Caller-Service"
+	headerNotRun    = "Not-Executed"
+	headerSignature = "Response-Signature"
+	headerBase      = "If-Match"
+	headerServes    = "Instance-Id"
+	headerLoad      = "Server-Load"
+	controlPath     = "/daisygate/rpc?call="
+	callReplace     = "configuration.replace"
+	callRead        = "configuration.read"
+	callReport      = "instances.heartbeat&of="
+	callLeave       = "instances.deregister&of="
+	healthPath      = "/health"
+)
+
+// configuration is what operators send.
+type configuration struct {
+	Version  string           `json:"version"`
+	Services []map[string]any `json:"services"`
+	Limits   map[string]any   `json:"limits"`
+	Hosts    []virtualHost    `json:"virtual_hosts"`
+}
+
+type virtualHost struct {
+	Host   string  `json:"host"`
+	Routes []route `json:"route_paths"`
+}
+
+type route struct {
+	Name     string `json:"name"`
+	Prefix   string `json:"path_prefix"`
+	Kind     string `json:"kind"`
+	Timeout  int    `json:"timeout_ms"`
+	Target   int    `json:"target_latency_ms"`
+	Priority int    `json:"priority"`
+	Service  string `json:"service"`
+	Attempts int    `json:"max_attempts"`
+}
+
+const (
+	host     = "soak.example"
+	serviceA = "alpha"
+	serviceB = "beta"
+	// The paths of the routes; moving goes to one service or the other, by version.
+	pathSafe   = "/safe/"
+	pathUnsafe = "/unsafe/"
+	pathUpload = "/upload/"
+	pathMoving = "/moving/"
+)
+
+// configurationOf is the configuration of a version.
+func configurationOf(version uint64, moving string) configuration {
+	services := func(name string) map[string]any {
+		return map[string]any{"name": name, "health_check_path": healthPath, "connection_limit": 200, "protocol": "h1", "tls": false}
+	}
+	r := func(name, prefix, kind, service string, attempts int) route {
+		return route{Name: name, Prefix: prefix, Kind: kind, Timeout: 2000, Target: 500, Priority: 1, Service: service, Attempts: attempts}
+	}
+	return configuration{
+		Version:  versionText(version),
+		Services: []map[string]any{services(serviceA), services(serviceB)},
+		Limits:   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		Hosts: []virtualHost{{Host: host, Routes: []route{
+			r("safe", pathSafe, "safe", serviceA, 2), r("unsafe", pathUnsafe, "unsafe", serviceA, 2),
+			r("upload", pathUpload, "upload", serviceB, 2), r("moving", pathMoving, "unsafe", moving, 2),
+		}}},
+	}
+}
