--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -70,8 +70,6 @@
 	// stall is the window's length after a part of the body came; 0 leaves the
 	// window as it is.
 	stall time.Duration
-	// prefix is the begin of a body that is too large to be held whole.
-	prefix []byte
 	// came and left, if set, are told of the parts of a streamed body, and once of
 	// its end.
 	came func(bytes int)
@@ -115,11 +113,6 @@
 // Read implements io.Reader. Each part that comes begins the window anew.
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.begun.Store(true)
-	if len(b.prefix) > 0 {
-		n := copy(p, b.prefix)
-		b.prefix = b.prefix[n:]
-		return n, nil
-	}
 	n, err := b.r.Body.Read(p)
 	if b.stall > 0 {
 		b.window.extend(b.stall)
@@ -136,47 +129,6 @@
 	return n, err
 }
 
-// holdMax is the largest body that is taken in whole before it gets a slot of the
-// backend server: several times the usual upload, and little beside the memory of a
-// process.
-const holdMax = 2 << 20
-
-// mayHold reports whether the body may be small enough to be held.
-func (b *requestBody) mayHold() bool {
-	return b.stream && b.r.ContentLength <= holdMax && len(b.r.Trailer) == 0
-}
-
-// hold takes the body in until its end, or until it proves too large and is
-// streamed after all. The end of ctx ends it.
-func (b *requestBody) hold(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, b.abort)
-	held, err := readUpTo(b, b.length(), holdMax)
-	if !stop() && err == nil {
-		err = context.Cause(ctx) // its abort may still be under way
-	}
-	if err != nil {
-		return err
-	}
-	if len(held) > holdMax {
-		b.prefix = held
-		return nil
-	}
-	b.whole.Store(true)
-	b.small, b.stream = held, false
-	return nil
-}
-
-// readUpTo reads length bytes, or to the end if length is not known, but hardly
-// more than most.
-func readUpTo(r io.Reader, length int64, most int) ([]byte, error) {
-	if length >= 0 {
-		held := make([]byte, length)
-		_, err := io.ReadFull(r, held)
-		return held, err
-	}
-	return io.ReadAll(io.LimitReader(r, int64(most)+1))
-}
-
 const (
 	// abortGrace lets a Read end by itself that has bytes to read.
 	abortGrace = 20 * time.Millisecond
--- a/internal/connection/gateway/inflow.go
+++ b/internal/connection/gateway/inflow.go
@@ -16,6 +16,9 @@
 	// small requests took half as long again for the same uploads (median 111
 	// against 69 ms where an upload takes 270 ms of the link).
 	bodiesAtATime = 1
+	// briefBody is how long a body may take the link and go past the others: waiting
+	// for a turn would cost it more.
+	briefBody = 20 * time.Millisecond
 	// inflowShare is the part of the time to the target within which a body has to
 	// be here and the request be answered; the rest is for what goes otherwise.
 	inflowShare = 0.8
@@ -47,12 +50,15 @@
 	return l.core.Ahead()
 }
 
+// shares reports whether a request's body has to share the link with others: it
+// comes from another daemon and takes the link for long.
+func (l *link) shares(k *work) bool {
+	return l.core != nil && k.body.stream && k.remote && l.core.Takes(k.body.length()) > briefBody
+}
+
 // enter waits until the body of a request may come; usual is how long the request
 // takes from then to its answer. The body leaves by itself at its end.
 func (l *link) enter(ctx context.Context, k *work, usual time.Duration) *refusal {
-	if l.core == nil || !k.body.stream || !k.remote {
-		return nil
-	}
 	l.mu.Lock()
 	if wait := l.core.Wait(); wait > 0 && !k.useful.IsZero() {
 		if late := wait + usual - time.Duration(inflowShare*float64(time.Until(k.useful))); late > 0 {
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -56,7 +56,7 @@
 	if refused := g.admitSuspect(k); refused != nil {
 		return nil, refused
 	}
-	if refused := g.holdBody(ctx, b.gate, k); refused != nil {
+	if refused := g.letBodyIn(ctx, b.gate, k); refused != nil {
 		return nil, refused
 	}
 	entered := time.Now()
@@ -77,32 +77,16 @@
 	return resp, refused
 }
 
-// holdBody takes a large body in before the request gets a slot: the slot is used
-// for the work alone, and not while the body is on its way. What would be refused
-// is refused before the body comes.
-func (g *Gateway) holdBody(ctx context.Context, gate *gate, k *work) *refusal {
-	if !k.body.stream {
+// letBodyIn waits until a large body may come over the link. What would be refused
+// now is refused before.
+func (g *Gateway) letBodyIn(ctx context.Context, gate *gate, k *work) *refusal {
+	if !g.link.shares(k) {
 		return nil
 	}
 	if refused := gate.Would(k.ticket(time.Now())); refused != nil {
 		return refused
 	}
-	if refused := g.link.enter(ctx, k, gate.usual(k.route)); refused != nil {
-		return refused
-	}
-	if !k.body.mayHold() {
-		return nil
-	}
-	if err := k.body.hold(ctx); err != nil {
-		if ctx.Err() != nil {
-			return refuse(whyEnded(ctx), "the body did not come in time")
-		}
-		return refuse(result.CallerLeft, "the body did not come whole: "+err.Error())
-	}
-	if again := time.Now().Add(k.body.stall); again.After(k.deadline) {
-		k.deadline = again // the body's last part began the time anew
-	}
-	return nil
+	return g.link.enter(ctx, k, gate.usual(k.route))
 }
 
 // isFor reports whether the server at the address still is one of the service: an
--- a/internal/request/inflow/inflow.go
+++ b/internal/request/inflow/inflow.go
@@ -48,6 +48,18 @@
 	return bytes
 }
 
+// Takes is how long a body of so many bytes takes the link, -1 if they are not told.
+func (c *Core) Takes(bytes int64) time.Duration {
+	return time.Duration(float64(lengthOf(bytes)) / c.rate * float64(time.Second))
+}
+
+func lengthOf(bytes int64) int64 {
+	if bytes < 0 {
+		return usualBytes
+	}
+	return bytes
+}
+
 // Wait is how long a new body is expected to wait for those ahead.
 func (c *Core) Wait() time.Duration {
 	return time.Duration(float64(c.Ahead()) / c.rate * float64(time.Second))
@@ -56,9 +68,7 @@
 // Arrive takes in a body, -1 bytes if its length is not told. It returns the
 // body's ticket and whether it may come now.
 func (c *Core) Arrive(bytes int64) (id uint64, now bool) {
-	if bytes < 0 {
-		bytes = usualBytes
-	}
+	bytes = lengthOf(bytes)
 	c.next++
 	if len(c.coming) < c.most {
 		c.coming[c.next] = bytes
--- a/internal/request/inflow/inflow_test.go
+++ b/internal/request/inflow/inflow_test.go
@@ -10,6 +10,7 @@
 func TestBodiesComeInOrder(t *testing.T) {
 	c := qt.New(t)
 	core := New(1000, 2)
+	c.Check(core.Takes(500), qt.Equals, 500*time.Millisecond)
 	first, now := core.Arrive(500)
 	c.Check(now, qt.IsTrue)
 	second, now := core.Arrive(500)
--- a/soak/world.go
+++ b/soak/world.go
@@ -124,6 +124,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dir = filepath.Join(w.o.Dir, p.name)
+	if !p.started {
+		// What an earlier run left is not of this fleet.
+		if err := os.RemoveAll(p.dir); err != nil {
+			return err
+		}
+	}
 	if err := os.MkdirAll(filepath.Join(p.dir, "data"), 0o700); err != nil {
 		return err
 	}
