--- a/internal/connection/gateway/inflow.go
+++ b/internal/connection/gateway/inflow.go
@@ -21,7 +21,7 @@
 	briefBody = 20 * time.Millisecond
 	// inflowShare is the part of the time to the target within which a body has to
 	// be here and the request be answered; the rest is for what goes otherwise.
-	inflowShare = 0.8
+	inflowShare = 0.6
 )
 
 // link lets large bodies for the servers beside this daemon in.
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -230,7 +230,9 @@
 		return false
 	case code.Outcome() != result.NotRun && !c.request.Repeatable:
 		return false
-	case endOf(code) == balance.Unreachable:
+	case endOf(code) == balance.Unreachable, c.request.Bytes > 0 && !c.arrived:
+		// A large body has not left yet; another server's link may be free, and what
+		// is known of the links is older than that of slots.
 		c.redirects++
 		return c.redirects <= redirectMax && c.spend(now)
 	case c.retries >= c.request.Retries:
