--- a/soak/backend.go
+++ b/soak/backend.go
@@ -27,15 +27,15 @@
 
 // backend is a backend server, which lives in this process behind a proxy.
 type backend struct {
-	h                        *History
-	service, addr, control   string
-	proxy                    *proxy
-	mu                       sync.Mutex
-	boot                     string
-	boots                    int
-	server                   *http.Server
-	draining                 bool
-	sequence, running, ended atomic.Int64
+	h                      *History
+	service, addr, control string
+	proxy                  *proxy
+	mu                     sync.Mutex
+	boot                   string
+	boots                  int
+	server                 *http.Server
+	draining               bool
+	sequence, running      atomic.Int64
 }
 
 func hashOf(parts ...string) uint64 {
