--- /dev/null
+++ b/internal/request/retry/budget_test.go
@@ -0,0 +1,38 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestBudget holds that in any window the retries stay within the ratio of the
+// requests and twice the slack: what was saved up and what comes back meanwhile.
+func TestBudget(t *testing.T) {
+	c := qt.New(t)
+	limits := Limits{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+	var b Budget
+	b.SetLimits(limits)
+	begin := time.Unix(1000, 0)
+	var taken []time.Time
+	const perSecond, seconds = 50, 60
+	for i := range perSecond * seconds {
+		now := begin.Add(time.Duration(i) * time.Second / perSecond)
+		b.Request(now)
+		for b.Take(now) {
+			taken = append(taken, now)
+		}
+	}
+	requests := perSecond * limits.Window.Seconds()
+	for i, from := range taken {
+		n := 0
+		for _, at := range taken[i:] {
+			if at.Sub(from) <= limits.Window {
+				n++
+			}
+		}
+		c.Assert(float64(n) <= limits.Ratio*requests+2*limits.Slack+1, qt.IsTrue, qt.Commentf("%d in a window", n))
+	}
+	c.Check(len(taken) > perSecond*seconds/10, qt.IsTrue)
+}
