--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 # make build    builds the binary ./daisygate
 # make test     passes the tests, under the race detector
 # make check    what CI runs
+# make soak     random faults against the real programs for a minute; SEED=N
 
-.PHONY: demo dev build test check
+.PHONY: demo dev build test check soak
 
 demo:
 	go run ./cmd/daisygate dev --demo
@@ -25,3 +26,8 @@
 
 check:
 	.ci/run
+
+SEED ?= 1
+
+soak: build
+	go run ./soak run --seed $(SEED) --for 60s --binary daisygate
