Ask more servers for a body only where it takes the link for long

Change: a body that takes the link for less than 20 ms counts as a small one in the choice and in the number of attempts.

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -164,14 +164,6 @@
 	_, _ = io.Copy(io.Discard, b.r.Body)
 }
 
-// large is the length of a streamed body that is told, else 0.
-func (b *requestBody) large() int64 {
-	if !b.stream {
-		return 0
-	}
-	return max(0, b.r.ContentLength)
-}
-
 // length is the framing for the way on.
 func (b *requestBody) length() int64 {
 	if b.r.ContentLength > 0 {
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -194,7 +194,7 @@
 func (x *exchange) dispatch(ctx context.Context, pin uint64) (*http.Response, *refusal) {
 	target := x.target
 	course, action := x.g.service(target.Key).begin(x.dir, target, x.g.cfg.Retry(), flow.Request{
-		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Target: x.route.Target, Pin: pin, Bytes: x.body.large(),
+		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Target: x.route.Target, Pin: pin, Bytes: x.g.link.large(x.body),
 	})
 	x.course = course
 	var last *refusal
--- a/internal/connection/gateway/inflow.go
+++ b/internal/connection/gateway/inflow.go
@@ -52,8 +52,19 @@
 
 // shares reports whether a request's body has to share the link with others: it
 // comes from another daemon and takes the link for long.
-func (l *link) shares(k *work) bool {
-	return l.core != nil && k.body.stream && k.remote && l.core.Takes(k.body.length()) > briefBody
+func (l *link) shares(k *work) bool { return k.remote && l.long(k.body) }
+
+func (l *link) long(b *requestBody) bool {
+	return l.core != nil && b.stream && l.core.Takes(b.length()) > briefBody
+}
+
+// large is the length of a body that takes a link for long, 0 of others or where it
+// is not told.
+func (l *link) large(b *requestBody) int64 {
+	if !l.long(b) {
+		return 0
+	}
+	return max(0, b.length())
 }
 
 // enter waits until the body of a request may come; usual is how long the request
