--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -152,8 +152,12 @@
 	if c.group == 0 {
 		c.group, c.membership.Group = m.Group, m.Group
 	}
-	// One that has lost its place founds no group either.
-	if (!m.Fresh || m.Newcomer) && m.Known != c.membership.Disk {
+	if m.Newcomer {
+		// One without a place founds no group, and its list may be too old to tell
+		// whether another disk of this member has voted.
+		return
+	}
+	if !m.Fresh && m.Known != c.membership.Disk {
 		c.membership.Learning = true
 		c.membership.Newcomer = m.Known == 0
 		c.membershipChanged = true
