Say once what the change said twice

What stood twice now stands once, nothing behaves otherwise:

- admit: the usual time of a kind comes from Usual; a ticket's arrival is set in one place, where it is judged.
- balance: the weight of old figures, the time to an answer behind the queue and "beside this daemon" each have one expression.
- replica: a new leader's progress is built by refreshOthers alone; the loss of a vote is one method; a ballot without a replacement under way is one test.
- settings: one check of an even number of sources.
- sample: the comment said that the zero value chooses none; it chooses each.
- soak: one HTTP call, one place for the newest version, one list of processes.
A report whose answer is cut now counts as not acknowledged.
- balance tests: one set-up; their assertions are unchanged.

docs/proofs_test.go: the check of commit numbers is a test of its own, so that an archive of the files, which has no history to look among, skips just that and not silently the end of another test. Wherever there is a repository it runs and checks what it did.

Ruled out: ending the body's account only in ServePeer. The load that a refusal tells is read before that, and would count the refused body.

Checks: gofmt, vet, staticcheck clean; tests of gateway, request, process, docs and soak pass.

--- a/docs/proofs_test.go
+++ b/docs/proofs_test.go
@@ -22,34 +22,41 @@
 	commitID   = regexp.MustCompile(`\b[0-9a-f]{7}\b`)
 )
 
-// TestProofsNameRealThings holds that every test, golden file and commit named
-// in PROOFS.md exists.
+// TestProofsNameRealThings holds that every test and golden file named in
+// PROOFS.md exists.
 func TestProofsNameRealThings(t *testing.T) {
 	c := qt.New(t)
-	raw, err := os.ReadFile(pageOfRows)
-	c.Assert(err, qt.IsNil)
-	page := string(raw)
 	known := definedTests(c, "..")
-	check := func(kind string, pattern *regexp.Regexp, exists func(string) bool) {
-		found := pattern.FindAllStringSubmatch(page, -1)
-		c.Check(len(found) > 0, qt.IsTrue)
-		for _, m := range found {
-			c.Check(exists(m[len(m)-1]), qt.IsTrue, qt.Commentf("%s names the %s %s, which does not exist", pageOfRows, kind, m[0]))
-		}
-	}
-	check("test", testName, func(name string) bool { return known[name] })
-	check("golden file", goldenFile, func(path string) bool {
+	checkNamed(c, "test", testName, func(name string) bool { return known[name] })
+	checkNamed(c, "golden file", goldenFile, func(path string) bool {
 		_, err := os.Stat(filepath.Join("..", path))
 		return err == nil
 	})
+}
+
+// TestProofsNameRealCommits holds that every commit named in PROOFS.md exists. An
+// archive of the files has no commits to look among.
+func TestProofsNameRealCommits(t *testing.T) {
 	if _, err := os.Stat("../.git"); os.IsNotExist(err) {
 		t.Skip("no git directory: commits are not checked")
 	}
-	check("commit", commitID, func(id string) bool {
+	checkNamed(qt.New(t), "commit", commitID, func(id string) bool {
 		return exec.Command("git", "cat-file", "-e", id+"^{commit}").Run() == nil
 	})
 }
 
+// checkNamed checks that each thing of a kind on the page exists, and that there
+// are some.
+func checkNamed(c *qt.C, kind string, pattern *regexp.Regexp, exists func(string) bool) {
+	page, err := os.ReadFile(pageOfRows)
+	c.Assert(err, qt.IsNil)
+	found := pattern.FindAllStringSubmatch(string(page), -1)
+	c.Check(len(found) > 0, qt.IsTrue)
+	for _, m := range found {
+		c.Check(exists(m[len(m)-1]), qt.IsTrue, qt.Commentf("%s names the %s %s, which does not exist", pageOfRows, kind, m[0]))
+	}
+}
+
 func definedTests(c *qt.C, root string) map[string]bool {
 	known := map[string]bool{}
 	err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -22,6 +22,11 @@
 // errDeadline is the cause of a context that a window ended.
 var errDeadline = errors.New("the deadline passed")
 
+// deadlinePassed tells the end of a window from a caller that left.
+func deadlinePassed(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errDeadline)
+}
+
 // window ends a request's context when nothing happened for its length. It
 // begins at the request's arrival and again with each part of a streamed body,
 // so that a transfer in progress is never cut; it stops at the answer's header.
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -67,8 +67,9 @@
 // refuse gives the final answer without a run.
 func (x *exchange) refuse(r *refusal) {
 	x.seen.done.Code = r.Code
-	x.logRefusal(r)
-	x.g.cfg.Dialect.Refuse(x.w, Refusal{Error: r.Error, Outcome: x.outcome(r.Code), Back: r.back})
+	outcome := x.outcome(r.Code)
+	x.logRefusal(r, outcome)
+	x.g.cfg.Dialect.Refuse(x.w, Refusal{Error: r.Error, Outcome: outcome, Back: r.back})
 }
 
 // find matches the route.
@@ -130,7 +131,6 @@
 		x.refuse(refuse(result.BadRequest, "the body did not come whole: "+err.Error()))
 		return
 	}
-	defer body.leave()
 	x.body = body
 	pin, refused := x.screen()
 	if refused != nil {
@@ -202,13 +202,14 @@
 		start := time.Now()
 		x.attempts = number + 1
 		resp, refused := x.attempt(ctx, action.Candidate)
-		x.observe(action.Candidate, number, refused, time.Since(start))
+		took := time.Since(start)
+		x.observe(action.Candidate, number, refused, took)
 		if refused == nil {
 			course.answered()
 			x.logAnswered(action.Candidate, resp.StatusCode)
 			return resp, nil
 		}
-		x.logAttempt(action.Candidate, number, refused, time.Since(start))
+		x.logAttempt(action.Candidate, number, refused, took)
 		last = refused
 		again := x.isolate(refused) && !x.body.begun.Load()
 		action = course.failed(refused, !again)
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/result"
@@ -57,7 +55,7 @@
 // whyEnded tells a deadline, which leaves a waiting request certainly not run,
 // from a caller that left.
 func whyEnded(ctx context.Context) result.Code {
-	if errors.Is(context.Cause(ctx), errDeadline) {
+	if deadlinePassed(ctx) {
 		return result.DeadlineTooShort
 	}
 	return result.CallerLeft
--- a/internal/connection/gateway/requestlog.go
+++ b/internal/connection/gateway/requestlog.go
@@ -59,13 +59,13 @@
 }
 
 // logRefusal tells why a caller got an answer that no backend server gave.
-func (x *exchange) logRefusal(r *refusal) {
+func (x *exchange) logRefusal(r *refusal, outcome result.Outcome) {
 	log, ok := x.g.requests.line(x.told.ID)
 	if !ok {
 		return
 	}
 	values := []any{
-		"result", r.Code.String(), "outcome", x.outcome(r.Code).String(),
+		"result", r.Code.String(), "outcome", outcome.String(),
 		"detail", r.Detail, "back", r.back.String(), "took", time.Since(x.seen.start).String(),
 	}
 	if x.route != nil {
@@ -76,7 +76,7 @@
 		values = append(values, "service", x.target.Name, "servers", len(x.dir.Candidates(x.target.Key)))
 	}
 	message := LogFailed
-	if x.outcome(r.Code) == result.NotRun {
+	if outcome == result.NotRun {
 		message = LogRefused
 	}
 	log.Info(message, values...)
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -171,7 +171,7 @@
 
 // classify says what a failed attempt tells about the request.
 func classify(ctx context.Context, f *upstream.Failure, unreachable result.Code) *refusal {
-	expired := errors.Is(context.Cause(ctx), errDeadline)
+	expired := deadlinePassed(ctx)
 	switch {
 	case expired && !f.Sent:
 		return refuse(result.DeadlineTooShort, f.Error())
--- a/internal/process/daemon/committed.go
+++ b/internal/process/daemon/committed.go
@@ -80,14 +80,10 @@
 
 // CommittedHere is Committed at a source that is taken for the leader.
 func (s *sourceService) CommittedHere(_ Empty, version *uint64) error {
-	if s.d.leadership == nil {
-		return errNotSource
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), committedTimeout)
-	defer cancel()
-	var err error
-	*version, err = s.d.leadership.committed(ctx)
-	return err
+	return s.answer(committedTimeout, func(ctx context.Context) (err error) {
+		*version, err = s.d.leadership.committed(ctx)
+		return err
+	})
 }
 
 // committed waits for a round that began after the call.
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/rpc"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -47,6 +48,16 @@
 
 type sourceService struct{ d *Daemon }
 
+// answer runs a method that only a source answers, for so long at the most.
+func (s *sourceService) answer(timeout time.Duration, method func(context.Context) error) error {
+	if s.d.source == nil {
+		return errNotSource
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return method(ctx)
+}
+
 // Deliver takes in messages of another source.
 func (s *sourceService) Deliver(messages []replica.Message, _ *Empty) error {
 	if s.d.source == nil {
@@ -58,37 +69,26 @@
 
 // Propose commits a command that another source passed on.
 func (s *sourceService) Propose(data []byte, reply *quorum.Reply) error {
-	if s.d.source == nil {
-		return errNotSource
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
-	defer cancel()
-	*reply = s.d.source.Serve(ctx, data)
-	return nil
+	return s.answer(submitTimeout, func(ctx context.Context) error {
+		*reply = s.d.source.Serve(ctx, data)
+		return nil
+	})
 }
 
 // Submit proposes a manifest.
 func (s *sourceService) Submit(o source.Order, answer *source.Answer) error {
-	if s.d.source == nil {
-		return errNotSource
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
-	defer cancel()
-	var err error
-	*answer, err = s.d.source.Submit(ctx, &o)
-	return err
+	return s.answer(submitTimeout, func(ctx context.Context) (err error) {
+		*answer, err = s.d.source.Submit(ctx, &o)
+		return err
+	})
 }
 
 // Read asks for the newest manifest of a mesh.
 func (s *sourceService) Read(mesh string, answer *source.Answer) error {
-	if s.d.source == nil {
-		return errNotSource
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
-	defer cancel()
-	var err error
-	*answer, err = s.d.source.Read(ctx, mesh)
-	return err
+	return s.answer(submitTimeout, func(ctx context.Context) (err error) {
+		*answer, err = s.d.source.Read(ctx, mesh)
+		return err
+	})
 }
 
 type nodeService struct{ d *Daemon }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -43,10 +43,8 @@
 	suspectFor       = 1500 * time.Millisecond
 	forgetAfter      = 2 * time.Hour
 	probeInterval    = 10 * time.Second
-	// staleAfter is two heartbeats and the way down the tree.
-	staleAfter  = 2500 * time.Millisecond
-	activeLinks = 5
-	maxLinks    = 7
+	activeLinks      = 5
+	maxLinks         = 7
 
 	// A source campaigns 0.5 s to 1 s after it last heard of a leader, which
 	// makes itself heard each 150 ms.
@@ -178,7 +176,7 @@
 			Self: d.self, Seeds: d.otherSeeds(d.set.Seeds), Active: activeLinks, Max: maxLinks,
 			Silence: linkSilence, Interval: linkInterval, Backoff: d.set.JoinBackoff, Seed: seed,
 		},
-		Spread: spread.Config{Self: d.set.Node, Seed: seed, StaleAfter: staleAfter},
+		Spread: spread.Config{Self: d.set.Node, Seed: seed},
 		Presence: presence.Config{
 			Self: d.self, Incarnation: incarnation, DigestInterval: presenceInterval, SuspectFor: suspectFor,
 			ForgetAfter: forgetAfter, ProbeInterval: probeInterval, Seed: seed,
--- a/internal/process/daemon/history.go
+++ b/internal/process/daemon/history.go
@@ -50,23 +50,16 @@
 
 // History returns the accepted manifests.
 func (s *sourceService) History(r source.HistoryRequest, history *[]source.Accepted) error {
-	return s.history(r, history, s.d.leaderHistory)
+	return s.answer(submitTimeout, func(ctx context.Context) (err error) {
+		*history, err = s.d.leaderHistory(ctx, r)
+		return err
+	})
 }
 
 // OwnHistory returns the accepted manifests that this source has applied.
 func (s *sourceService) OwnHistory(r source.HistoryRequest, history *[]source.Accepted) error {
-	return s.history(r, history, func(ctx context.Context, r source.HistoryRequest) ([]source.Accepted, error) {
-		return s.d.source.Newest(ctx, r)
+	return s.answer(submitTimeout, func(ctx context.Context) (err error) {
+		*history, err = s.d.source.Newest(ctx, r)
+		return err
 	})
 }
-
-func (s *sourceService) history(r source.HistoryRequest, into *[]source.Accepted, read func(context.Context, source.HistoryRequest) ([]source.Accepted, error)) error {
-	if s.d.source == nil {
-		return errNotSource
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
-	defer cancel()
-	var err error
-	*into, err = read(ctx, r)
-	return err
-}
--- a/internal/process/replica/ballot.go
+++ b/internal/process/replica/ballot.go
@@ -10,7 +10,7 @@
 func (c *Core) ballotOf(m Message) ballot {
 	pending := c.replacing()
 	if pending == nil {
-		return ballot{committed: c.counts(m) || m.Newcomer && m.Disk == c.diskOf(m.From)}
+		return ballot{committed: (m.Voting || m.Newcomer) && m.Disk == c.diskOf(m.From)}
 	}
 	newcomer := m.Newcomer || diskIn(c.membership.Voters, m.From) == 0
 	return ballot{
--- a/internal/process/replica/election.go
+++ b/internal/process/replica/election.go
@@ -55,9 +55,6 @@
 	c.heartbeatElapsed = 0
 	c.progress = map[string]*progress{}
 	c.refreshOthers()
-	for _, id := range c.others {
-		c.progress[id] = &progress{next: c.log.last() + 1, disk: c.diskOf(id), active: true}
-	}
 	// An entry of the own term lets everything before it be committed.
 	c.append(Entry{})
 	c.heartbeat()
--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -216,7 +216,7 @@
 	own := slices.IndexFunc(voters, func(v Voter) bool { return v.Member == c.cfg.ID })
 	if own < 0 {
 		if c.membership.Voting {
-			c.membership.Voting, c.membership.Learning, c.membership.Newcomer = false, true, true
+			c.membership.loseVote()
 		}
 		return
 	}
--- a/internal/process/replica/replace.go
+++ b/internal/process/replica/replace.go
@@ -118,7 +118,7 @@
 	if c.cfg.ReplaceTicks == 0 || m.Fresh || m.Placed || m.Commit <= c.log.commit || c.role == Leader {
 		return
 	}
-	c.membership.Voting, c.membership.Learning, c.membership.Newcomer = false, true, true
+	c.membership.loseVote()
 	c.membershipChanged = true
 	c.becomeFollower(c.term, "")
 	c.refreshOthers()
--- a/internal/process/replica/types.go
+++ b/internal/process/replica/types.go
@@ -60,11 +60,14 @@
 	Group uint64 `cbor:"5,keyasint,omitempty"`
 	// Founding is set on a fresh member that may found the group.
 	Founding bool `cbor:"6,keyasint,omitempty"`
-	// Newcomer is set on a learner that the group does not know, or not any more.
-	// It votes in lists that are not committed yet.
+	// Newcomer is set on a learner that the group does not know, or not any more:
+	// its disk has lost nothing that it acknowledged.
 	Newcomer bool `cbor:"7,keyasint,omitempty"`
 }
 
+// loseVote makes a voter a learner that the group does not know any more.
+func (m *Membership) loseVote() { m.Voting, m.Learning, m.Newcomer = false, true, true }
+
 // Snapshot stands for all entries up to Index.
 type Snapshot struct {
 	Index uint64 `cbor:"1,keyasint"`
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -110,14 +110,12 @@
 func (s *Settings) checkSource(d *strictyaml.Document) {
 	members := s.Source.Members
 	d.Count("source.members", len(members), maxSources)
-	if n := len(members); n > 0 && n%2 == 0 && !s.Source.Join {
-		d.Add("source.members", "want an odd number, such as 3 or 5: of %d, as many may fail as of %d", n, n-1)
+	if !s.Source.Join {
+		checkOdd(d, "source.members", len(members))
 	}
 	if n := s.Source.Voters; n != 0 {
 		strictyaml.Range(d, "source.voters", n, 1, maxSources)
-		if n%2 == 0 {
-			d.Add("source.voters", "want an odd number, such as 3 or 5: of %d, as many may fail as of %d", n, n-1)
-		}
+		checkOdd(d, "source.voters", n)
 	}
 	var nodes, peers strictyaml.Unique
 	for i, m := range members {
@@ -138,6 +136,13 @@
 	}
 }
 
+// checkOdd reports a number of sources that is even; 0 is none.
+func checkOdd(d *strictyaml.Document, key string, n int) {
+	if n != 0 && n%2 == 0 {
+		d.Add(key, "want an odd number, such as 3 or 5: of %d, as many may fail as of %d", n, n-1)
+	}
+}
+
 func (l *Limits) check(d *strictyaml.Document) {
 	strictyaml.Range(d, "limits.header_bytes", l.HeaderBytes, minBytes, maxHeaderBytes)
 	strictyaml.Range(d, "limits.manifest_bytes", l.ManifestBytes, minBytes, manifest.MaxBytes)
--- a/internal/process/spread/types.go
+++ b/internal/process/spread/types.go
@@ -166,7 +166,8 @@
 	BeatInterval time.Duration
 	// DigestInterval is the time between digests on a link.
 	DigestInterval time.Duration
-	// StaleAfter is how long the leader's heartbeat may be missed.
+	// StaleAfter is how long the leader's heartbeat may be missed: two beats and the
+	// way down the tree.
 	StaleAfter time.Duration
 	// SeekInterval is the least mean time between two requests of this daemon for
 	// other links, SeekShare that of all daemons together: an outage of the sources
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -138,7 +138,6 @@
 // Arrive decides on a new ticket, and with it perhaps on others: without a
 // decision on it, it waits.
 func (c *Core) Arrive(now time.Time, t Ticket) []Decision {
-	t.arrived = now
 	if d, refused := c.Refuses(now, &t); refused {
 		return []Decision{d}
 	}
@@ -158,6 +157,7 @@
 // Refuses returns the refusal that a ticket gets if it arrives now, if there is
 // one.
 func (c *Core) Refuses(now time.Time, t *Ticket) (Decision, bool) {
+	t.arrived = now
 	switch {
 	case c.draining:
 		return c.refuse(*t, result.Draining, Draining), true
@@ -168,7 +168,6 @@
 	case c.Stalled(now):
 		return c.refuse(*t, result.Overloaded, Stalled), true
 	}
-	t.arrived = now
 	wait := c.wait(now, t)
 	if wait > t.Deadline.Sub(now) {
 		return c.refuse(*t, result.DeadlineTooShort, BeyondDeadline), true
@@ -251,7 +250,7 @@
 		return 0
 	}
 	useful := time.Duration(UsefulShare * float64(t.Useful.Sub(now)))
-	return wait + c.kinds.service(t.Kind, c.limit.service) - useful
+	return wait + c.Usual(t.Kind) - useful
 }
 
 // Finish returns the slot of a ticket of a kind after took, the time to the header
--- a/internal/request/balance/expected.go
+++ b/internal/request/balance/expected.go
@@ -56,7 +56,7 @@
 	now := in.Now
 	s := t.servers[c.Server.Addr]
 	l, inProgress := s.estimate(now, c.Server.Slots)
-	if t.local != nil && c.Node.Name == t.self.Node {
+	if t.local != nil && t.distance(c) == beside {
 		if exact, ok := t.local.LocalLoad(c.Server.Addr); ok {
 			l, inProgress = exact, float64(exact.Running+exact.Queued)
 			if t.usual == 0 {
@@ -68,8 +68,9 @@
 	service := t.timeOf(l)
 	queue := max(0, inProgress+1-limit) / limit
 	crowd := busier * min(inProgress/limit, 1)
-	soonest := service.Seconds()*(1+queue) + t.handicap(c, service, in.Target)
-	if queue > 0 && service.Seconds()*(1+queue) > admit.UsefulShare*in.Target.Seconds() {
+	answered := service.Seconds() * (1 + queue)
+	soonest := answered + t.handicap(c, service, in.Target)
+	if queue > 0 && answered > admit.UsefulShare*in.Target.Seconds() {
 		// Its gate is expected to refuse, which costs more than any way.
 		soonest += in.Target.Seconds()
 	}
@@ -80,8 +81,7 @@
 // do, in seconds. What all fail alike, such as calls that lead to a full service,
 // says nothing of one.
 func (t *Table) failure(l Load, service, target time.Duration) float64 {
-	weight := math.Exp(-l.Idle.Seconds() / forget.Seconds())
-	more := weight*l.Failing - t.failing
+	more := l.weight()*l.Failing - t.failing
 	if more <= failingNoise {
 		return 0
 	}
@@ -91,7 +91,7 @@
 // transfer is how long a large body takes to a server, in seconds: behind those
 // that are on their way there, and no time to one beside this daemon.
 func (t *Table) transfer(now time.Time, bytes int64, c *directory.Candidate) float64 {
-	if bytes == 0 || t.LinkBytes == 0 || c.Node.Name == t.self.Node {
+	if bytes == 0 || t.LinkBytes == 0 || t.distance(c) == beside {
 		return 0
 	}
 	return (t.servers[c.Server.Addr].backlog(now, t.LinkBytes) + float64(bytes)) / t.LinkBytes
@@ -104,10 +104,12 @@
 	if l.Service == 0 {
 		return usual
 	}
-	weight := math.Exp(-l.Idle.Seconds() / forget.Seconds())
-	return usual + time.Duration(weight*float64(l.Service-usual))
+	return usual + time.Duration(l.weight()*float64(l.Service-usual))
 }
 
+// weight is what the figures of a server still count for.
+func (l Load) weight() float64 { return math.Exp(-l.Idle.Seconds() / forget.Seconds()) }
+
 // note takes a measured time into that of all.
 func (t *Table) note(l Load) {
 	t.failing += usualShare * (l.Failing - t.failing)
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -18,6 +18,16 @@
 	}
 }
 
+// now is when the tests of the expected time begin.
+var now = time.Unix(1000, 0)
+
+// tableAt is the table of a daemon in the failure domain "d".
+func tableAt(node string, candidates ...*directory.Candidate) *Table {
+	table := NewTable(Place{Node: node, Domain: "d"}, nil)
+	table.Update(candidates, 0)
+	return table
+}
+
 // picks counts what a table picks, each time as if nothing was in progress.
 func picks(t *Table, now time.Time, target time.Duration) map[string]int {
 	count := map[string]int{}
@@ -31,10 +41,8 @@
 // one like the others, and one that was slow once is tried again.
 func TestUnknownServersAreTried(t *testing.T) {
 	c := qt.New(t)
-	table := NewTable(Place{Node: "here", Domain: "d"}, nil)
 	here, there := at("here", "d"), at("there", "d")
-	table.Update([]*directory.Candidate{here, there}, 0)
-	now := time.Unix(1000, 0)
+	table := tableAt("here", here, there)
 	table.Told(now, there, Load{Limit: 4, Service: time.Millisecond})
 	c.Check(picks(table, now, 0)["here"] > 80, qt.IsTrue)
 	table.Told(now, here, Load{Limit: 4, Service: 20 * time.Millisecond})
@@ -46,10 +54,8 @@
 // that matters within the target, or where the near one would refuse.
 func TestFartherServers(t *testing.T) {
 	c := qt.New(t)
-	table := NewTable(Place{Node: "caller", Domain: "d"}, nil)
 	near, far := at("near", "d"), at("far", "e")
-	table.Update([]*directory.Candidate{near, far}, 0)
-	now := time.Unix(1000, 0)
+	table := tableAt("caller", near, far)
 	const target = 200 * time.Millisecond
 	table.Told(now, far, Load{Limit: 4, Service: 20 * time.Millisecond})
 	table.Told(now, near, Load{Limit: 4, Service: 60 * time.Millisecond})
@@ -62,10 +68,8 @@
 // sent to another failure domain for a difference that the way costs again.
 func TestShortRequestsStay(t *testing.T) {
 	c := qt.New(t)
-	table := NewTable(Place{Node: "here", Domain: "d"}, nil)
 	here, far := at("here", "d"), at("far", "e")
-	table.Update([]*directory.Candidate{here, far}, 0)
-	now := time.Unix(1000, 0)
+	table := tableAt("here", here, far)
 	table.Told(now, here, Load{Limit: 4, Service: 900 * time.Microsecond})
 	table.Told(now, far, Load{Limit: 4, Service: 100 * time.Microsecond})
 	c.Check(picks(table, now, 0)["here"], qt.Equals, 100)
@@ -75,11 +79,9 @@
 // where the link has the least to bring; what is small does not care.
 func TestLargeBodies(t *testing.T) {
 	c := qt.New(t)
-	table := NewTable(Place{Node: "here", Domain: "d"}, nil)
-	table.LinkBytes = 1e6
 	busy, free := at("busy", "d"), at("free", "d")
-	table.Update([]*directory.Candidate{busy, free}, 0)
-	now := time.Unix(1000, 0)
+	table := tableAt("here", busy, free)
+	table.LinkBytes = 1e6
 	table.Told(now, busy, Load{Limit: 4, Service: 100 * time.Millisecond, Inflow: 500_000})
 	table.Told(now, free, Load{Limit: 4, Service: 200 * time.Millisecond})
 	pick := func(at time.Time, bytes int64) string {
@@ -100,10 +102,8 @@
 // as many is served as before.
 func TestFailingServer(t *testing.T) {
 	c := qt.New(t)
-	table := NewTable(Place{Node: "caller", Domain: "d"}, nil)
 	near, far := at("near", "d"), at("far", "e")
-	table.Update([]*directory.Candidate{near, far}, 0)
-	now := time.Unix(1000, 0)
+	table := tableAt("caller", near, far)
 	const target = 200 * time.Millisecond
 	told := func(c *directory.Candidate, failing float64) {
 		table.Told(now, c, Load{Limit: 4, Service: 20 * time.Millisecond, Failing: failing})
--- a/internal/request/sample/sample.go
+++ b/internal/request/sample/sample.go
@@ -22,7 +22,7 @@
 	hardCap = 2
 )
 
-// Sampler chooses requests. The zero value chooses none. It is not safe for
+// Sampler chooses requests. The zero value chooses each. It is not safe for
 // concurrent use.
 type Sampler struct {
 	perSecond int
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -23,6 +22,8 @@
 	// failing is the share of requests that the server answers with 500.
 	failing        = 0.01
 	reportInterval = 500 * time.Millisecond
+	// callTimeout bounds one call to the daemon beside.
+	callTimeout = time.Second
 )
 
 // backend is a backend server, which lives in this process behind a proxy.
@@ -155,7 +156,7 @@
 		"information": map[string]any{"service": b.service, "version": "v1", "zone": "z", "max_concurrency": slots},
 		"status":      map[string]any{"state": state, "sequence": b.sequence.Add(1), "cold_remaining_ms": 0},
 	})
-	return post(ctx, "http://"+b.control+controlPath+callReport+boot, body)
+	return b.call(ctx, callReport+boot, body)
 }
 
 // leave drains the server as the platform does: it reports, waits, ends, and comes
@@ -174,24 +175,15 @@
 		time.Sleep(reportInterval)
 	}
 	time.Sleep(drainTime + 200*time.Millisecond)
-	post(ctx, "http://"+b.control+controlPath+callLeave+boot, nil)
+	b.call(ctx, callLeave+boot, nil)
 	b.crash()
 }
 
-// post sends a call to a control address and reports whether it got a 2xx.
-func post(ctx context.Context, url string, body []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+// call sends a call about this server to the daemon beside and reports whether
+// it got a 2xx.
+func (b *backend) call(ctx context.Context, call string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return false
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return resp.StatusCode/100 == 2
+	status, _ := post(ctx, b.control, call, body, nil)
+	return status/100 == 2
 }
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -19,6 +19,8 @@
 	// orderTries is how often an order without a clear answer is sent again.
 	orderTries = 40
 	readBack   = 10 * time.Second
+	// controlTimeout bounds one call to a source.
+	controlTimeout = 2 * time.Second
 )
 
 // operators is what the operators share: the newest version acknowledged.
@@ -27,6 +29,20 @@
 	newest uint64
 }
 
+// base is the version to build on.
+func (o *operators) base() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.newest
+}
+
+// learned takes in a version that was acknowledged or read.
+func (o *operators) learned(version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.newest = max(o.newest, version)
+}
+
 func versionText(v uint64) string { return "r" + strconv.FormatUint(v, 10) }
 
 // startOperators changes and reads the configuration until ctx ends: one operator
@@ -36,9 +52,7 @@
 	w.wait.Go(func() {
 		for ctx.Err() == nil {
 			w.sleep(ctx, time.Duration(random.Int64N(int64(2*orderPause))))
-			w.operators.mu.Lock()
-			base := w.operators.newest
-			w.operators.mu.Unlock()
+			base := w.operators.base()
 			service := []string{serviceA, serviceB}[random.IntN(2)]
 			version := base + 1 + uint64(random.IntN(4))
 			var both sync.WaitGroup
@@ -61,19 +75,14 @@
 		switch status := w.replace(ctx, raw, base); {
 		case status == http.StatusOK && o.Acked.IsZero():
 			o.Acked = time.Now()
-			w.operators.mu.Lock()
-			w.operators.newest = max(w.operators.newest, version)
-			w.operators.mu.Unlock()
+			w.operators.learned(version)
 			if rand.IntN(4) > 0 {
 				return true
 			} // the others send what was acknowledged once more
 		case status == http.StatusOK:
 			return true
 		case status/100 == 4 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
-			w.operators.mu.Lock()
-			still := w.operators.newest == version
-			w.operators.mu.Unlock()
-			o.AfterAck = !o.Acked.IsZero() && still
+			o.AfterAck = !o.Acked.IsZero() && w.operators.base() == version
 			o.Refused = o.Acked.IsZero()
 			return false
 		}
@@ -92,10 +101,14 @@
 
 // control calls one source, drawn at random.
 func (w *world) control(ctx context.Context, call string, body []byte, header map[string]string) (int, []byte) {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	s := w.sources[rand.IntN(len(w.sources))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.addr(s, portControl)+controlPath+call, bytes.NewReader(body))
+	return post(ctx, w.addr(w.sources[rand.IntN(len(w.sources))], portControl), call, body, header)
+}
+
+// post sends a call to a control address. Without a whole answer the status is 0.
+func post(ctx context.Context, addr, call string, body []byte, header map[string]string) (int, []byte) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+controlPath+call, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -128,9 +141,7 @@
 		return false
 	}
 	note(w.history, &w.history.Reads, Read{At: at, Version: version})
-	w.operators.mu.Lock()
-	w.operators.newest = max(w.operators.newest, version)
-	w.operators.mu.Unlock()
+	w.operators.learned(version)
 	return true
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -60,8 +61,7 @@
 	busy map[string]bool
 	mu   sync.Mutex
 	// wiped is until when a lost disk is not made good.
-	wiped time.Time
-	// next is the version that operators build on.
+	wiped     time.Time
 	operators operators
 }
 
@@ -93,6 +93,9 @@
 	return w, nil
 }
 
+// processes are the programs under test, the sources first.
+func (w *world) processes() []*process { return slices.Concat(w.sources, w.daemons) }
+
 func (w *world) addr(p *process, port int) string { return fmt.Sprintf("%s:%d", p.ip, w.port+port) }
 
 // settings is the file that the platform hands out.
@@ -187,7 +190,7 @@
 	w.history.Begin = time.Now()
 	reports, quiet := context.WithCancel(ctx)
 	w.quiet = quiet
-	for _, p := range append(append([]*process{}, w.sources...), w.daemons...) {
+	for _, p := range w.processes() {
 		if err := w.startProcess(p); err != nil {
 			return errors.Wrapf(err, "start %s", p.name)
 		}
@@ -244,7 +247,7 @@
 	if w.quiet != nil {
 		w.quiet()
 	}
-	for _, p := range append(append([]*process{}, w.sources...), w.daemons...) {
+	for _, p := range w.processes() {
 		if p.cmd != nil {
 			p.signal(syscall.SIGCONT, false)
 			p.signal(syscall.SIGKILL, false)
