Split the four largest files by job

Moves only: digests and the search for other links out of the spread core, the checks of the membership simulation, the crash tests and the tests of large bodies. No line of a test or of the code is changed.

--- a/internal/process/membership/sim_test.go
+++ b/internal/process/membership/sim_test.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/process/membership"
@@ -294,86 +293,3 @@
 	}
 	return live
 }
-
-// check returns what is wrong with a fleet that has had time to settle.
-func (s *sim) check() error {
-	if s.fault != "" {
-		return fmt.Errorf("%s", s.fault)
-	}
-	live := s.live()
-	if err := s.checkOverlay(live); err != nil {
-		return err
-	}
-	for _, n := range live {
-		if got := n.core.Presence().Len(); got != len(live) {
-			return fmt.Errorf("%s knows %d records, want %d", n.node.Name, got, len(live))
-		}
-	}
-	want := s.owned(live)
-	for _, n := range live {
-		if got := table(n); got != want {
-			return fmt.Errorf("%s knows\n%s\nwant\n%s", n.node.Name, got, want)
-		}
-	}
-	return nil
-}
-
-// owned is the table made of every live daemon's own record.
-func (s *sim) owned(live []*simNode) string {
-	var lines []string
-	for _, n := range live {
-		for _, r := range n.core.Presence().All() {
-			if r.Node.Name == n.node.Name {
-				lines = append(lines, line(*r))
-			}
-		}
-	}
-	slices.Sort(lines)
-	return strings.Join(lines, "\n")
-}
-
-func table(n *simNode) string {
-	var lines []string
-	for _, r := range n.core.Presence().Records() {
-		lines = append(lines, line(r))
-	}
-	slices.Sort(lines)
-	return strings.Join(lines, "\n")
-}
-
-func line(r presence.Record) string {
-	return fmt.Sprintf("%s %s %d/%d leaving=%t servers=%d", r.Node.Name, r.Node.Addr, r.Incarnation, r.Seq, r.Leaving, len(r.Servers))
-}
-
-// checkOverlay wants links that are symmetric, bounded and connect everyone.
-func (s *sim) checkOverlay(live []*simNode) error {
-	if len(live) == 0 {
-		return nil
-	}
-	byName := map[string]*simNode{}
-	for _, n := range live {
-		byName[n.node.Name] = n
-	}
-	reached := map[string]bool{live[0].node.Name: true}
-	for todo := []*simNode{live[0]}; len(todo) > 0; {
-		n := todo[0]
-		todo = todo[1:]
-		for _, l := range n.core.Links() {
-			other := byName[l.Name]
-			if other == nil {
-				return fmt.Errorf("%s is linked to %s, which is gone", n.node.Name, l.Name)
-			}
-			if _, back := other.core.Link(n.node.Name); !back {
-				return fmt.Errorf("%s is linked to %s, not the other way", n.node.Name, l.Name)
-			}
-			if !reached[l.Name] {
-				reached[l.Name] = true
-				todo = append(todo, other)
-			}
-		}
-	}
-	if len(reached) != len(live) {
-		return fmt.Errorf("%d of %d daemons are connected", len(reached), len(live))
-	}
-	return nil
-}
--- a/internal/process/spread/core.go
+++ b/internal/process/spread/core.go
@@ -59,12 +59,6 @@
 	due bool
 }
 
-// told is a version, and the count of a version.
-type told struct {
-	version        uint64
-	counted, count uint64
-}
-
 // Core holds the state of one daemon. It is not safe for concurrent use.
 type Core struct {
 	cfg  Config
@@ -210,84 +204,6 @@
 	return c.flush()
 }
 
-// maxSeekInterval bounds the mean time between two requests for other links.
-const maxSeekInterval = time.Minute
-
-// seek asks for another link while the heartbeat is missed. Each daemon asks at
-// times drawn at random, so seldom that the fleet as a whole asks once in
-// Config.SeekShare: the first that finds the leader again brings its heartbeat to
-// all the others.
-func (c *Core) seek() {
-	if !c.Stale(c.now) || c.now.Sub(c.start) <= c.cfg.StaleAfter {
-		c.seekAt = time.Time{}
-		return
-	}
-	if c.seekAt.IsZero() {
-		c.seekAt = c.now.Add(c.seekPause())
-	}
-	if c.now.Before(c.seekAt) {
-		return
-	}
-	c.seekAt = c.now.Add(c.seekPause())
-	c.out = append(c.out, Action{Seek: true})
-}
-
-func (c *Core) seekPause() time.Duration {
-	mean := min(max(c.cfg.SeekInterval, time.Duration(c.fleet)*c.cfg.SeekShare), maxSeekInterval)
-	return time.Duration(c.rand.Int64N(int64(2*mean) + 1))
-}
-
-// SetFleet tells how many daemons there are.
-func (c *Core) SetFleet(daemons int) { c.fleet = daemons }
-
-// digestInterval spares a child the digest that the next heartbeat makes
-// redundant.
-func (c *Core) digestInterval(l *link) time.Duration {
-	if l.child && !c.Stale(c.now) {
-		return c.cfg.DigestInterval + c.cfg.BeatInterval/2
-	}
-	return c.cfg.DigestInterval
-}
-
-func (c *Core) receiveDigest(l *link, d *Digest) {
-	l.heard = true
-	if d.Heartbeat.Term == 0 && c.heartbeat.Term > 0 {
-		// It has just started, maybe before its end was noticed here.
-		l.due = true
-	}
-	c.compare(l, d.Version, d.Hash)
-	c.takeBeat(l, d)
-	c.takeReport(l, d)
-	if d.Confirmed != nil {
-		c.takeConfirmed(*d.Confirmed)
-	}
-	c.catchUp()
-}
-
-// compare notes the version of a linked node.
-func (c *Core) compare(l *link, version, hash uint64) {
-	l.version = version
-	l.sent = max(l.sent, version)
-	c.noteAhead(l)
-	if hash == 0 && version == c.state.Version {
-		return
-	}
-	differs := version == c.state.Version && hash != c.state.Hash()
-	if differs && !l.diverged {
-		c.out = append(c.out, Action{Diverged: &Diverged{Node: l.name, Version: version, Own: c.state.Hash(), Other: hash}})
-	}
-	l.diverged = differs
-}
-
-func (c *Core) noteAhead(l *link) {
-	switch {
-	case l.version <= c.state.Version:
-		l.ahead = time.Time{}
-	case l.ahead.IsZero():
-		l.ahead = c.now
-	}
-}
-
 // install puts a state in force, or refuses it whole.
 func (c *Core) install(state *fleet.State, delta *fleet.Delta) bool {
 	compiled, err := snapshot.CompileAfter(c.compiled, state)
@@ -359,28 +275,3 @@
 	}
 	return false
 }
-
-// retell is the number of digests after which one tells again what has not
-// changed since it was told.
-const retell = 16
-
-func (c *Core) digest(l *link) *Digest {
-	d := &Digest{Version: c.state.Version, Heartbeat: c.heartbeat, Depth: c.depth}
-	again := l.digests%retell == 0
-	l.digests++
-	if again || l.told.version != d.Version {
-		d.Hash = c.state.Hash()
-		l.told.version = d.Version
-	}
-	changed := l.told.counted != c.inForce.Version || l.told.count != c.inForce.Sum
-	if l.child && c.inForce.Count > 0 && (again || changed) {
-		inForce := c.inForce
-		d.InForce = &inForce
-		l.told.counted, l.told.count = inForce.Version, inForce.Sum
-	}
-	if l.name == c.parent {
-		d.Report = &Report{InForce: c.subtree(), Ask: c.confirm.outstanding()}
-	}
-	d.Confirmed = l.asks.answer
-	return d
-}
--- /dev/null
+++ b/test/e2e/crash_test.go
@@ -0,0 +1,173 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/standin"
+)
+
+// alive counts the backend servers that still listen.
+func (cl *cluster) alive() int {
+	count := 0
+	for _, b := range cl.backends {
+		if conn, err := net.Dial("tcp", b.addr); err == nil {
+			_ = conn.Close()
+			count++
+		}
+	}
+	return count
+}
+
+// TestCrashingRequestIsRefused sends a request that crashes every server, again
+// and again through every daemon, while innocents run; one that may not be
+// repeated, and one that the daemons themselves send again.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	c := qt.New(t)
+	c.Run("once", func(c *qt.C) { crashAgain(c, http.MethodPost, "/transfers") })
+	c.Run("repeatable", func(c *qt.C) { crashAgain(c, http.MethodGet, "/records/crash") })
+}
+
+func crashAgain(c *qt.C, method, path string) {
+	cl := newArchive(c, 5, 0, 1, 2, 3, 4)
+	ctx := context.Background()
+	innocents := cl.startLoad("/records/")
+	slow := make(chan told, 8)
+	for i := range cap(slow) {
+		go func() {
+			slow <- send(ctx, cl.nodes[i%5], http.MethodGet, fmt.Sprintf("/records/slow-%d", i), "", map[string]string{standin.HeaderDelay: "300ms"})
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	crash := func(n *node) told {
+		return send(ctx, n, method, path, "transfer", map[string]string{standin.HeaderCrash: "1"})
+	}
+	first := crash(cl.nodes[0])
+	c.Assert(first.outcome, qt.Equals, "unknown", qt.Commentf("%+v", first))
+	for i := 1; i < 40; i++ {
+		if crash(cl.nodes[i%5]).is(result.Quarantined) {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, n := range cl.nodes {
+		cl.eventually("the refusal at "+n.name, func() error { return crash(n).must(result.Quarantined) })
+	}
+	dead := len(cl.backends) - cl.alive()
+	c.Logf("%d backend servers crashed", dead)
+	c.Assert(dead, qt.Equals, 2)
+	refused := crash(cl.nodes[4])
+	c.Assert(refused.outcome, qt.Equals, "not-run")
+	c.Assert(refused.retryAfter, qt.Not(qt.Equals), "")
+	for range cap(slow) {
+		c.Assert((<-slow).is(result.Quarantined), qt.IsFalse)
+	}
+	sent := innocents.stop()
+	for _, err := range innocents.errors {
+		c.Assert(strings.Contains(err.Error(), "Quarantined"), qt.IsFalse, qt.Commentf("%v", err))
+	}
+	c.Logf("%d innocents beside it, %d without an answer: %v", len(sent), len(innocents.errors), innocents.errors)
+	for i := range cap(slow) {
+		cl.eventually("an innocent's resend", func() error {
+			return get(cl.nodes[i%5], fmt.Sprintf("/records/slow-%d", i), "", "")
+		})
+	}
+	c.Assert(len(cl.backends)-cl.alive(), qt.Equals, 2)
+}
+
+// TestOrdinaryCrashBlamesNobody kills a server with requests in progress: all
+// are answered, and so are their resends.
+func TestOrdinaryCrashBlamesNobody(t *testing.T) {
+	c := qt.New(t)
+	cl := newArchive(c, 3, 0, 1, 2)
+	ctx := context.Background()
+	slow := map[string]string{standin.HeaderDelay: "300ms"}
+	path := func(i int) string { return fmt.Sprintf("/records/slow-%d", i) }
+	results := make(chan told, 6)
+	for i := range cap(results) {
+		go func() { results <- send(ctx, cl.nodes[0], http.MethodGet, path(i), "", slow) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	cl.backends[0].process.kill()
+	lost := 0
+	for range cap(results) {
+		if r := <-results; !r.is(result.OK) {
+			c.Assert(r.is(result.Quarantined), qt.IsFalse)
+			lost++
+		}
+	}
+	c.Logf("%d of %d without an answer", lost, cap(results))
+	for i := range cap(results) {
+		cl.eventually("a resend", func() error {
+			r := send(ctx, cl.nodes[i%3], http.MethodGet, path(i), "", slow)
+			c.Assert(r.is(result.Quarantined), qt.IsFalse)
+			return r.must(result.OK)
+		})
+	}
+	for i := range cap(results) {
+		c.Assert(send(ctx, cl.nodes[i%3], http.MethodGet, path(i), "", slow).must(result.OK), qt.IsNil)
+	}
+}
+
+// TestRackFailureBlamesNobody kills two servers at one time with identical
+// requests in progress, and then the one on which the daemons send them again:
+// they are no culprits.
+func TestRackFailureBlamesNobody(t *testing.T) {
+	c := qt.New(t)
+	cl := newArchive(c, 5, 0, 1, 2, 3, 4)
+	for i, n := range cl.nodes {
+		cl.answersBeside(n, cl.backends[i])
+	}
+	ctx := context.Background()
+	slow := map[string]string{standin.HeaderDelay: "1s", standin.HeaderID: "rack"}
+	get := func(n *node) told { return send(ctx, n, http.MethodGet, "/records/1", "", slow) }
+	results := make(chan told, 20)
+	for i := range cap(results) {
+		go func() { results <- get(cl.nodes[i%5]) }()
+	}
+	running := func(b *backend) int { return b.runs(c)["rack"] }
+	cl.eventually("all to run", func() error {
+		if n := cl.runsOf("rack"); n < cap(results) {
+			return errors.Newf("%d run", n)
+		}
+		return nil
+	})
+	before := map[*backend]int{}
+	for _, b := range cl.backends {
+		before[b] = running(b)
+		c.Assert(before[b] > 0, qt.IsTrue, qt.Commentf("%v", before))
+	}
+	cl.backends[0].process.kill()
+	cl.backends[1].process.kill()
+	var third *backend
+	cl.eventually("a second attempt", func() error {
+		for _, b := range cl.backends[2:] {
+			if running(b) > before[b] {
+				third = b
+				return nil
+			}
+		}
+		return errors.New("none yet")
+	})
+	third.process.kill()
+	for range cap(results) {
+		<-results
+	}
+	time.Sleep(5 * time.Second) // all crashes are known by then, and a refusal lasts a minute
+	for _, n := range cl.nodes {
+		cl.eventually("the resend at "+n.name, func() error {
+			again := get(n)
+			c.Assert(again.is(result.Quarantined), qt.IsFalse, qt.Commentf("%+v", again))
+			return again.must(result.OK)
+		})
+	}
+}
