--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -19,7 +19,7 @@
 
 func TestManifests(t *testing.T) {
 	c := qt.New(t)
-	for file, routes := range map[string]int{"ahnenbach.yaml": 4, "canary.yaml": 2, "ramdin.yaml": 8} {
+	for file, routes := range map[string]int{"ahnenbach.yaml": 4, "canary.yaml": 3, "ramdin.yaml": 8} {
 		raw, err := os.ReadFile(file)
 		c.Assert(err, qt.IsNil)
 		m, err := manifest.Parse(raw)
--- a/internal/version/manifest/check.go
+++ b/internal/version/manifest/check.go
@@ -184,6 +184,9 @@
 	if r.Upload && r.Repeatable {
 		d.Add(key+".upload", "want upload or repeatable, not both: an upload is never sent twice")
 	}
+	if r.Download && !r.Repeatable {
+		d.Add(key+".download", "want repeatable as well: a download may run more than once")
+	}
 	strictyaml.Range(d, key+".retries", r.Retries, 0, MaxRetries)
 	strictyaml.Range(d, key+".priority", r.Priority, 0, LowestPriority)
 }
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -85,6 +85,8 @@
 	Target time.Duration `yaml:"target" cbor:"11,keyasint,omitempty"`
 	// Upload marks routes whose bodies are large. They are never repeatable.
 	Upload bool `yaml:"upload" cbor:"12,keyasint,omitempty"`
+	// Download marks routes whose answers are large. They are always repeatable.
+	Download bool `yaml:"download" cbor:"13,keyasint,omitempty"`
 }
 
 // Share is one service's part of the requests of a route.
