Take no vote from a member that has its place in a newer list

Cause: a member that knew only an older list of voters (it was away) told one that had its place since that it has none; after a restart the commit index lags on disk, so the other believed it, and going through its own log it also fell back to the older list. With two disks lost besides, three of five could vote in theory and one less did: no leader, for good. Change: the index of the list of voters is kept beside it; an older list never replaces a newer one, and only who knows more than the newest list here is believed.

--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -103,7 +103,9 @@
 	c.log.stable = c.log.last()
 	c.handed = c.log.last()
 	c.becomeFollower(c.term, "")
-	c.commitTo(min(restored.HardState.Commit, c.log.last()))
+	// The list of voters that was restored may be newer than the commit index,
+	// which lags behind on disk.
+	c.log.commit = max(c.log.commit, min(restored.HardState.Commit, c.log.last()))
 	c.refreshOthers()
 	c.bootstrap()
 	return c
--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -200,17 +200,17 @@
 	entries := c.log.from(c.log.commit+1, int(index-c.log.commit))
 	c.log.commit = index
 	for _, e := range entries {
-		if e.Voters != nil {
-			c.setVoters(e.Voters)
+		if e.Voters != nil && e.Index > c.membership.VotersAt {
+			c.setVoters(e.Voters, e.Index)
 		}
 	}
 }
 
-// setVoters takes up a committed list. It gives a learner its vote, except in
+// setVoters takes up the committed list of the entry at an index. It gives a learner its vote, except in
 // the current term, in which the lost disk may have voted; and takes the vote
 // from a disk that was replaced by another one.
-func (c *Core) setVoters(voters []Voter) {
-	c.membership.Voters = slices.Clone(voters)
+func (c *Core) setVoters(voters []Voter, at uint64) {
+	c.membership.Voters, c.membership.VotersAt = slices.Clone(voters), at
 	c.membershipChanged = true
 	defer c.refreshOthers()
 	own := slices.IndexFunc(voters, func(v Voter) bool { return v.Member == c.cfg.ID })
--- a/internal/process/replica/progress.go
+++ b/internal/process/replica/progress.go
@@ -157,7 +157,7 @@
 		c.log.restore(*m.Snapshot)
 		c.handed = c.log.stable
 		c.newSnapshot = m.Snapshot
-		c.setVoters(m.Snapshot.Voters)
+		c.setVoters(m.Snapshot.Voters, m.Snapshot.Index)
 	}
 	c.send(Message{Type: MsgAppendReply, To: m.From, Term: c.term, Index: c.log.commit})
 }
--- a/internal/process/replica/replace.go
+++ b/internal/process/replica/replace.go
@@ -112,10 +112,12 @@
 	}
 }
 
-// losePlace takes the vote from a member that others, who are ahead of it, do
-// not know any more under this disk.
+// losePlace takes the vote from a member that others do not know any more under
+// this disk, though they know what was committed up to the newest list that it
+// has. One that knows less may be from before this member got its place: to believe
+// it would leave the group without a majority when other disks are lost.
 func (c *Core) losePlace(m Message) {
-	if c.cfg.ReplaceTicks == 0 || m.Fresh || m.Placed || m.Commit <= c.log.commit || c.role == Leader {
+	if c.cfg.ReplaceTicks == 0 || m.Fresh || m.Placed || m.Commit <= c.newestList() || c.role == Leader {
 		return
 	}
 	c.membership.loseVote()
@@ -124,6 +126,17 @@
 	c.refreshOthers()
 }
 
+// newestList is the index of the newest list of voters that this member has,
+// committed or not.
+func (c *Core) newestList() uint64 {
+	for i := c.log.last(); i > max(c.log.snapshot.Index, c.membership.VotersAt); i-- {
+		if c.log.entries[i-c.log.first()].Voters != nil {
+			return i
+		}
+	}
+	return c.membership.VotersAt
+}
+
 // replacing returns the list of voters in the log that is not committed and has
 // other members than the one that is; nil without one.
 func (c *Core) replacing() []Voter {
--- a/internal/process/replica/types.go
+++ b/internal/process/replica/types.go
@@ -60,6 +60,9 @@
 	Group uint64 `cbor:"5,keyasint,omitempty"`
 	// Founding is set on a fresh member that may found the group.
 	Founding bool `cbor:"6,keyasint,omitempty"`
+	// VotersAt is the index of the entry that brought Voters; 0 before the first
+	// and in the data of older releases.
+	VotersAt uint64 `cbor:"8,keyasint,omitempty"`
 	// Newcomer is set on a learner that the group does not know, or not any more:
 	// its disk has lost nothing that it acknowledged.
 	Newcomer bool `cbor:"7,keyasint,omitempty"`
