Let a member that lost its disk hear of its group from the leader

Cause: three founders that lost their disks one after the other knew only one another; the leader's entries were dropped as another group's, so none of them ever asked anyone who knows. The test group now starts an emptied founder as the platform does, as one that may not found: before, three emptied founders founded a second group. Change: who knows no group asks the member that sends to it.

--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -223,6 +223,11 @@
 // groups have no common quorum.
 func (c *Core) Step(m Message) {
 	probe := m.Type == MsgProbe || m.Type == MsgProbeReply
+	if c.group == 0 && m.Group != 0 && !probe {
+		// A leader sends to this member by the list of voters. Members that lost
+		// their disks together may know only one another otherwise.
+		c.follow(m.From)
+	}
 	if m.From == c.cfg.ID || !probe && m.Group != c.group || probe && m.Group != 0 && c.group != 0 && m.Group != c.group {
 		return
 	}
--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -134,13 +134,20 @@
 	}
 }
 
+// follow has a member without a vote ask another one, too, what it knows.
+func (c *Core) follow(id string) {
+	if !slices.Contains(c.others, id) {
+		c.guide = id
+		c.refreshOthers()
+	}
+}
+
 func (c *Core) stepProbeReply(m Message) {
 	if m.Hint != c.membership.Disk {
 		return
 	}
-	if !c.membership.Voting && m.Lead != "" && !slices.Contains(c.others, m.Lead) {
-		c.guide = m.Lead
-		c.refreshOthers()
+	if !c.membership.Voting && m.Lead != "" {
+		c.follow(m.Lead)
 	}
 	if c.membership.Voting {
 		c.losePlace(m)
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -49,6 +49,9 @@
 	machine *machine
 	// checked is the fleet version up to which the oracle was asked.
 	checked uint64
+	// emptied is set once the disk was lost: the settings of a member that starts
+	// again do not let it found the group.
+	emptied bool
 	// lost is set from the loss of the disk until the member votes again.
 	lost bool
 }
@@ -86,7 +89,7 @@
 	}
 	m.node, err = quorum.NewNode(replica.Config{
 		ID: id, Members: c.configured(id), ElectionTicks: 10, HeartbeatTicks: 2, Seed: c.seed,
-		ReplaceTicks: c.replaceTicks, Voters: c.voters, Joins: len(c.founders) > 0 && !slices.Contains(c.founders, id),
+		ReplaceTicks: c.replaceTicks, Voters: c.voters, Joins: len(c.founders) > 0 && (m.emptied || !slices.Contains(c.founders, id)),
 	}, restored, disk, m.machine, func(_ string, list []replica.Message) { c.net = append(c.net, list...) }, logr.Discard())
 	if err == nil && c.compactAfter > 0 {
 		m.node.SetCompactAfter(c.compactAfter)
@@ -146,7 +149,7 @@
 	m := c.members[id]
 	m.node = nil
 	m.dir = newMemDir()
-	m.lost = true
+	m.lost, m.emptied = true, true
 }
 
 // up calls f for each running member in order.
