Bring what was read to the operator whole, whichever source was asked

Cause: the text of a read went through CBOR under a JSON tag that leaves it out, so that only the leader itself could answer a read; every other source said "no configuration was accepted yet" (216). Ruled out: votes, synced entries, wiped disks, standbys and places. Change: the field has a name in CBOR. TestAnswerTravelsWhole failed first.

--- a/internal/process/source/history_test.go
+++ b/internal/process/source/history_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
+	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/fleet"
 )
 
@@ -39,3 +42,17 @@
 		}
 	}
 }
+
+// TestAnswerTravelsWhole holds that nothing of an answer is lost on its way from the
+// leader to the source that was asked: reads at any source but the leader had no
+// text, and were told that there was no configuration.
+func TestAnswerTravelsWhole(t *testing.T) {
+	c := qt.New(t)
+	line := Accepted{Fleet: 3, Mesh: "m", Version: 7, Content: 9, Time: time.Unix(5, 0).UTC()}
+	sent := Answer{Code: result.Answered, Fleet: 3, Winner: &line, Detail: "d", Text: []byte("text")}
+	raw, err := cbor.Marshal(sent)
+	c.Assert(err, qt.IsNil)
+	var got Answer
+	c.Assert(cbor.Unmarshal(raw, &got), qt.IsNil)
+	c.Check(got, qt.DeepEquals, sent)
+}
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -52,8 +52,10 @@
 	Winner *Accepted `json:"winner,omitempty"`
 	Detail string    `json:"detail,omitempty"`
 	// Text answers a read: the newest manifest as its operator wrote it, packed;
-	// empty before the first.
-	Text []byte `json:"-"`
+	// empty before the first. Without a name of its own in CBOR it would be left out
+	// there too, and no answer of the leader would reach an operator who asked another
+	// source.
+	Text []byte `json:"-" cbor:"text,omitempty"`
 }
 
 // historyLimit bounds the lines kept of one mesh, so that a busy mesh does not
