Let large answers leave over a thin link in turn, and refuse what cannot leave

Cause: on links of 12.6 Mbit/s 208 answers a second of 90 kB ask for all that ten links carry; all of them went at once, and small answers, calls of other servers and new versions stood behind them (a version was not in force for 2 s). Slots were held while an answer of over 128 KiB stood in the queue. Change: package link has two directions with one core. Answers leave two at a time, the shortest first, at the link's rate; they are held meanwhile (1 MiB each, 32 MiB at most) so that the slot is free; a request whose answer is not expected through the link within 0.8 of the time to its target is refused before it runs; how long answers are is learned by route; the choice of a server weighs what its link has to send.

--- a/internal/connection/gateway/answer.go
+++ b/internal/connection/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -15,8 +16,10 @@
 
 // relay streams a backend server's answer and reports whether it was whole. One
 // that is cut on the way must be cut for the next reader too, never ended as if
-// it were whole: with false, the caller must abort the connection.
-func relay(w http.ResponseWriter, resp *http.Response, kept *capture) bool {
+// it were whole: with false, the caller must abort the connection. A large one that
+// leaves over the link goes as departs allows; nil lets it go at once.
+func relay(ctx context.Context, w http.ResponseWriter, resp *http.Response, kept *capture, departs *departure) bool {
+	defer departs.end()
 	defer func() { _ = resp.Body.Close() }()
 	header := w.Header()
 	copyHeader(header, resp.Header)
@@ -25,7 +28,7 @@
 		header.Add("Trailer", name)
 	}
 	w.WriteHeader(resp.StatusCode)
-	if err := stream(w, resp, kept); err != nil {
+	if err := stream(ctx, w, resp, kept, departs); err != nil {
 		return false
 	}
 	for name, values := range resp.Trailer {
@@ -40,7 +43,7 @@
 // stream copies the body and flushes when no more of it has arrived, so that a
 // slow answer is passed on as it comes. With kept, a caller that left does not
 // end it.
-func stream(w http.ResponseWriter, resp *http.Response, kept *capture) error {
+func stream(ctx context.Context, w http.ResponseWriter, resp *http.Response, kept *capture, departs *departure) error {
 	buffer := buffers.Get().(*[streamBuffer]byte)
 	defer buffers.Put(buffer)
 	controller := http.NewResponseController(w)
@@ -51,9 +54,13 @@
 	for {
 		n, err := resp.Body.Read(buffer[:])
 		kept.add(buffer[:n])
+		if werr := departs.wait(ctx, n); werr != nil {
+			return werr
+		}
 		if werr := write(w, controller, buffer[:n]); werr != nil && kept == nil {
 			return werr
 		}
+		departs.went(n)
 		if err == io.EOF {
 			return nil
 		}
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -170,7 +170,8 @@
 		kept = &capture{}
 	}
 	x.body.announce(x.w.Header())
-	whole := relay(x.w, resp, kept)
+	x.g.link.lengths.Note(x.route.Name, resp.ContentLength)
+	whole := relay(x.r.Context(), x.w, resp, kept, nil)
 	x.course.relayed(whole)
 	if !whole {
 		if !x.r.ProtoAtLeast(1, 1) {
@@ -194,7 +195,7 @@
 func (x *exchange) dispatch(ctx context.Context, pin uint64) (*http.Response, *refusal) {
 	target := x.target
 	course, action := x.g.service(target.Key).begin(x.dir, target, x.g.cfg.Retry(), flow.Request{
-		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Target: x.route.Target, Pin: pin, Bytes: x.g.link.large(x.body),
+		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Target: x.route.Target, Pin: pin, Bytes: x.g.link.large(x.body), Answer: x.g.link.largeAnswer(x.route.Name),
 	})
 	x.course = course
 	var last *refusal
@@ -306,7 +307,7 @@
 	if code := resp.Header.Get(result.HeaderResult); code != "0" {
 		return nil, readRefusal(resp, code)
 	}
-	if err := hold(resp, x.g.cfg.HoldBytes); err != nil {
+	if err := x.g.held.hold(resp); err != nil {
 		return nil, lostAnswer(ctx, err)
 	}
 	return resp, nil
--- a/internal/connection/gateway/dialect_test.go
+++ b/internal/connection/gateway/dialect_test.go
@@ -36,7 +36,7 @@
 	for _, g := range f.gateways {
 		g.cfg.Dialect = testDialect{}
 		g.cfg.Origin = func() string { return "origin" }
-		g.cfg.HoldBytes, g.cfg.Abrupt = 64<<10, true
+		g.held.most, g.cfg.Abrupt = 64<<10, true
 	}
 }
 
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -63,8 +63,8 @@
 	// HoldBytes is the largest answer that is read whole before it is passed on;
 	// 0 streams every answer.
 	HoldBytes int64
-	// LinkBytes is what the instance's link takes in, in bytes a second; 0 is not
-	// known, and large bodies then come as they like.
+	// LinkBytes is what the instance's link takes each way, in bytes a second; 0 is not
+	// known, and large bodies and answers then come and go as they like.
 	LinkBytes float64
 	// Refused is told of a backend server at whose address nobody listens.
 	Refused func(addr string)
@@ -82,6 +82,7 @@
 	log      logr.Logger
 	requests *requestLog
 	link     *link
+	held     *holder
 	peers    *peers
 	started  time.Time
 	leaving  atomic.Bool
@@ -129,7 +130,7 @@
 		cfg.Calls = defaultCalls
 	}
 	return &Gateway{
-		cfg: cfg, log: log, requests: newRequestLog(cfg.RequestLog, cfg.RequestLines), link: newLink(cfg.LinkBytes), started: time.Now(), peers: newPeers(), shares: share.New(cfg.Calls),
+		cfg: cfg, log: log, requests: newRequestLog(cfg.RequestLog, cfg.RequestLines), link: newLink(cfg.LinkBytes), held: &holder{most: cfg.HoldBytes}, started: time.Now(), peers: newPeers(), shares: share.New(cfg.Calls),
 		backends: map[string]*backend{}, services: map[snapshot.ServiceKey]*service{},
 	}
 }
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -31,7 +31,8 @@
 	headerAlone    = prefix + "Alone"
 	// headerLoad tells with each answer to a forwarded call how full the server
 	// is: running, waiting, limit, microseconds to an answer, bytes of large
-	// bodies on their way to its instance, share of its requests that fail.
+	// bodies on their way to its instance, share of its requests that fail, bytes of
+	// large answers that have to leave its instance.
 	headerLoad = prefix + "Load"
 	// headerUseful is the time left in which the answer is worth most, in
 	// microseconds; it may be past.
--- a/internal/connection/gateway/hold.go
+++ b/internal/connection/gateway/hold.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,16 +14,28 @@
 // holdGuess is the first buffer for an answer whose length is not told.
 const holdGuess = 4 << 10
 
+// holdTotal is the most bytes of answers that a daemon holds at a time: a sixth of
+// the memory of a small instance. Beyond it answers stream.
+const holdTotal = 32 << 20
+
+// holder bounds the answers that are held.
+type holder struct {
+	// most is the largest answer that is held, in bytes; 0 holds none.
+	most int64
+	// total is the bytes held now.
+	total atomic.Int64
+}
+
 // hold reads an answer of at most that many bytes whole before any of it is
 // passed on: one that is cut is found in time to ask another backend server, or
 // to answer with a failure instead of a part. Larger answers stream. An error
 // means that it was cut; the body is closed then. Afterwards the slot and the
 // connection of a held answer are free.
-func hold(resp *http.Response, most int64) error {
-	if most <= 0 || resp.ContentLength > most {
+func (h *holder) hold(resp *http.Response) error {
+	if _, is := resp.Body.(*held); is || h.most <= 0 || resp.ContentLength > h.most || h.total.Load() > holdTotal {
 		return nil
 	}
-	size := resp.ContentLength
+	most, size := h.most, resp.ContentLength
 	if size < 0 {
 		size = holdGuess
 	}
@@ -42,7 +56,7 @@
 		resp.ContentLength = int64(buffer.Len())
 		resp.Header.Set("Content-Length", strconv.Itoa(buffer.Len()))
 	}
-	resp.Body = held{buffer}
+	resp.Body = newHeld(h, buffer)
 	return nil
 }
 
@@ -53,13 +67,25 @@
 }
 
 // held is the body of an answer that was read whole.
-type held struct{ *bytes.Buffer }
+type held struct {
+	*bytes.Buffer
+	free func()
+}
+
+func newHeld(h *holder, buffer *bytes.Buffer) *held {
+	size := int64(buffer.Cap())
+	h.total.Add(size)
+	return &held{Buffer: buffer, free: sync.OnceFunc(func() { h.total.Add(-size) })}
+}
 
 // Close implements io.Closer.
-func (held) Close() error { return nil }
+func (h *held) Close() error {
+	h.free()
+	return nil
+}
 
 // Buffered implements buffered.
-func (h held) Buffered() bool { return h.Len() > 0 }
+func (h *held) Buffered() bool { return h.Len() > 0 }
 
 // prefixed is a body of which a part was read.
 type prefixed struct {
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -29,6 +29,7 @@
 	defer body.leave()
 	k.hooked.HTTP, k.hooked.Body, k.body = r, body.small, body
 	resp, refused := g.serve(ctx, k)
+	defer func() { k.answered() }()
 	g.setClose(w.Header())
 	g.tellLoad(w.Header(), k.addr)
 	body.announce(w.Header())
@@ -39,7 +40,9 @@
 		return
 	}
 	win.stop()
-	if !relay(w, resp, nil) {
+	g.link.lengths.Note(k.route, resp.ContentLength)
+	k.answered()
+	if !relay(ctx, w, resp, nil, g.link.depart(resp.ContentLength)) {
 		panic(http.ErrAbortHandler)
 	}
 	code = result.OK
@@ -55,7 +58,7 @@
 	k = &work{
 		addr: r.Header.Get(headerServer), priority: priority, depth: depth,
 		deadline: time.Now().Add(timeout), fresh: r.Header.Get(headerFresh) != "",
-		remote: true, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
+		remote: true, answered: func() {}, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
 		hooked: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Alone: r.Header.Get(headerAlone) != ""},
 	}
 	if !okTimeout || !okStall || !okPriority || !okDepth || k.addr == "" {
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -35,6 +35,9 @@
 	origin string
 	// boot is the start of the server that the request was let in for, or "".
 	boot string
+	// answered tells the link that the answer begins to leave, or will not. It may be
+	// called more than once.
+	answered func()
 	// waited is how long the request stood in the queue.
 	waited time.Duration
 }
@@ -59,8 +62,14 @@
 	if refused := g.letBodyIn(ctx, b.gate, k); refused != nil {
 		return nil, refused
 	}
+	answered, refused := g.link.admitAnswer(k, b.gate.usual(k.route))
+	if refused != nil {
+		k.body.leave()
+		return nil, refused
+	}
+	k.answered = answered
 	entered := time.Now()
-	refused := b.gate.Enter(ctx, k.ticket(entered))
+	refused = b.gate.Enter(ctx, k.ticket(entered))
 	k.waited = time.Since(entered)
 	if refused != nil {
 		k.body.leave()
@@ -146,7 +155,7 @@
 		_ = resp.Body.Close()
 		return &refusal{Error: result.Errorf(result.ServerRefused, "status %d", resp.StatusCode)}
 	}
-	if err := hold(resp, g.cfg.HoldBytes); err != nil {
+	if err := g.held.hold(resp); err != nil {
 		return lostAnswer(ctx, err)
 	}
 	return nil
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -40,6 +40,8 @@
 	Target time.Duration
 	// Bytes is the length of a large body, 0 of a small one.
 	Bytes int64
+	// Answer is the expected length of a large answer, 0 of a small one.
+	Answer int64
 }
 
 // Load is how full a backend server is, as its gate counts.
@@ -53,8 +55,9 @@
 	Idle time.Duration
 	// Failing is the smoothed share of the requests there that fail.
 	Failing float64
-	// Inflow is the bytes of large bodies on their way there over the link.
-	Inflow int64
+	// Inflow is the bytes of large bodies on their way there over the link, Outflow
+	// those of large answers that have to leave it.
+	Inflow, Outflow int64
 }
 
 // Local tells the load of the servers beside this daemon, which its own gates
--- a/internal/request/balance/balance_test.go
+++ b/internal/request/balance/balance_test.go
@@ -74,7 +74,7 @@
 	call := func(id uint64, t *Table) {
 		c := t.Pick(Input{Now: clock(), Seed: random.Uint64()})
 		if !p.blind {
-			t.Sent(clock(), c, 0)
+			t.Sent(clock(), c, 0, 0)
 		}
 		gate, arrived := gates[c.Server.Addr], now
 		began[id] = func(started bool) {
--- a/internal/request/balance/expected.go
+++ b/internal/request/balance/expected.go
@@ -74,7 +74,7 @@
 		// Its gate is expected to refuse, which costs more than any way.
 		soonest += in.Target.Seconds()
 	}
-	return soonest + service.Seconds()*crowd + t.transfer(now, in.Bytes, c) + t.failure(l, service, in.Target)
+	return soonest + service.Seconds()*crowd + t.transfer(in, c) + t.failure(l, service, in.Target)
 }
 
 // failure is what a server costs that fails more of its requests than the others
@@ -88,13 +88,21 @@
 	return more * failurePrice * max(target, 2*service).Seconds()
 }
 
-// transfer is how long a large body takes to a server, in seconds: behind those
-// that are on their way there, and no time to one beside this daemon.
-func (t *Table) transfer(now time.Time, bytes int64, c *directory.Candidate) float64 {
-	if bytes == 0 || t.LinkBytes == 0 || t.distance(c) == beside {
+// transfer is how long a large body takes to a server and a large answer from there,
+// in seconds: behind those that are on their way, and no time to one beside this
+// daemon.
+func (t *Table) transfer(in *Input, c *directory.Candidate) float64 {
+	if t.LinkBytes == 0 || t.distance(c) == beside {
 		return 0
 	}
-	return (t.servers[c.Server.Addr].backlog(now, t.LinkBytes) + float64(bytes)) / t.LinkBytes
+	s, seconds := t.servers[c.Server.Addr], 0.0
+	if in.Bytes > 0 {
+		seconds += (left(s.inflow, in.Now.Sub(s.inflowAt), t.LinkBytes) + float64(in.Bytes)) / t.LinkBytes
+	}
+	if in.Answer > 0 {
+		seconds += (left(s.outflow, in.Now.Sub(s.outflowAt), t.LinkBytes) + float64(in.Answer)) / t.LinkBytes
+	}
+	return seconds
 }
 
 // timeOf is the time to answer that is expected of a server without a queue. One
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -90,7 +90,7 @@
 	c.Check(pick(now, 0), qt.Equals, "busy")
 	c.Check(pick(now, 100_000), qt.Equals, "free")
 	c.Check(pick(now.Add(500*time.Millisecond), 100_000), qt.Equals, "busy")
-	table.Sent(now, free, 900_000)
+	table.Sent(now, free, 900_000, 0)
 	c.Check(pick(now, 100_000), qt.Equals, "busy")
 	here := at("here", "d")
 	table.Update([]*directory.Candidate{busy, free, here}, 0)
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -38,6 +38,9 @@
 	// and with those sent since; the link takes them in at its rate.
 	inflow   float64
 	inflowAt time.Time
+	// outflow is the same of large answers on their way from there.
+	outflow   float64
+	outflowAt time.Time
 	// failures and ejections count those in a row.
 	failures, ejections int
 	ejectedUntil        time.Time
@@ -70,6 +73,7 @@
 	if s := t.servers[c.Server.Addr]; s != nil {
 		s.load, s.heard, s.since = l, now, 0
 		s.inflow, s.inflowAt = float64(l.Inflow), now
+		s.outflow, s.outflowAt = float64(l.Outflow), now
 		t.note(l)
 	}
 }
@@ -107,20 +111,24 @@
 	return "neutral"
 }
 
-// Sent notes that an attempt goes to c, with a large body of so many bytes or 0.
-func (t *Table) Sent(now time.Time, c *directory.Candidate, bytes int64) {
+// Sent notes that an attempt goes to c, with a large body and the expected length of
+// a large answer, or 0.
+func (t *Table) Sent(now time.Time, c *directory.Candidate, bytes, answer int64) {
 	if s := t.servers[c.Server.Addr]; s != nil {
 		s.outstanding++
 		s.since++
 		if bytes > 0 {
-			s.inflow, s.inflowAt = s.backlog(now, t.LinkBytes)+float64(bytes), now
+			s.inflow, s.inflowAt = left(s.inflow, now.Sub(s.inflowAt), t.LinkBytes)+float64(bytes), now
+		}
+		if answer > 0 {
+			s.outflow, s.outflowAt = left(s.outflow, now.Sub(s.outflowAt), t.LinkBytes)+float64(answer), now
 		}
 	}
 }
 
-// backlog is the bytes that are still on their way to a server.
-func (s *server) backlog(now time.Time, rate float64) float64 {
-	return max(0, s.inflow-now.Sub(s.inflowAt).Seconds()*rate)
+// left is what is still on its way of some bytes after a while, at a link's rate.
+func left(bytes float64, since time.Duration, rate float64) float64 {
+	return max(0, bytes-since.Seconds()*rate)
 }
 
 // Ended notes that an attempt at c is over.
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -82,6 +82,8 @@
 	Target time.Duration
 	// Bytes is the length of a large body, 0 of a small one.
 	Bytes int64
+	// Answer is the expected length of a large answer, 0 of a small one.
+	Answer int64
 	// Pin, if not 0, chooses the server: all requests with one Pin go to one.
 	Pin uint64
 }
@@ -134,13 +136,13 @@
 	if !now.Before(c.request.Deadline) {
 		return c.answer(result.DeadlineTooShort)
 	}
-	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target, Bytes: c.request.Bytes})
+	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target, Bytes: c.request.Bytes, Answer: c.request.Answer})
 	if picked == nil {
 		return c.answer(last)
 	}
 	c.phase, c.current = trying, picked
 	c.tried = append(c.tried, picked)
-	c.service.Table.Sent(now, picked, c.request.Bytes)
+	c.service.Table.Sent(now, picked, c.request.Bytes, c.request.Answer)
 	return Action{Kind: Try, Candidate: picked}
 }
 
@@ -230,9 +232,9 @@
 		return false
 	case code.Outcome() != result.NotRun && !c.request.Repeatable:
 		return false
-	case endOf(code) == balance.Unreachable, c.request.Bytes > 0 && !c.arrived:
-		// A large body has not left yet; another server's link may be free, and what
-		// is known of the links is older than that of slots.
+	case endOf(code) == balance.Unreachable, (c.request.Bytes > 0 || c.request.Answer > 0) && !c.arrived:
+		// Nothing large has left yet; another server's link may be free, and what is
+		// known of the links is older than that of slots.
 		c.redirects++
 		return c.redirects <= redirectMax && c.spend(now)
 	case c.retries >= c.request.Retries:
--- a/internal/request/link/link_test.go
+++ b/internal/request/link/link_test.go
@@ -1,4 +1,4 @@
-package inflow
+package link
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 
 func TestBodiesComeInOrder(t *testing.T) {
 	c := qt.New(t)
-	core := New(1000, 2)
+	core := New(1000, 2, InOrder)
 	c.Check(core.Takes(500), qt.Equals, 500*time.Millisecond)
 	first, now := core.Arrive(500)
 	c.Check(now, qt.IsTrue)
@@ -19,7 +19,7 @@
 	c.Check(now, qt.IsFalse)
 	fourth, now := core.Arrive(-1)
 	c.Check(now, qt.IsFalse)
-	core.Came(first, 400)
+	core.Went(first, 400)
 	c.Check(core.Ahead(), qt.Equals, int64(100+500+1000+usualBytes))
 	c.Check(core.Leave(fourth), qt.HasLen, 0)
 	c.Check(core.Wait(), qt.Equals, 1600*time.Millisecond)
@@ -28,3 +28,39 @@
 	c.Check(core.Leave(third), qt.HasLen, 0)
 	c.Check(core.Ahead(), qt.Equals, int64(0))
 }
+
+// TestShorterGoesFirst holds that a body is stopped midway for one that has fewer
+// bytes left, and goes on after it.
+func TestShorterGoesFirst(t *testing.T) {
+	c := qt.New(t)
+	core := New(1000, 1, ShortestFirst)
+	core.Expect(300)
+	long, now := core.Arrive(1000)
+	c.Check(now, qt.IsTrue)
+	middle, _ := core.Arrive(700)
+	short, _ := core.Arrive(200)
+	c.Check(core.Ahead(), qt.Equals, int64(2200))
+	goesOn, instead := core.Went(long, 100)
+	c.Check(goesOn, qt.IsFalse)
+	c.Check(instead, qt.Equals, short)
+	goesOn, _ = core.Went(short, 100)
+	c.Check(goesOn, qt.IsTrue)
+	c.Check(core.Leave(short), qt.DeepEquals, []uint64{middle})
+	c.Check(core.Leave(middle), qt.DeepEquals, []uint64{long})
+	core.Expect(-300)
+	c.Check(core.Ahead(), qt.Equals, int64(900))
+}
+
+func TestLengths(t *testing.T) {
+	c := qt.New(t)
+	var l Lengths
+	c.Check(l.Usual("a"), qt.Equals, int64(0))
+	l.Note("a", 1000)
+	l.Note("a", 2000)
+	c.Check(l.Usual("a"), qt.Equals, int64(1100))
+	for range maxKinds {
+		l.Note(string(rune(0x4e00+len(l.usual))), 1)
+	}
+	l.Note("late", 1)
+	c.Check(l.Usual("late"), qt.Equals, int64(0))
+}
