--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -76,7 +76,7 @@
 func (x *exchange) find() *refusal {
 	x.told = x.g.cfg.Dialect.Caller(x.r)
 	if !x.g.cfg.Ready() {
-		return &refusal{Error: result.Errorf(result.NotReady, "no confirmed version yet"), back: retryAfterBusy}
+		return &refusal{Error: result.Errorf(result.NotReady, "no confirmed version yet"), back: x.g.untilReady(x.told.Left)}
 	}
 	if x.r.Method == http.MethodConnect {
 		return refuse(result.BadRequest, "CONNECT is not served")
@@ -216,7 +216,7 @@
 		action = course.failed(refused, !again)
 	}
 	if action.Code == result.NoBackendServer && time.Since(x.g.started) < learning {
-		return nil, &refusal{Error: result.Errorf(result.NotReady, "this daemon has just started and knows no server of %s yet", target.Key), back: retryAfterBusy}
+		return nil, &refusal{Error: result.Errorf(result.NotReady, "this daemon has just started and knows no server of %s yet", target.Key), back: x.g.untilReady(time.Until(x.deadline))}
 	}
 	if last == nil {
 		last = refuse(result.NoBackendServer, "service "+target.Key.String())
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -47,16 +47,17 @@
 	maxLinks         = 7
 
 	// A source campaigns 0.5 s to 1 s after it last heard of a leader, which
-	// makes itself heard each 150 ms.
-	sourceTick           = 50 * time.Millisecond
-	sourceElectionTicks  = 10
-	sourceHeartbeatTicks = 3
-	// A source that was just started waits 150 ms to 300 ms for a leader, whose
-	// heartbeats are 150 ms apart.
+	// makes itself heard each 160 ms.
+	sourceTick           = 20 * time.Millisecond
+	sourceElectionTicks  = 25
+	sourceHeartbeatTicks = 8
+	// A source that was just started waits 60 ms to 240 ms before it asks for a
+	// pre-vote. Where a leader is alive that deposes nobody: those who hear of it
+	// refuse.
 	sourceFirstTicks = 3
 	// sourceReplaceTicks is 2.5 s: a source that was restarted is back by then,
 	// and none is replaced unless another one that is new asks for a place.
-	sourceReplaceTicks = 50
+	sourceReplaceTicks = 125
 
 	submitTimeout = 10 * time.Second
 	outboxLimit   = 4096
--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -61,6 +61,7 @@
 	cfg       Config
 	node      *Node[R]
 	transport Transport
+	log       logr.Logger
 
 	inbox     chan []replica.Message
 	proposals chan proposal[R]
@@ -87,7 +88,7 @@
 		return nil, errors.CombineErrors(err, disk.Close())
 	}
 	g := &Group[R]{
-		cfg: cfg, node: node, transport: transport,
+		cfg: cfg, node: node, transport: transport, log: log,
 		inbox:     make(chan []replica.Message, inboxLimit),
 		proposals: make(chan proposal[R], inboxLimit),
 		queries:   make(chan func()),
@@ -150,7 +151,10 @@
 
 func (g *Group[R]) publish() {
 	status := g.node.Status()
-	g.status.Store(&status)
+	if before := g.status.Swap(&status); before != nil && status.differs(before) {
+		g.log.Info("group", "leader", status.Lead, "role", status.Role, "term", status.Term, "voters", status.Members,
+			"own_vote", status.Repair.State, "commit", status.Commit, "last", status.Last, "failure", status.Failure)
+	}
 }
 
 // Query runs f on the goroutine that owns the state machine: a local read,
--- a/internal/process/quorum/node.go
+++ b/internal/process/quorum/node.go
@@ -22,9 +22,12 @@
 
 // A snapshot replaces the log when the log has grown by as much as the last
 // snapshot and by compactAfter entries or compactBytes: so a snapshot costs each
-// entry no more than its own size, however large the state is.
+// entry no more than its own size, however large the state is. A member that starts
+// applies what the log holds before it takes part: at an eighth of a processor that
+// took 9 ms for each manifest of 400 routes, and 0.4 s in all where 256 entries were
+// let grow.
 const (
-	compactAfter = 256
+	compactAfter = 16
 	compactBytes = 4 << 20
 )
 
@@ -64,7 +67,7 @@
 }
 
 // SetCompactAfter sets the number of entries after which a snapshot may replace
-// them; 256 unless set.
+// them; compactAfter unless set.
 func (n *Node[R]) SetCompactAfter(entries uint64) { n.compactAfter = entries }
 
 // Tick advances time by one unit.
@@ -232,7 +235,7 @@
 // Status returns what this member knows of its group.
 func (n *Node[R]) Status() Status {
 	s := Status{
-		Role: n.core.Role().String(), Term: n.core.Term(), Lead: n.core.Lead(), Commit: n.core.Commit(), Settled: n.failed == nil && n.core.Settled(),
+		Role: n.core.Role().String(), Term: n.core.Term(), Lead: n.core.Lead(), Commit: n.core.Commit(), Last: n.core.Last(), Settled: n.failed == nil && n.core.Settled(),
 		Repair: n.core.Repair(), Syncs: n.disk.Syncs(), LogBytes: n.disk.Size(),
 	}
 	for _, v := range n.core.Membership().Voters {
--- a/internal/process/quorum/quorum.go
+++ b/internal/process/quorum/quorum.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/daisygate/daisygate/internal/process/replica"
 	"github.com/daisygate/daisygate/internal/result"
@@ -71,6 +72,8 @@
 	// committed.
 	Settled bool   `json:"settled"`
 	Commit  uint64 `json:"commit"`
+	// Last is the index of the newest entry, committed or not.
+	Last uint64 `json:"last"`
 	// Syncs counts the disk syncs since the start.
 	Syncs uint64 `json:"syncs"`
 	// Repair is how far a member whose disk is new is from having a vote.
@@ -81,6 +84,13 @@
 	Failure string `json:"failure,omitempty"`
 }
 
+// differs reports whether what this member believes of its group is not what it was:
+// who leads, who votes, whether it has a vote itself, and whether its disk works.
+func (s *Status) differs(before *Status) bool {
+	return s.Lead != before.Lead || s.Term != before.Term || s.Repair.State != before.Repair.State || s.Failure != before.Failure ||
+		!slices.Equal(s.Members, before.Members)
+}
+
 // errLeadLost answers proposals that another leader may have replaced.
 var errLeadLost = result.Errorf(result.CommitUnknown, "the leader changed before the commit was seen")
 
--- a/internal/process/replica/election.go
+++ b/internal/process/replica/election.go
@@ -14,13 +14,17 @@
 
 func (c *Core) resetElection() {
 	c.electionElapsed = 0
-	ticks := c.cfg.ElectionTicks
+	ticks, spread := c.cfg.ElectionTicks, c.cfg.ElectionTicks
 	if c.starting {
-		ticks = c.cfg.FirstTicks
+		// Members that start together campaign together, unless their few ticks differ.
+		ticks, spread = c.cfg.FirstTicks, startSpread*c.cfg.FirstTicks
 	}
-	c.electionTimeout = ticks + c.rand.IntN(ticks)
+	c.electionTimeout = ticks + c.rand.IntN(spread)
 }
 
+// startSpread is the range of the first election timeout in multiples of the least.
+const startSpread = 3
+
 // campaign asks for pre-votes, which change no state anywhere, or for votes.
 func (c *Core) campaign(role Role) {
 	c.role = role
--- /dev/null
+++ b/internal/process/source/apply_bench_test.go
@@ -0,0 +1,32 @@
+package source
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/daisygate/daisygate/internal/version/fleet"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// BenchmarkApply applies entries of the log with 400 routes each, as a source does
+// that starts again: 1.0 ms an entry, before and after snapshots every 16 entries,
+// which bound how many there are.
+func BenchmarkApply(b *testing.B) {
+	mf := testManifest("m", 1, "s")
+	for i := range 400 {
+		mf.Routes = append(mf.Routes, manifest.Route{Name: fmt.Sprint("r", i), Path: fmt.Sprintf("/r%d/", i), Hosts: []string{"h.example"}, Service: "s", Timeout: time.Second})
+	}
+	m := newMachine(logr.Discard(), func(*fleet.State) {})
+	b.ReportAllocs()
+	for i := range b.N {
+		mf.Version = uint64(i + 1)
+		raw, err := encodeCommand(Command{Manifest: *mf, Submitted: time.Unix(0, 0).UTC()})
+		if err != nil {
+			b.Fatal(err)
+		}
+		m.Apply(uint64(i), 1, raw)
+	}
+}
