--- a/internal/connection/announce/announcement.go
+++ b/internal/connection/announce/announcement.go
@@ -30,6 +30,9 @@
 	// Boot names one start of the server; empty if it does not tell. What an
 	// earlier boot at the address still says is passed over.
 	Boot string `json:"boot,omitempty"`
+	// Started is when the boot began, in Unix milliseconds; 0 does not tell. A server
+	// may start again under the same name, and its counts begin anew.
+	Started int64 `json:"started,omitempty"`
 	// Sequence counts the announcements of a boot; an older one than the newest
 	// is passed over. 0 does not tell.
 	Sequence uint64 `json:"sequence,omitempty"`
@@ -69,7 +72,7 @@
 	}
 	server := presence.Server{
 		Mesh: a.Mesh, Service: a.Service, Addr: a.Address,
-		Slots: a.Slots, Connections: a.Connections, State: state, Boot: a.Boot,
+		Slots: a.Slots, Connections: a.Connections, State: state, Boot: a.Boot, Started: a.Started,
 	}
 	addr, addrErr := netip.ParseAddrPort(a.Address)
 	invalid := func(format string, args ...any) (presence.Server, time.Duration, *result.Error) {
@@ -86,6 +89,8 @@
 		return invalid("state: want warming, serving or draining, got %q", a.State)
 	case len(a.Boot) > maxName:
 		return invalid("boot: want at most %d bytes", maxName)
+	case a.Started < 0:
+		return invalid("started: want Unix milliseconds, got %d", a.Started)
 	case a.ColdMillis < 0 || a.ColdMillis > maxColdMillis:
 		return invalid("cold_ms: want 0 to %d, got %d", maxColdMillis, a.ColdMillis)
 	case seconds < 1 || seconds > maxLease:
--- a/internal/connection/announce/registry.go
+++ b/internal/connection/announce/registry.go
@@ -32,6 +32,17 @@
 	return l.announced.State.TakesWork() && l.failures < failureLimit
 }
 
+// is reports whether an announcement is of the start that holds the lease.
+func (l *lease) is(a *Announcement) bool {
+	return l.announced.Boot == a.Boot && l.announced.Started == a.Started
+}
+
+// later reports whether the start that holds the lease is known to have begun after
+// that of an announcement, which then was under way for long.
+func (l *lease) later(a *Announcement) bool {
+	return a.Started != 0 && l.announced.Started > a.Started
+}
+
 // settle keeps since in step with everything else.
 func (l *lease) settle(now time.Time) {
 	switch {
@@ -73,12 +84,12 @@
 	if err != nil {
 		return false, err
 	}
-	if r.boots.over(a.Boot) {
+	l := r.leases[a.Address]
+	if r.boots.over(a.Boot, a.Started) || l != nil && l.later(&a) {
 		return false, nil
 	}
-	l := r.leases[a.Address]
-	if l != nil && l.announced.Boot != a.Boot {
-		r.boots.end(l.announced.Boot)
+	if l != nil && !l.is(&a) {
+		r.boots.end(l.announced.Boot, l.announced.Started)
 		l = nil
 	}
 	if l != nil && a.Sequence != 0 && a.Sequence <= l.sequence {
@@ -118,18 +129,19 @@
 func (r *Registry) Delete(address string) bool {
 	l, known := r.leases[address]
 	if known {
-		r.boots.end(l.announced.Boot)
+		r.boots.end(l.announced.Boot, l.announced.Started)
 	}
 	delete(r.leases, address)
 	return known
 }
 
-// End withdraws the boot named, whatever its address, and reports whether it
-// was known. Announcements of it that come later are passed over.
-func (r *Registry) End(boot string) bool {
-	r.boots.end(boot)
+// End withdraws the boot named, started then or 0 for whenever, whatever its address,
+// and reports whether it was known. Announcements of it that come later are passed
+// over.
+func (r *Registry) End(boot string, started int64) bool {
+	r.boots.end(boot, started)
 	for address, l := range r.leases {
-		if boot != "" && l.announced.Boot == boot {
+		if boot != "" && l.announced.Boot == boot && (started == 0 || l.announced.Started <= started) {
 			return r.Delete(address)
 		}
 	}
--- a/internal/connection/announce/registry_test.go
+++ b/internal/connection/announce/registry_test.go
@@ -44,7 +44,7 @@
 		case "expire":
 			changed = r.Expire(now)
 		case "end":
-			changed = r.End(boot)
+			changed = r.End(boot, 0)
 		case "delete":
 			changed = r.Delete(address)
 		}
@@ -89,3 +89,31 @@
 	c.Assert(request(http.MethodPut, here, ServersPath, good(0)), qt.Equals, http.StatusNoContent)
 	c.Assert(told, qt.Equals, presence.MaxServers)
 }
+
+// TestSameNameStartsAgain holds that a server which starts again under its name is
+// taken for a new one, with counts that begin anew, and that nothing which an
+// earlier start still says counts: no report, however high its count, and no end.
+func TestSameNameStartsAgain(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	said := func(started int64, sequence uint64, state string) bool {
+		changed, err := r.Put(now, Announcement{
+			Mesh: "m", Service: "s", Address: "127.0.0.1:80", Slots: 4, Connections: 4,
+			State: state, Boot: "b", Started: started, Sequence: sequence,
+		})
+		c.Assert(err == nil, qt.IsTrue)
+		return changed
+	}
+	c.Check(said(100, 50, "serving"), qt.IsTrue)
+	c.Check(said(200, 1, "serving"), qt.IsTrue)
+	c.Check(r.Servers()[0].Started, qt.Equals, int64(200))
+	c.Check(said(100, 51, "draining"), qt.IsFalse)
+	c.Check(r.End("b", 100), qt.IsFalse)
+	c.Check(r.Servers(), qt.HasLen, 1)
+	c.Check(said(200, 2, "draining"), qt.IsTrue)
+	c.Check(r.End("b", 200), qt.IsTrue)
+	c.Check(said(200, 3, "serving"), qt.IsFalse)
+	c.Check(said(100, 60, "serving"), qt.IsFalse)
+	c.Check(said(300, 1, "serving"), qt.IsTrue)
+}
--- a/internal/connection/announce/server.go
+++ b/internal/connection/announce/server.go
@@ -65,8 +65,11 @@
 	return refused
 }
 
-// End takes in that a boot of a server is over.
-func (s *Server) End(boot string) { s.change(func() bool { return s.registry.End(boot) }) }
+// End takes in that a boot of a server is over, one that started then or, with 0,
+// whichever is known.
+func (s *Server) End(boot string, started int64) {
+	s.change(func() bool { return s.registry.End(boot, started) })
+}
 
 // Refused takes in that nobody listens at a server's address.
 func (s *Server) Refused(address string) {
--- a/internal/connection/gateway/backend.go
+++ b/internal/connection/gateway/backend.go
@@ -49,7 +49,7 @@
 
 func (g *Gateway) setServer(s presence.Server) {
 	b := g.backends[s.Addr]
-	if b != nil && b.server.Boot != s.Boot {
+	if b != nil && (b.server.Boot != s.Boot || b.server.Started != s.Started) {
 		// Another start of the server has nothing in common with the one before.
 		b.gate.Configure(admit.Config{}, true)
 		b.pool.Close()
--- a/internal/process/daemon/platform.go
+++ b/internal/process/daemon/platform.go
@@ -53,7 +53,7 @@
 	// nil, what was said is in force here.
 	Announce(a announce.Announcement) *result.Error
 	// End takes in that a start of a backend server is over.
-	End(boot string)
+	End(boot string, started int64)
 }
 
 // platformControl joins the daemon's parts that Control asks for.
--- a/internal/process/presence/record.go
+++ b/internal/process/presence/record.go
@@ -48,6 +48,9 @@
 	State       ServerState
 	// Boot names one start of the server; "" if it does not tell.
 	Boot string
+	// Started is when the boot began, in Unix milliseconds; 0 if it does not tell. One
+	// that starts again may keep its name.
+	Started int64
 	// Since is when the server began to take work, by the owner's clock, in Unix
 	// milliseconds: its first announcement as warming or serving after it was
 	// unknown or draining. 0 while it takes none.
