Ask the failure domain's other servers for a large answer before another domain's

Change: for a large answer the servers of the own domain come first also then. Test: TestLargeAnswersStay.

--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -152,7 +152,13 @@
 		return t.pinned(in)
 	}
 	p := picker{table: t, in: in, random: in.Seed}
-	for _, p.leave = range [...]leave{strict, anyDomain, anyUntried} {
+	levels := []leave{strict, anyDomain, anyUntried}
+	if in.Answer > 0 {
+		// A large answer costs more on the way from another failure domain than a
+		// further question here: the links of all of them are asked for first.
+		levels = levels[1:]
+	}
+	for _, p.leave = range levels {
 		if c := p.soonest(); c != nil {
 			return c
 		}
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -118,3 +118,24 @@
 	}
 	c.Check(picks(table, now, target)["near"], qt.Equals, 100)
 }
+
+// TestLargeAnswersStay holds that a request with a large answer that was refused at
+// one server asks the others of its failure domain before it leaves it, and that one
+// with a small answer leaves.
+func TestLargeAnswersStay(t *testing.T) {
+	c := qt.New(t)
+	full, near, far := at("full", "d"), at("near", "d"), at("far", "e")
+	table := tableAt("here", full, near, far)
+	table.LinkBytes = 1e6
+	for _, s := range []*directory.Candidate{full, near, far} {
+		table.Told(now, s, Load{Limit: 4, Service: 20 * time.Millisecond})
+	}
+	pick := func(answer int64) string {
+		return table.Pick(Input{Now: now, Seed: 1, Tried: []*directory.Candidate{full}, Target: time.Second, Answer: answer}).Node.Name
+	}
+	c.Check(pick(0), qt.Equals, "far")
+	c.Check(pick(90_000), qt.Equals, "near")
+	// A link that has much to send is left all the same.
+	table.Told(now, near, Load{Limit: 4, Service: 20 * time.Millisecond, Outflow: 900_000})
+	c.Check(pick(90_000), qt.Equals, "far")
+}
