Let an answer whose reader takes nothing lose its turn on the link

Cause, found by reading: two answers leave at a time; a daemon that is frozen or cut off reads nothing for seconds, its connection shows no sign of it, and two such readers would keep the link from all other large answers of the instance. Change: a part that is not taken within 150 ms gives the turn up. Test: TestStalledReaderLosesItsTurn (timed out before).

--- a/internal/connection/gateway/answer.go
+++ b/internal/connection/gateway/answer.go
@@ -57,10 +57,10 @@
 		if werr := departs.wait(ctx, n); werr != nil {
 			return werr
 		}
-		if werr := write(w, controller, buffer[:n]); werr != nil && kept == nil {
+		werr := departs.send(n, func() error { return write(w, controller, buffer[:n]) })
+		if werr != nil && kept == nil {
 			return werr
 		}
-		departs.went(n)
 		if err == io.EOF {
 			return nil
 		}
--- a/internal/connection/gateway/link.go
+++ b/internal/connection/gateway/link.go
@@ -33,6 +33,10 @@
 	// standing is what may wait in front of the link.
 	outflowPart = 0.88
 	standing    = 10 * time.Millisecond
+	// turnMost is how long the reader of an answer may take nothing before the answer
+	// loses its turn: many times what a part of it takes. A daemon that is frozen or cut
+	// off reads nothing for seconds, and its connections show no sign of it.
+	turnMost = 150 * time.Millisecond
 	// messageBytes is what a message between daemons takes besides its body.
 	messageBytes = 600
 )
@@ -293,14 +297,21 @@
 	}
 }
 
-// went tells that n bytes went.
-func (d *departure) went(n int) {
-	if d != nil && n > 0 {
-		d.turn = d.out.went(d.id, n)
+// send has a part of n bytes written. While it is not taken, the others go on.
+func (d *departure) send(n int, write func() error) error {
+	if d == nil || n == 0 {
+		return write()
+	}
+	stalled := time.AfterFunc(turnMost, d.end)
+	defer stalled.Stop()
+	if err := write(); err != nil {
+		return err
 	}
+	d.turn = d.out.went(d.id, n)
+	return nil
 }
 
-// end gives the rest of the way up.
+// end gives the turn up; what still goes is only paced.
 func (d *departure) end() {
 	if d != nil {
 		d.out.leave(d.id)
--- a/internal/connection/gateway/link_test.go
+++ b/internal/connection/gateway/link_test.go
@@ -161,3 +161,30 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestStalledReaderLosesItsTurn holds that answers whose readers take nothing, such
+// as daemons that are frozen, do not keep the link from those whose readers do.
+func TestStalledReaderLosesItsTurn(t *testing.T) {
+	c := qt.New(t)
+	l := newLink(1 << 20)
+	frozen := make(chan struct{})
+	ended := make(chan error, answersAtATime)
+	for range answersAtATime {
+		stalled := l.depart(500 << 10)
+		c.Assert(stalled.wait(t.Context(), 1000), qt.IsNil)
+		go func() {
+			defer stalled.end()
+			ended <- stalled.send(1000, func() error { <-frozen; return nil })
+		}()
+	}
+	next := l.depart(100 << 10)
+	c.Assert(next.turn, qt.IsNotNil)
+	c.Assert(next.wait(t.Context(), 1000), qt.IsNil)
+	c.Assert(next.send(1000, func() error { return nil }), qt.IsNil)
+	next.end()
+	close(frozen)
+	for range answersAtATime {
+		c.Check(<-ended, qt.IsNil)
+	}
+	c.Check(l.out.ahead(), qt.Equals, int64(0))
+}
