Learn no length from an answer that does not tell it

Found by reading: a chunked answer counted as -1 bytes in the usual length of its route, so that one that streams was taken for large. TestLengths failed first. Where answers are held, as on the platform, every one has a length: no change there.

--- a/internal/request/link/lengths.go
+++ b/internal/request/link/lengths.go
@@ -18,8 +18,11 @@
 	usual map[string]float64
 }
 
-// Note takes in the length of an answer, in bytes.
+// Note takes in the length of an answer, in bytes; one below 0 is not told.
 func (l *Lengths) Note(kind string, bytes int64) {
+	if bytes < 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before, known := l.usual[kind]
--- a/internal/request/link/link_test.go
+++ b/internal/request/link/link_test.go
@@ -57,6 +57,7 @@
 	c.Check(l.Usual("a"), qt.Equals, int64(0))
 	l.Note("a", 1000)
 	l.Note("a", 2000)
+	l.Note("a", -1)
 	c.Check(l.Usual("a"), qt.Equals, int64(1100))
 	for range maxKinds {
 		l.Note(string(rune(0x4e00+len(l.usual))), 1)
