Say once how long bytes take the link; wait for no turn that was lost

Found by reading the change again. direction.takes and its rate repeated Core.Takes, Core.Wait repeated it too; a check in holder.hold for a body that is held already could never be true. One fault: a part that was taken just as its turn was lost could be given a turn that nobody closes, and wait until its caller left; the turn is asked for only where the timer was stopped in time (by reading, not seen).

--- a/internal/connection/gateway/hold.go
+++ b/internal/connection/gateway/hold.go
@@ -32,7 +32,7 @@
 // means that it was cut; the body is closed then. Afterwards the slot and the
 // connection of a held answer are free.
 func (h *holder) hold(resp *http.Response) error {
-	if _, is := resp.Body.(*held); is || h.most <= 0 || resp.ContentLength > h.most || h.total.Load() > holdTotal {
+	if h.most <= 0 || resp.ContentLength > h.most || h.total.Load() > holdTotal {
 		return nil
 	}
 	most, size := h.most, resp.ContentLength
--- a/internal/connection/gateway/link.go
+++ b/internal/connection/gateway/link.go
@@ -60,8 +60,6 @@
 
 // direction is one way over the link.
 type direction struct {
-	rate float64
-
 	mu sync.Mutex
 	// core is nil where the link's rate is not known.
 	core    *corelink.Core
@@ -71,7 +69,7 @@
 }
 
 func newDirection(rate float64, most int, order corelink.Order) *direction {
-	d := &direction{rate: rate, waiting: map[uint64]chan struct{}{}}
+	d := &direction{waiting: map[uint64]chan struct{}{}}
 	if rate > 0 {
 		d.core = corelink.New(rate, most, order)
 	}
@@ -156,7 +154,7 @@
 		d.through = now
 	}
 	wait := d.through.Sub(now) - standing
-	d.through = d.through.Add(d.takes(int64(n)))
+	d.through = d.through.Add(d.core.Takes(int64(n)))
 	return wait
 }
 
@@ -189,11 +187,10 @@
 	if l.out.core == nil {
 		return 0
 	}
-	usual := l.lengths.Usual(route)
-	if usual == 0 || !l.out.long(usual) {
-		return 0
+	if usual := l.lengths.Usual(route); l.out.long(usual) {
+		return usual
 	}
-	return usual
+	return 0
 }
 
 // enter waits until the body of a request may come; usual is how long the request
@@ -242,18 +239,14 @@
 		return func() {}, nil
 	}
 	ahead := l.out.ahead()
-	leaves := max(usual, l.out.takes(ahead))
-	if late := k.late(leaves+l.out.takes(bytes), outflowShare); ahead > 0 && late > 0 {
+	leaves := max(usual, l.out.core.Takes(ahead))
+	if late := k.late(leaves+l.out.core.Takes(bytes), outflowShare); ahead > 0 && late > 0 {
 		return nil, &refusal{Error: result.Errorf(result.Overloaded, "the link is full: the answer is expected to leave in %s", leaves), back: late}
 	}
 	l.out.expect(bytes)
 	return sync.OnceFunc(func() { l.out.expect(-bytes) }), nil
 }
 
-func (d *direction) takes(bytes int64) time.Duration {
-	return time.Duration(float64(bytes) / d.rate * float64(time.Second))
-}
-
 // departure is a large answer on its way out over the link. A nil one takes the link
 // for too short to wait.
 type departure struct {
@@ -303,12 +296,12 @@
 		return write()
 	}
 	stalled := time.AfterFunc(turnMost, d.end)
-	defer stalled.Stop()
-	if err := write(); err != nil {
-		return err
+	err := write()
+	// Once the turn was lost there is none to wait for again.
+	if stalled.Stop() && err == nil {
+		d.turn = d.out.went(d.id, n)
 	}
-	d.turn = d.out.went(d.id, n)
-	return nil
+	return err
 }
 
 // end gives the turn up; what still goes is only paced.
--- a/internal/request/link/link.go
+++ b/internal/request/link/link.go
@@ -86,9 +86,7 @@
 }
 
 // Wait is how long a new body is expected to wait for those ahead.
-func (c *Core) Wait() time.Duration {
-	return time.Duration(float64(c.Ahead()) / c.rate * float64(time.Second))
-}
+func (c *Core) Wait() time.Duration { return c.Takes(c.Ahead()) }
 
 // Arrive takes in a body, -1 bytes if its length is not told. It returns the
 // body's ticket and whether it may go now.
