Log each order and read of an operator; tell a lost text from no manifest

Cause: the log could not tell apart the hypotheses about an older configuration that was read back: no line for a read, none for who settled an order, 13 of 31 lines about accepted versions held back; and a manifest without its text was answered as none. Change: lines "order answered" and "read answered" at the daemon that was asked, with version, base, outcome, the source that answered and the time taken; counters by result code; loggers of changes may write 100 lines of one message in ten seconds, not ten; code 137 where a version was accepted and its text is not at hand (it was 216, "no configuration was accepted yet").

--- a/internal/process/daemon/submit_test.go
+++ b/internal/process/daemon/submit_test.go
@@ -11,11 +11,13 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/daisygate/daisygate/internal/connection/peer"
 	"github.com/daisygate/daisygate/internal/process/daemon"
 	"github.com/daisygate/daisygate/internal/process/settings"
 	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/process/telemetry"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
@@ -27,10 +29,15 @@
 	lose bool
 	err  error
 	conn net.Conn
+	// orders takes what came in, if it is set.
+	orders chan source.Order
 }
 
 // Submit is the RPC method.
-func (f *fakeSource) Submit(_ source.Order, answer *source.Answer) error {
+func (f *fakeSource) Submit(o source.Order, answer *source.Answer) error {
+	if f.orders != nil {
+		f.orders <- o
+	}
 	if f.lose {
 		_ = f.conn.Close()
 	}
@@ -38,6 +45,12 @@
 	return f.err
 }
 
+// Read is the RPC method.
+func (f *fakeSource) Read(_ string, answer *source.Answer) error {
+	*answer = f.answer
+	return f.err
+}
+
 // listen serves f and returns its peer address.
 func (f *fakeSource) listen(c *qt.C) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -84,7 +97,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			d := newClient(c, row.sources)
+			d := newClient(c, logr.Discard(), row.sources)
 			answer, err := d.Submit(context.Background(), &manifest.Manifest{Mesh: "m", Version: 1})
 			c.Assert(err, qt.IsNil)
 			c.Assert(answer.Code, qt.Equals, row.want, qt.Commentf("%+v", answer))
@@ -93,7 +106,7 @@
 }
 
 // newClient is a daemon beside no disk, with these sources.
-func newClient(c *qt.C, sources []*fakeSource) *daemon.Daemon {
+func newClient(c *qt.C, log logr.Logger, sources []*fakeSource) *daemon.Daemon {
 	set := settings.Defaults()
 	set.Node, set.Domain, set.DataDir = "n1", "d1", filepath.Join(c.TempDir(), "data")
 	set.Listen = settings.Listen{Caller: "127.0.0.1:0", Announce: "127.0.0.1:0", Peer: "127.0.0.1:0", Operator: "127.0.0.1:0"}
@@ -105,7 +118,58 @@
 		}
 		set.Source.Members = append(set.Source.Members, settings.Member{Node: "s-" + addr, Peer: addr})
 	}
-	d, err := daemon.New(set, logr.Discard())
+	d, err := daemon.New(set, log)
 	c.Assert(err, qt.IsNil)
 	return d
 }
+
+// TestReadTellsWhatIsMissing holds that a manifest without its text is not told as none,
+// and that each read has a line: while sources answered reads with "no configuration was
+// accepted yet", logs and metrics showed nothing of it.
+func TestReadTellsWhatIsMissing(t *testing.T) {
+	winner := &source.Accepted{Version: 99, Fleet: 30}
+	for name, row := range map[string]struct {
+		answer source.Answer
+		want   result.Code
+		line   string
+	}{
+		"whole":     {source.Answer{Code: result.Answered, Winner: winner, Text: []byte("text")}, result.Answered, `"version"=99 "bytes"=4 "result"="102 Answered"`},
+		"no text":   {source.Answer{Code: result.Answered, Winner: winner}, result.TextNotHeld, `"version"=99 "bytes"=0 "result"="137 TextNotHeld"`},
+		"none":      {source.Answer{Code: result.Answered}, result.NotReady, `"version"=0 "bytes"=0 "result"="216 NotReady"`},
+		"no quorum": {source.Answer{Code: result.NoQuorum}, result.NoQuorum, `"version"=0 "bytes"=0 "result"="120 NoQuorum"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var lines []string
+			d := newClient(c, operatorLines(&lines), []*fakeSource{{answer: row.answer}})
+			answer, err := d.Newest(context.Background(), "m")
+			c.Assert(err, qt.IsNil)
+			c.Check(answer.Code, qt.Equals, row.want)
+			c.Assert(lines, qt.HasLen, 1)
+			c.Check(lines[0], qt.Contains, `"msg"="read answered" "node"="n1" "mesh"="m" `+row.line)
+			c.Check(lines[0], qt.Contains, `"by"="s-127.0.0.1:`)
+		})
+	}
+}
+
+// operatorLines returns a logger whose lines about operators are put into lines.
+func operatorLines(lines *[]string) logr.Logger {
+	return funcr.New(func(logger, line string) {
+		if logger == telemetry.OperatorsLogger {
+			*lines = append(*lines, line)
+		}
+	}, funcr.Options{})
+}
+
+// TestOrderHasItsLine holds that the log tells what an operator handed in, on which base,
+// and what was answered.
+func TestOrderHasItsLine(t *testing.T) {
+	c := qt.New(t)
+	var lines []string
+	d := newClient(c, operatorLines(&lines), []*fakeSource{{answer: source.Answer{Code: result.Accepted, Fleet: 31}}})
+	base := uint64(97)
+	_, err := d.Order(context.Background(), &source.Order{Manifest: manifest.Manifest{Mesh: "m", Version: 99}, Base: &base})
+	c.Assert(err, qt.IsNil)
+	c.Assert(lines, qt.HasLen, 1)
+	c.Check(lines[0], qt.Contains, `"msg"="order answered" "node"="n1" "mesh"="m" "version"=99 "base"="97" "result"="100 Accepted" "fleet"=31`)
+}
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -201,7 +201,7 @@
 		return Answer{Code: result.VersionConflict, Winner: first}, true
 	}
 	newest := m.newest(mf.Mesh)
-	if current := newest.version(); c.Base != nil && *c.Base != current {
+	if current := newest.Number(); c.Base != nil && *c.Base != current {
 		return Answer{Code: result.BaseMoved, Winner: newest, Detail: fmt.Sprintf("builds on %d, current is %d", *c.Base, current)}, true
 	}
 	if newest != nil && mf.Version < newest.Version {
@@ -222,8 +222,8 @@
 	return "it is older than the kept history, which does not tell whether it was accepted"
 }
 
-// version is the operators' number; 0 without a line.
-func (a *Accepted) version() uint64 {
+// Number is the operators' number of the version; 0 without a line.
+func (a *Accepted) Number() uint64 {
 	if a == nil {
 		return 0
 	}
--- a/internal/process/telemetry/metrics.go
+++ b/internal/process/telemetry/metrics.go
@@ -39,6 +39,9 @@
 	retries      labelled[routeKey, *metrics.Counter]
 	refused      labelled[result.Code, *metrics.Counter]
 	attemptTimes *metrics.PrometheusHistogram
+	// orders and reads count what operators were told, by result code.
+	orders labelled[result.Code, *metrics.Counter]
+	reads  labelled[result.Code, *metrics.Counter]
 }
 
 type routeKey struct{ mesh, route string }
@@ -67,6 +70,8 @@
 	}
 	m.attempts.make = codeCounter(set, "daisygate_attempts_total")
 	m.refused.make = codeCounter(set, "daisygate_gate_refusals_total")
+	m.orders.make = codeCounter(set, "daisygate_orders_total")
+	m.reads.make = codeCounter(set, "daisygate_reads_total")
 	set.RegisterMetricsWriter(func(w io.Writer) { m.state().write(w) })
 	return m
 }
@@ -97,6 +102,12 @@
 // Refused implements gateway.Observer.
 func (m *Metrics) Refused(r gateway.Refused) { m.refused.get(r.Code, r.Code).Inc() }
 
+// Ordered counts an operator's order by what the operator was told.
+func (m *Metrics) Ordered(code result.Code) { m.orders.get(code, code).Inc() }
+
+// Read counts an operator's read by what the operator was told.
+func (m *Metrics) Read(code result.Code) { m.reads.get(code, code).Inc() }
+
 // Done implements gateway.Observer.
 func (m *Metrics) Done(d gateway.Done) {
 	route, other := routeKey{d.Mesh, d.Route}, routeKey{otherLabel, otherLabel}
--- a/internal/process/telemetry/repeats.go
+++ b/internal/process/telemetry/repeats.go
@@ -12,9 +12,21 @@
 // they are about single requests, and bounded by whoever writes them.
 const RequestsLogger = "requests"
 
+// OperatorsLogger and SourceLogger are the names of the loggers that tell what operators
+// asked for and what the sources accepted. Who reads them afterwards looks for one
+// version among all: they take changesBurst lines.
+const (
+	OperatorsLogger = "operators"
+	SourceLogger    = "source"
+)
+
 const (
 	// repeatBurst is how many lines of one message an interval takes.
 	repeatBurst = 10
+	// changesBurst is repeatBurst for the loggers of changes: ten changes a second over
+	// the default interval, three times what pipelines without a pause between two
+	// changes reach, and 30 KB of log.
+	changesBurst = 100
 	// maxMessages bounds the messages remembered. Messages are constants of the
 	// code, so there are fewer.
 	maxMessages = 1024
@@ -97,10 +109,18 @@
 		heldBack = c.heldBack
 		*c = repeatCount{since: now}
 	}
-	if c.lines >= repeatBurst {
+	if c.lines >= burstOf(key.logger) {
 		c.heldBack++
 		return 0, false
 	}
 	c.lines++
 	return heldBack, true
 }
+
+// burstOf is how many lines of one message of a logger an interval takes.
+func burstOf(logger string) int {
+	if logger == OperatorsLogger || logger == SourceLogger {
+		return changesBurst
+	}
+	return repeatBurst
+}
--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -56,6 +56,26 @@
 	c.Assert(heldBack, qt.Equals, 1000-repeatBurst)
 }
 
+// TestChangesAreNotHeldBack holds that each of three changes a second has its line: in the
+// log of a source 13 of 31 accepted versions were missing, among them the ones asked for.
+func TestChangesAreNotHeldBack(t *testing.T) {
+	c := qt.New(t)
+	const interval = 10 * time.Second
+	for _, logger := range []string{OperatorsLogger, SourceLogger} {
+		s := repeatState{messages: map[repeatKey]*repeatCount{}}
+		key := repeatKey{logger: logger, message: "accepted"}
+		for i := range 90 {
+			_, write := s.count(key, time.Unix(0, 0).Add(time.Duration(i)*time.Second/3), interval)
+			c.Check(write, qt.IsTrue, qt.Commentf("%s, line %d", logger, i))
+		}
+		for range changesBurst {
+			s.count(key, time.Unix(60, 0), interval)
+		}
+		_, write := s.count(key, time.Unix(61, 0), interval)
+		c.Check(write, qt.IsFalse, qt.Commentf("%s is bounded", logger))
+	}
+}
+
 // TestMetrics holds the names of the metrics, and that two daemons of a process
 // don't share them.
 func TestMetrics(t *testing.T) {
@@ -71,6 +91,8 @@
 	m.Done(gateway.Done{Mesh: "a", Route: "r", Code: result.Overloaded, Duration: time.Millisecond})
 	m.Attempt(gateway.Attempt{Mesh: "a", Route: "r", Number: 1, Code: result.DaemonRefused})
 	m.Refused(gateway.Refused{Code: result.Overloaded})
+	m.Ordered(result.BaseMoved)
+	m.Read(result.TextNotHeld)
 	for i := range maxSeries + 10 {
 		m.Done(gateway.Done{Mesh: "many", Route: strconv.Itoa(i)})
 	}
@@ -84,6 +106,8 @@
 		`daisygate_attempts_total{code="218"} 1`,
 		`daisygate_retries_total{mesh="a",route="r"} 1`,
 		`daisygate_gate_refusals_total{code="212"} 1`,
+		`daisygate_orders_total{code="114"} 1`,
+		`daisygate_reads_total{code="137"} 1`,
 		`daisygate_backend_slots_in_use{server="10.0.0.1:80"} 3`,
 		`daisygate_backend_queue_length{server="10.0.0.1:80"} 2`,
 		`daisygate_listener_refused_total{listener="caller"} 1`,
@@ -119,6 +143,8 @@
 	m.Done(gateway.Done{})
 	m.Attempt(gateway.Attempt{Number: 1})
 	m.Refused(gateway.Refused{})
+	m.Ordered(result.Accepted)
+	m.Read(result.Answered)
 	written := map[string]bool{}
 	for _, name := range regexp.MustCompile(`(?m)^daisygate_\w+`).FindAllString(scrape(m), -1) {
 		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -77,6 +77,7 @@
 	TooManyRequests Code = 134
 	VersionNotHeld  Code = 135
 	NodeUnreachable Code = 136
+	TextNotHeld     Code = 137
 
 	NoRoute          Code = 210
 	NoBackendServer  Code = 211
@@ -145,6 +146,7 @@
 	TooManyRequests:  {"TooManyRequests", NotRun, http.StatusTooManyRequests, "The operator API of this daemon admits no more requests now; come back later."},
 	VersionNotHeld:   {"VersionNotHeld", NotRun, http.StatusNotFound, "The content of this accepted version is no longer held; only the version in force is."},
 	NodeUnreachable:  {"NodeUnreachable", Unknown, http.StatusBadGateway, "The daemon that was named did not answer; the order may have been carried out and is safe to repeat."},
+	TextNotHeld:      {"TextNotHeld", NotRun, http.StatusServiceUnavailable, "The newest manifest was accepted, and its operator's text is not at hand."},
 	NoRoute:          {"NoRoute", NotRun, http.StatusNotFound, "No route of the version in force matches the request."},
 	NoBackendServer:  {"NoBackendServer", NotRun, http.StatusServiceUnavailable, "No backend server of the service is present."},
 	Overloaded:       {"Overloaded", NotRun, http.StatusServiceUnavailable, "All slots and the queue are full."},
