--- a/internal/process/daemon/fleet_test.go
+++ b/internal/process/daemon/fleet_test.go
@@ -42,22 +42,33 @@
 // startDaemon runs a daemon on ports of the system's choice. The first of a
 // fleet is its only source; seed is nil for it.
 func startDaemon(c *qt.C, name string, seed *running, change func(*settings.Settings)) *running {
-	peer, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
+	return startDaemonAt(c, name, nil, func(set *settings.Settings) {
+		if seed == nil {
+			set.DataDir = c.TempDir()
+			set.Source.Members = []settings.Member{{Node: name, Peer: set.Listen.Peer}}
+		} else {
+			set.Seeds = []string{seed.set.Listen.Peer}
+			set.Source = seed.set.Source
+		}
+		if change != nil {
+			change(set)
+		}
+	})
+}
+
+// startDaemonAt runs a daemon whose peer listener is open already, nil for one of the
+// system's choice. It is no source unless change makes it one.
+func startDaemonAt(c *qt.C, name string, peer net.Listener, change func(*settings.Settings)) *running {
+	var err error
+	if peer == nil {
+		peer, err = net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+	}
 	set := settings.Defaults()
 	set.Node, set.Domain = name, "d"
 	set.Listen = settings.Listen{Caller: "127.0.0.1:0", Announce: "127.0.0.1:0", Peer: peer.Addr().String(), Operator: "127.0.0.1:0"}
 	set.Stop.LeaveDelay = time.Millisecond
-	if seed == nil {
-		set.DataDir = c.TempDir()
-		set.Source.Members = []settings.Member{{Node: name, Peer: set.Listen.Peer}}
-	} else {
-		set.Seeds = []string{seed.set.Listen.Peer}
-		set.Source = seed.set.Source
-	}
-	if change != nil {
-		change(&set)
-	}
+	change(&set)
 	c.Assert(set.Validate(), qt.IsNil)
 	d, err := daemon.NewOn(set, logr.Discard(), map[string]net.Listener{"peer": peer})
 	c.Assert(err, qt.IsNil)
