Keep the base of an order that builds on no version

Cause: an order travels from daemon to daemon by package gob, which sends no zeros, also not behind a pointer: base 0 (no version accepted yet) arrived as no base, which is any. Of two manifests handed in on top of none both were accepted, where the second passed through a daemon that is no source, or through a source that had no quorum or no disk. Ruled out: the sources' log (CBOR keeps the zero behind a pointer), any other base. Change: the base is a type of its own that says whether one was named; entries of the log stay as they are. Before: TestFirstOrderWinsOnce 100 Accepted; after: 114 BaseMoved. The tests changed with the type, not in what they hold.

--- a/internal/process/daemon/order_test.go
+++ b/internal/process/daemon/order_test.go
@@ -20,7 +20,7 @@
 	m, err := manifest.Parse([]byte(testManifest))
 	c.Assert(err, qt.IsNil)
 	m.Version = n
-	return &source.Order{Manifest: *m, Base: &base, Text: fmt.Appendf(nil, "text of %d", n)}
+	return &source.Order{Manifest: *m, Base: source.On(base), Text: fmt.Appendf(nil, "text of %d", n)}
 }
 
 // startSources runs three sources.
@@ -117,8 +117,6 @@
 	for _, base := range []uint64{0, 7} {
 		_, err := d.Order(context.Background(), order(c, 8, base))
 		c.Assert(err, qt.IsNil)
-		got := <-orders
-		c.Assert(got.Base, qt.IsNotNil, qt.Commentf("base %d", base))
-		c.Check(*got.Base, qt.Equals, base)
+		c.Check((<-orders).Base, qt.Equals, source.On(base))
 	}
 }
--- a/internal/process/daemon/submit.go
+++ b/internal/process/daemon/submit.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/rpc"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -94,7 +93,7 @@
 	began := time.Now()
 	s := d.anySource(ctx, sourceSubmit, *o, func(ctx context.Context) (source.Answer, error) { return d.source.Submit(ctx, o) })
 	d.metrics.Ordered(s.answer.Code)
-	d.operatorLog().Info(logOrder, "mesh", o.Manifest.Mesh, "version", o.Manifest.Version, "base", baseText(o.Base),
+	d.operatorLog().Info(logOrder, "mesh", o.Manifest.Mesh, "version", o.Manifest.Version, "base", o.Base.String(),
 		"result", s.answer.Code.String(), "fleet", s.answer.Fleet, "detail", s.answer.Detail, "by", s.by, "took", time.Since(began).String())
 	return s.answer, nil
 }
@@ -113,14 +112,6 @@
 
 func (d *Daemon) operatorLog() logr.Logger { return d.log.WithName(telemetry.OperatorsLogger) }
 
-// baseText is a base as the log tells it.
-func baseText(base *uint64) string {
-	if base == nil {
-		return "any"
-	}
-	return strconv.FormatUint(*base, 10)
-}
-
 // withText tells a manifest whose text is missing from one that was never accepted:
 // the first is a fault, and looked like the second to operators and in logs.
 func withText(a source.Answer) source.Answer {
--- a/internal/process/daemon/submit_test.go
+++ b/internal/process/daemon/submit_test.go
@@ -167,8 +167,7 @@
 	c := qt.New(t)
 	var lines []string
 	d := newClient(c, operatorLines(&lines), []*fakeSource{{answer: source.Answer{Code: result.Accepted, Fleet: 31}}})
-	base := uint64(97)
-	_, err := d.Order(context.Background(), &source.Order{Manifest: manifest.Manifest{Mesh: "m", Version: 99}, Base: &base})
+	_, err := d.Order(context.Background(), &source.Order{Manifest: manifest.Manifest{Mesh: "m", Version: 99}, Base: source.On(97)})
 	c.Assert(err, qt.IsNil)
 	c.Assert(lines, qt.HasLen, 1)
 	c.Check(lines[0], qt.Contains, `"msg"="order answered" "node"="n1" "mesh"="m" "version"=99 "base"="97" "result"="100 Accepted" "fleet"=31`)
--- a/internal/process/source/source.go
+++ b/internal/process/source/source.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -98,12 +99,41 @@
 // Order is what an operator hands in.
 type Order struct {
 	Manifest manifest.Manifest
-	// Base is the version that the manifest builds on, nil for any.
-	Base *uint64
+	Base     Base
 	// Text is the manifest as the operator wrote it, packed; it may be empty.
 	Text []byte
 }
 
+// Base is the version that an order builds on. Named has a field of its own because orders
+// travel by package gob, which sends no zeros: behind a pointer the 0 of an order that
+// builds on no version would arrive as nil, which is any version, and of two such orders
+// both would be accepted.
+type Base struct {
+	// Named is false for an order that builds on any version.
+	Named bool
+	// Version is the operators' number; 0 is before the first.
+	Version uint64
+}
+
+// On returns the base of an order that builds on this version only.
+func On(version uint64) Base { return Base{Named: true, Version: version} }
+
+// String returns the version, or "any".
+func (b Base) String() string {
+	if !b.Named {
+		return "any"
+	}
+	return strconv.FormatUint(b.Version, 10)
+}
+
+// entry returns the base as a log entry holds it.
+func (b Base) entry() *uint64 {
+	if !b.Named {
+		return nil
+	}
+	return &b.Version
+}
+
 // Submit proposes a manifest here or at the leader, and waits for the commit
 // until ctx ends. What could not be put in force never enters the log.
 func (s *Source) Submit(ctx context.Context, o *Order) (Answer, error) {
@@ -113,7 +143,7 @@
 	if n := len(s.group.Status().Members); n < s.voters && time.Now().Before(s.growUntil) {
 		return Answer{Code: result.NoQuorum, Detail: fmt.Sprintf("the sources are being founded: %d of %d vote", n, s.voters)}, nil
 	}
-	return s.propose(ctx, Command{Manifest: o.Manifest, Submitted: time.Now().UTC(), Base: o.Base, Text: o.Text})
+	return s.propose(ctx, Command{Manifest: o.Manifest, Submitted: time.Now().UTC(), Base: o.Base.entry(), Text: o.Text})
 }
 
 // Read returns the newest manifest of a mesh. It goes through the log, so that
