Keep the parts of a second of what is accepted

Cause: the CBOR codec writes times in whole seconds unless told otherwise, so that three changes within a second had one time in the history, and a timeline could not be made from it. Change: commands, answers and images are encoded in one place, with nanoseconds (quorum.Encode); what older releases wrote is read as before.

--- a/internal/process/daemon/wire_test.go
+++ b/internal/process/daemon/wire_test.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/daisygate/daisygate/internal/process/claims"
+	"github.com/daisygate/daisygate/internal/process/quorum"
 	"github.com/daisygate/daisygate/internal/process/replica"
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/request/once"
@@ -31,11 +32,15 @@
 		t.Run("gob "+name, func(t *testing.T) { travels(t, typ, throughGob) })
 	}
 	for _, typ := range []reflect.Type{
-		reflect.TypeFor[source.Command](), reflect.TypeFor[source.Answer](), reflect.TypeFor[source.Accepted](),
-		reflect.TypeFor[claims.Command](), reflect.TypeFor[once.Reply](), reflect.TypeFor[fleet.Delta](),
+		reflect.TypeFor[source.Command](), reflect.TypeFor[source.Answer](), reflect.TypeFor[source.Accepted](), reflect.TypeFor[once.Reply](),
+	} {
+		t.Run("cbor "+typ.String(), func(t *testing.T) { travels(t, typ, throughCBOR(quorum.Encode)) })
+	}
+	for _, typ := range []reflect.Type{
+		reflect.TypeFor[claims.Command](), reflect.TypeFor[fleet.Delta](),
 		reflect.TypeFor[replica.HardState](), reflect.TypeFor[replica.Snapshot](), reflect.TypeFor[replica.Entry](), reflect.TypeFor[replica.Membership](),
 	} {
-		t.Run("cbor "+typ.String(), func(t *testing.T) { travels(t, typ, throughCBOR) })
+		t.Run("cbor "+typ.String(), func(t *testing.T) { travels(t, typ, throughCBOR(cbor.Marshal)) })
 	}
 }
 
@@ -46,8 +51,9 @@
 		typ := reflect.TypeOf(service)
 		for i := range typ.NumMethod() {
 			method := typ.Method(i)
-			types[method.Name+" argument"] = method.Type.In(1)
-			types[method.Name+" reply"] = method.Type.In(2).Elem()
+			name := typ.Elem().Name() + "." + method.Name
+			types[name+" argument"] = method.Type.In(1)
+			types[name+" reply"] = method.Type.In(2).Elem()
 		}
 	}
 	return types
@@ -72,12 +78,14 @@
 	return gob.NewDecoder(&buf).Decode(got)
 }
 
-func throughCBOR(sent, got any) error {
-	raw, err := cbor.Marshal(sent)
-	if err != nil {
-		return err
+func throughCBOR(encode func(any) ([]byte, error)) func(sent, got any) error {
+	return func(sent, got any) error {
+		raw, err := encode(sent)
+		if err != nil {
+			return err
+		}
+		return cbor.Unmarshal(raw, got)
 	}
-	return cbor.Unmarshal(raw, got)
 }
 
 // filler sets every field of a value to something else than zero.
--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -273,7 +273,7 @@
 	if errors.As(err, &e) {
 		return Reply{Code: e.Code, Detail: e.Detail}
 	}
-	raw, err := cbor.Marshal(answer)
+	raw, err := Encode(answer)
 	if err != nil {
 		return Reply{Code: result.CommitUnknown, Detail: err.Error()}
 	}
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/daisygate/daisygate/internal/process/quorum"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/fleet"
 	"github.com/daisygate/daisygate/internal/version/manifest"
@@ -108,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(machineImage{Delta: delta, History: m.all(), Texts: m.texts})
+	return quorum.Encode(machineImage{Delta: delta, History: m.all(), Texts: m.texts})
 }
 
 // Restore implements quorum.StateMachine.
--- a/internal/process/source/source.go
+++ b/internal/process/source/source.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/process/quorum"
@@ -163,8 +162,8 @@
 }
 
 func encodeCommand(c Command) ([]byte, error) {
-	raw, err := cbor.Marshal(c)
-	return raw, errors.Wrap(err, "encode command")
+	raw, err := quorum.Encode(c)
+	return raw, errors.Wrap(err, "command")
 }
 
 // answerOf turns the end of a proposal into what the operator is told.
