Soak: read back at every source, and strictly; race the first two configurations

Why it missed that most sources could not answer a read: it took one answer of any source within ten seconds for read back, and failed reads were nobody's fault. Now every source has to answer in the end, no read may be older than what was acknowledged before it was sent (it was two seconds before), and the first configuration is two on one base.

--- a/soak/check.go
+++ b/soak/check.go
@@ -11,7 +11,6 @@
 // The bounds of the promises, as the settings of the processes have them.
 const (
 	contact     = 3 * time.Second
-	propagation = 2 * time.Second
 	drainTime   = 2 * time.Second
 	budgetRatio = 0.2
 	budgetSlack = 60
@@ -137,7 +136,8 @@
 	return false
 }
 
-// orders checks that what was acknowledged stays, and that reads are not old.
+// orders checks that what was acknowledged stays, that no read is older than what was
+// acknowledged before it, and that every source can be read in the end.
 func (c *checker) orders() {
 	onBase := map[uint64]uint64{}
 	for _, o := range c.h.Orders {
@@ -152,16 +152,20 @@
 		}
 		onBase[o.Base] = o.Version
 	}
+	readBack := map[string]bool{}
 	for _, read := range c.h.Reads {
+		readBack[read.Source] = readBack[read.Source] || !read.At.Before(c.h.End)
 		for _, o := range c.h.Orders {
-			if !o.Acked.IsZero() && o.Version > read.Version && o.Acked.Add(propagation).Before(read.At) {
-				c.broken("CONFIG", read.At, "read version %d, %d was acknowledged at %.3f s", read.Version, o.Version, o.Acked.Sub(c.h.Begin).Seconds())
+			if !o.Acked.IsZero() && o.Version > read.Version && o.Acked.Before(read.At) {
+				c.broken("CONFIG", read.At, "read version %d at %s, %d was acknowledged at %.3f s", read.Version, read.Source, o.Version, o.Acked.Sub(c.h.Begin).Seconds())
 				break
 			}
 		}
 	}
-	if len(c.h.Reads) == 0 || !c.h.Reads[len(c.h.Reads)-1].Last {
-		c.broken("LOST", c.h.End, "the configuration could not be read back")
+	for _, source := range c.h.Sources {
+		if !readBack[source] {
+			c.broken("LOST", c.h.End, "the configuration could not be read back at %s", source)
+		}
 	}
 }
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -23,7 +23,8 @@
 			{Version: 1, Moving: serviceA, At: at(0), Acked: at(0.1)},
 			{Version: 3, Base: 1, Moving: serviceA, At: at(5), Acked: at(5.1)},
 		},
-		Reads: []Read{{At: at(6), Version: 3}, {At: at(21), Version: 3, Last: true}},
+		Sources: []string{"s", "t"},
+		Reads:   []Read{{At: at(6), Source: "t", Version: 3}, {At: at(21), Source: "s", Version: 3}, {At: at(22), Source: "t", Version: 3}},
 	}
 	for _, id := range []string{"a", "b"} {
 		h.Sent = append(h.Sent, Sent{
@@ -56,7 +57,9 @@
 		"CONFIG refused":       func(h *History) { h.Orders[1].AfterAck = true },
 		"CONFIG both":          func(h *History) { h.Orders = append(h.Orders, Order{Version: 2, Base: 1, Acked: at(5)}) },
 		"CONFIG old read":      func(h *History) { h.Reads[1].Version = 1 },
-		"LOST configuration":   func(h *History) { h.Reads[1].Last = false },
+		"CONFIG read at once":  func(h *History) { h.Reads[0] = Read{At: at(5.2), Source: "t", Version: 1} },
+		"LOST configuration":   func(h *History) { h.Reads[1].At, h.Reads[2].At = at(19), at(19) },
+		"LOST at one source":   func(h *History) { h.Reads[2].Source = "s" },
 		"LOST request":         func(h *History) { lose(h) },
 		"DRAIN":                func(h *History) { h.Drains = []Drained{{Boot: "s-1", At: at(8)}} },
 		"BUDGET":               func(h *History) { flood(h) },
--- a/soak/history.go
+++ b/soak/history.go
@@ -37,10 +37,10 @@
 
 // Read is one answer to a read of the configuration.
 type Read struct {
+	// At is when the question was sent.
 	At      time.Time
+	Source  string
 	Version uint64
-	// Last is set for those after the end of the run.
-	Last bool
 }
 
 // Fault is one fault of the schedule.
@@ -70,6 +70,7 @@
 	Faults   []Fault
 	Drains   []Drained
 	Services map[string]string // by daemon: the service beside it
+	Sources  []string
 }
 
 func note[T any](h *History, list *[]T, item T) {
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -61,7 +60,7 @@
 				both.Go(func() { w.order(ctx, version+1, base, service) })
 			}
 			both.Wait()
-			w.learn(ctx)
+			w.learn(ctx, w.anySource())
 		}
 	})
 }
@@ -95,15 +94,18 @@
 }
 
 func (w *world) replace(ctx context.Context, raw []byte, base uint64) int {
-	status, _ := w.control(ctx, callReplace, raw, map[string]string{headerBase: versionText(base)})
+	status, _ := w.control(ctx, w.anySource(), callReplace, raw, map[string]string{headerBase: versionText(base)})
 	return status
 }
 
-// control calls one source, drawn at random.
-func (w *world) control(ctx context.Context, call string, body []byte, header map[string]string) (int, []byte) {
+// anySource is a source drawn at random.
+func (w *world) anySource() *process { return w.sources[rand.IntN(len(w.sources))] }
+
+// control calls one source.
+func (w *world) control(ctx context.Context, at *process, call string, body []byte, header map[string]string) (int, []byte) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	return post(ctx, w.addr(w.sources[rand.IntN(len(w.sources))], portControl), call, body, header)
+	return post(ctx, w.addr(at, portControl), call, body, header)
 }
 
 // post sends a call to a control address. Without a whole answer the status is 0.
@@ -128,10 +130,10 @@
 	return resp.StatusCode, raw
 }
 
-// learn reads the configuration and takes its version as the one to build on.
-func (w *world) learn(ctx context.Context) bool {
+// learn reads the configuration at a source and takes its version as the one to build on.
+func (w *world) learn(ctx context.Context, from *process) bool {
 	at := time.Now()
-	status, raw := w.control(ctx, callRead, nil, nil)
+	status, raw := w.control(ctx, from, callRead, nil, nil)
 	var c configuration
 	if status != http.StatusOK || json.Unmarshal(raw, &c) != nil {
 		return false
@@ -140,19 +142,18 @@
 	if err != nil {
 		return false
 	}
-	note(w.history, &w.history.Reads, Read{At: at, Version: version})
+	note(w.history, &w.history.Reads, Read{At: at, Source: from.name, Version: version})
 	w.operators.learned(version)
 	return true
 }
 
-// readBack reads the configuration at the end, until it comes.
+// readBack reads the configuration at the end at each source, until it comes.
 func (w *world) readBack() {
 	w.history.End = time.Now()
-	for end := time.Now().Add(readBack); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if w.learn(context.Background()) {
-			w.history.Reads[len(w.history.Reads)-1].Last = true
-			return
+	end := time.Now().Add(readBack)
+	for _, s := range w.sources {
+		for !w.learn(context.Background(), s) && time.Now().Before(end) {
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	fmt.Println("the configuration could not be read back")
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -80,6 +80,7 @@
 	_ = l.Close()
 	for i := range sources {
 		w.sources = append(w.sources, &process{name: fmt.Sprintf("source%d", i+1), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, 1+i), zone: fmt.Sprint("zone", i), isSource: true})
+		w.history.Sources = append(w.history.Sources, w.sources[i].name)
 	}
 	for i := range o.Daemons {
 		service := serviceA
@@ -207,12 +208,22 @@
 		}
 		go b.report(reports)
 	}
-	if !w.order(ctx, 1, 0, serviceA) {
+	if !w.first(ctx) {
 		return errors.Newf("the first configuration was not accepted; logs are in %s", w.o.Dir)
 	}
 	return w.ready(ctx)
 }
 
+// first hands in the first configuration: two of them at once, of which one wins.
+func (w *world) first(ctx context.Context) bool {
+	var wait sync.WaitGroup
+	var one, other bool
+	wait.Go(func() { one = w.order(ctx, 1, 0, serviceA) })
+	wait.Go(func() { other = w.order(ctx, 2, 0, serviceA) })
+	wait.Wait()
+	return one || other
+}
+
 // ready waits until every daemon says that it is.
 func (w *world) ready(ctx context.Context) error {
 	for end := time.Now().Add(settleTime); ; time.Sleep(50 * time.Millisecond) {
