--- a/internal/process/daemon/history.go
+++ b/internal/process/daemon/history.go
@@ -16,6 +16,9 @@
 	sourceOwnHistory = "Source.OwnHistory"
 )
 
+// logOwnHistory tells that a history may lack the newest versions.
+const logOwnHistory = "history of this source told: the leader's was not to be had"
+
 // History implements operator.Backend: from the leader where it can be reached,
 // for only the leader has applied everything that was told to be accepted; else
 // from a source that answers.
@@ -41,9 +44,11 @@
 		try, cancel := context.WithTimeout(ctx, submitTry)
 		defer cancel()
 		var history []source.Accepted
-		if err := d.pool.Call(try, addr, sourceOwnHistory, r, &history); err == nil {
+		err := d.pool.Call(try, addr, sourceOwnHistory, r, &history)
+		if err == nil {
 			return history, nil
 		}
+		d.operatorLog().Info(logOwnHistory, "leader", lead, "error", err.Error(), "version", d.source.Status().Version)
 	}
 	return d.source.Newest(ctx, r)
 }
