--- a/internal/process/storage/dir.go
+++ b/internal/process/storage/dir.go
@@ -44,12 +44,26 @@
 
 // NewOSDir creates the folder if needed.
 func NewOSDir(path string) (OSDir, error) {
-	if err := os.MkdirAll(path, dirMode); err != nil {
+	if err := makeDir(path, syncDir); err != nil {
 		return "", errors.Wrap(err, "create data folder")
 	}
 	return OSDir(path), nil
 }
 
+// makeDir creates a folder with those above it that are missing.
+func makeDir(path string, _ func(string) error) error {
+	return os.MkdirAll(path, dirMode)
+}
+
+// syncDir makes the names in a folder durable.
+func syncDir(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(f.Sync(), f.Close())
+}
+
 // ReadFile implements Dir.
 func (d OSDir) ReadFile(name string) ([]byte, error) { return os.ReadFile(d.Path(name)) }
 
@@ -77,13 +91,7 @@
 func (d OSDir) Rename(from, to string) error { return os.Rename(d.Path(from), d.Path(to)) }
 
 // Sync implements Dir.
-func (d OSDir) Sync() error {
-	f, err := os.Open(string(d))
-	if err != nil {
-		return err
-	}
-	return errors.CombineErrors(f.Sync(), f.Close())
-}
+func (d OSDir) Sync() error { return syncDir(string(d)) }
 
 // Path implements Dir.
 func (d OSDir) Path(name string) string { return filepath.Join(string(d), name) }
--- a/internal/process/storage/lock.go
+++ b/internal/process/storage/lock.go
@@ -22,11 +22,11 @@
 
 // LockDir makes the data folder if need be and locks it.
 func LockDir(dir string) (*Lock, error) {
-	if err := os.MkdirAll(dir, 0o750); err != nil {
+	if err := makeDir(dir, syncDir); err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
 	path := filepath.Join(dir, lockFile)
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o640)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
