Sync the folder above each data folder that is made

Change: makeDir syncs the parent of each folder that it creates, lowest first, for the lock's folder and for the logs'.

--- a/internal/process/storage/dir.go
+++ b/internal/process/storage/dir.go
@@ -50,9 +50,26 @@
 	return OSDir(path), nil
 }
 
-// makeDir creates a folder with those above it that are missing.
-func makeDir(path string, _ func(string) error) error {
-	return os.MkdirAll(path, dirMode)
+// makeDir creates a folder with those above it that are missing, and syncs the folder
+// that holds each new name: until then a loss of power may take the name away, and with
+// it the synced files below.
+func makeDir(path string, sync func(string) error) error {
+	var parents []string
+	for missing := filepath.Clean(path); ; missing = filepath.Dir(missing) {
+		if _, err := os.Stat(missing); !errors.Is(err, os.ErrNotExist) {
+			break
+		}
+		parents = append(parents, filepath.Dir(missing))
+	}
+	if err := os.MkdirAll(path, dirMode); err != nil {
+		return err
+	}
+	for _, parent := range parents {
+		if err := sync(parent); err != nil {
+			return errors.Wrapf(err, "sync %s", parent)
+		}
+	}
+	return nil
 }
 
 // syncDir makes the names in a folder durable.
