--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -30,7 +29,7 @@
 	server.Handler = tracker.Guard(server.Handler)
 	server.ConnState = tracker.ConnState
 	server.ConnContext = tracker.ConnContext
-	raw := d.listeners[name].(*net.TCPListener)
+	raw := d.listeners[name].(graceful.Deadline)
 	return &httpServer{Server: server, listener: tracker.Listen(d.limits[name], raw), tracker: tracker}
 }
 
