--- a/internal/process/daemon/history.go
+++ b/internal/process/daemon/history.go
@@ -50,7 +50,7 @@
 		}
 		d.operatorLog().Info(logOwnHistory, "leader", lead, "error", err.Error(), "version", d.source.Status().Version)
 	}
-	return d.source.Newest(ctx, r)
+	return d.source.History(ctx, r)
 }
 
 // History returns the accepted manifests.
@@ -64,7 +64,7 @@
 // OwnHistory returns the accepted manifests that this source has applied.
 func (s *sourceService) OwnHistory(r source.HistoryRequest, history *[]source.Accepted) error {
 	return s.answer(submitTimeout, func(ctx context.Context) (err error) {
-		*history, err = s.d.source.Newest(ctx, r)
+		*history, err = s.d.source.History(ctx, r)
 		return err
 	})
 }
--- a/internal/process/source/fuzz_test.go
+++ b/internal/process/source/fuzz_test.go
@@ -55,13 +55,18 @@
 		f.runSome, f.runSome, f.dropSome, f.partition, f.partition, f.healLinks, f.crashOne, f.startAll, f.startAll,
 		f.loseOne, f.fillDisk, f.hold, f.release,
 	}
-	for range rapid.IntRange(20, 120).Draw(t, "steps") {
-		actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
+	f.act(20, 120, actions)
+	f.heal()
+}
+
+// act draws and carries out between least and most actions, until a promise is broken.
+func (f *faulty) act(least, most int, actions []func()) {
+	for range rapid.IntRange(least, most).Draw(f.t, "steps") {
+		actions[rapid.IntRange(0, len(actions)-1).Draw(f.t, "action")]()
 		if f.fault != "" {
-			t.Fatal(f.fault)
+			f.t.Fatal(f.fault)
 		}
 	}
-	f.heal()
 }
 
 // heal stops the faults and asks for agreement and for progress.
--- a/internal/process/source/history.go
+++ b/internal/process/source/history.go
@@ -24,8 +24,9 @@
 	return min(r.Limit, MaxHistory)
 }
 
-// Newest returns the newest accepted manifests that r asks for, oldest first.
-func (s *Source) Newest(ctx context.Context, r HistoryRequest) ([]Accepted, error) {
+// History returns the newest accepted manifests that r asks for, oldest first, as far as
+// this source has applied them.
+func (s *Source) History(ctx context.Context, r HistoryRequest) ([]Accepted, error) {
 	var history []Accepted
 	err := s.group.Query(ctx, func() { history = s.machine.lines(&r) })
 	return history, err
--- a/internal/process/source/reads_test.go
+++ b/internal/process/source/reads_test.go
@@ -29,12 +29,7 @@
 		f.campaign, f.dropSome, f.hold, f.release, f.crashOne, f.startAll, f.away, f.behind,
 		f.powerLoss, f.loseHolders, f.powerLossWithDisks,
 	}
-	for range rapid.IntRange(10, 80).Draw(t, "steps") {
-		actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
-		if f.fault != "" {
-			t.Fatal(f.fault)
-		}
-	}
+	f.act(10, 80, actions)
 	f.healReplaced()
 	answered := o.readAt(f.leader())
 	f.run(20)
--- a/internal/process/source/replace_test.go
+++ b/internal/process/source/replace_test.go
@@ -183,12 +183,7 @@
 		f.submitSome, f.submitSome, f.deliverSome, f.deliverSome, f.deliverTo, f.campaign, f.runSome, f.runSome, f.runSome,
 		f.dropSome, f.partition, f.healLinks, f.crashOne, f.startAll, f.startAll, f.hold, f.release, come, goes,
 	}
-	for range rapid.IntRange(20, 100).Draw(t, "steps") {
-		actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
-		if f.fault != "" {
-			t.Fatal(f.fault)
-		}
-	}
+	f.act(20, 100, actions)
 	f.healReplaced()
 }
 
@@ -208,12 +203,7 @@
 			f.submitSome, f.submitSome, f.deliverSome, f.deliverSome, f.deliverTo, f.campaign, f.runSome, f.runSome, f.runSome,
 			f.dropSome, f.partition, f.healLinks, f.crashOne, f.startAll, f.startAll, f.hold, f.release, loseTwo,
 		}
-		for range rapid.IntRange(20, 100).Draw(t, "steps") {
-			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
-			if f.fault != "" {
-				t.Fatal(f.fault)
-			}
-		}
+		f.act(20, 100, actions)
 		f.healReplaced()
 	})
 }
--- a/internal/process/source/series_test.go
+++ b/internal/process/source/series_test.go
@@ -20,12 +20,7 @@
 		f.campaign, f.dropSome, f.hold, f.release, f.crashOne, f.startAll, f.away, f.away, f.behind,
 		f.powerLoss, f.loseHolders, f.powerLossWithDisks, f.powerLossWithDisks,
 	}
-	for range rapid.IntRange(10, 80).Draw(t, "steps") {
-		actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
-		if f.fault != "" {
-			t.Fatal(f.fault)
-		}
-	}
+	f.act(10, 80, actions)
 	f.healReplaced()
 }
 
