--- a/bench/bytes.go
+++ b/bench/bytes.go
@@ -20,8 +20,8 @@
 	systemLimit    = "limit"
 )
 
-// The limits that issue 4 sets: bytes a change for each daemon, as a multiple
-// of the encoded delta and a constant.
+// The limits to hold: bytes a change for each daemon, as a multiple of the encoded
+// delta and a constant.
 const (
 	limitDeltaFactor = 1.5
 	limitDeltaExtra  = 200
@@ -34,26 +34,15 @@
 // controlBytes measures what control costs: bytes for each change, and bytes,
 // processor time and memory of idle daemons.
 type controlBytes struct {
-	sizes       []int
-	processSize int
-	changes     int
-	shape       fleet.Shape
-	idle        time.Duration
-	spacing     time.Duration
-	timeout     time.Duration
+	changeLoad
+	idle time.Duration
 }
 
 func newBytes() *cobra.Command {
 	b := &controlBytes{}
 	flags := func(f *pflag.FlagSet) {
-		f.IntSliceVar(&b.sizes, "sizes", []int{12, 50, 200}, "daemons in one process")
-		f.IntVar(&b.processSize, "processes", 12, "daemons of the run with a process each; 0 for none")
-		f.IntVar(&b.changes, "changes", 30, "changes, one at a time")
-		f.IntVar(&b.shape.Services, "services", 40, "services of the manifest")
-		f.IntVar(&b.shape.Routes, "routes", 200, "routes of the manifest")
+		b.changeLoad.flags(f, 30, 200*time.Millisecond)
 		f.DurationVar(&b.idle, "idle", 10*time.Second, "time over which idle daemons are watched")
-		f.DurationVar(&b.spacing, "spacing", 200*time.Millisecond, "rest between changes")
-		f.DurationVar(&b.timeout, "timeout", 20*time.Second, "longest wait for one change")
 	}
 	cmd := newRun("bytes", "Control bytes a change and of idle daemons", "daemons", flags, b.measure)
 	setDefault(cmd, "settle", bytesSettle)
--- a/bench/convergence.go
+++ b/bench/convergence.go
@@ -17,26 +17,15 @@
 // convergence measures how long an accepted change takes to be in force on
 // every daemon, one change at a time.
 type convergence struct {
-	sizes       []int
-	processSize int
-	changes     int
-	shape       fleet.Shape
-	restart     float64
-	spacing     time.Duration
-	timeout     time.Duration
+	changeLoad
+	restart float64
 }
 
 func newConvergence() *cobra.Command {
 	c := &convergence{}
 	flags := func(f *pflag.FlagSet) {
-		f.IntSliceVar(&c.sizes, "sizes", []int{12, 50, 200}, "daemons in one process")
-		f.IntVar(&c.processSize, "processes", 12, "daemons of the run with a process each; 0 for none")
-		f.IntVar(&c.changes, "changes", 20, "changes, one at a time")
-		f.IntVar(&c.shape.Services, "services", 40, "services of the manifest")
-		f.IntVar(&c.shape.Routes, "routes", 200, "routes of the manifest")
+		c.changeLoad.flags(f, 20, 300*time.Millisecond)
 		f.Float64Var(&c.restart, "restart", 0, "share of the daemons that restart during each change")
-		f.DurationVar(&c.spacing, "spacing", 300*time.Millisecond, "rest between changes")
-		f.DurationVar(&c.timeout, "timeout", 20*time.Second, "longest wait for one change")
 	}
 	return newRun("convergence", "Time from accepted until in force on every daemon", "daemons", flags, c.measure)
 }
--- a/bench/recovery.go
+++ b/bench/recovery.go
@@ -41,8 +41,7 @@
 		f.IntSliceVar(&c.presence, "presence", []int{12, 50, 200}, "daemons of the fleets in which servers leave and daemons die")
 		f.IntVar(&c.times, "times", 5, "servers that leave and daemons that die, one at a time")
 		f.IntVar(&c.log, "log", 100, "changes in the log that a source without its disk takes in again")
-		f.IntVar(&c.shape.Services, "services", 40, "services of the manifest")
-		f.IntVar(&c.shape.Routes, "routes", 200, "routes of the manifest")
+		shapeFlags(f, &c.shape)
 		f.DurationVar(&c.timeout, "timeout", 30*time.Second, "longest wait for one recovery")
 		f.StringSliceVar(&c.skip, "skip", nil, "parts to leave out: herd, repair, presence")
 	}
