Name no source in the line of an order whose outcome is unknown

A log field only: where one source may have taken an order in and the next one said that it has no quorum, the line named the latter. TestOrderHasItsLine failed before.

--- a/internal/process/daemon/submit.go
+++ b/internal/process/daemon/submit.go
@@ -30,7 +30,7 @@
 // submission gathers what the sources that were tried say to one manifest.
 type submission struct {
 	answer source.Answer
-	// by is the source that gave the answer, "" if none did.
+	// by is the source that gave the answer, "" where no source's answer is told.
 	by string
 	// unknown is set once a source may have taken the manifest in: from then on
 	// a refusal of another does not prove that nothing was accepted.
@@ -63,12 +63,13 @@
 	return false
 }
 
-// unsettled is the answer when no source settled the submission.
-func (s *submission) unsettled() source.Answer {
+// giveUp takes no further source in: where one may have taken the manifest in, the outcome
+// is unknown, whatever the others said.
+func (s *submission) giveUp() {
 	if s.unknown && s.answer.Code != result.CommitUnknown {
-		return source.Answer{Code: result.CommitUnknown, Detail: "a source took the manifest in and its answer was lost"}
+		s.answer = source.Answer{Code: result.CommitUnknown, Detail: "a source took the manifest in and its answer was lost"}
+		s.by = ""
 	}
-	return s.answer
 }
 
 // certainlyNotSent tells failures after which the manifest cannot be with a
@@ -112,8 +113,8 @@
 
 func (d *Daemon) operatorLog() logr.Logger { return d.log.WithName(telemetry.OperatorsLogger) }
 
-// withText tells a manifest whose text is missing from one that was never accepted:
-// the first is a fault, and looked like the second to operators and in logs.
+// withText tells a manifest whose text is missing from one that was never accepted: the
+// first is a fault, which neither operators nor logs may take for the second.
 func withText(a source.Answer) source.Answer {
 	switch {
 	case a.Code != result.Answered || len(a.Text) > 0:
@@ -148,7 +149,7 @@
 			return s
 		}
 	}
-	s.answer = s.unsettled()
+	s.giveUp()
 	return s
 }
 
--- a/internal/process/daemon/submit_test.go
+++ b/internal/process/daemon/submit_test.go
@@ -171,4 +171,13 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(lines, qt.HasLen, 1)
 	c.Check(lines[0], qt.Contains, `"msg"="order answered" "node"="n1" "mesh"="m" "version"=99 "base"="97" "result"="100 Accepted" "fleet"=31`)
+
+	// Where one source may have taken it in, what the next one says is not the outcome.
+	lines = nil
+	d = newClient(c, operatorLines(&lines), []*fakeSource{{lose: true}, {answer: source.Answer{Code: result.NoQuorum}}})
+	_, err = d.Order(context.Background(), &source.Order{Manifest: manifest.Manifest{Mesh: "m", Version: 99}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(lines, qt.HasLen, 1)
+	c.Check(lines[0], qt.Contains, `"base"="any" "result"="121 CommitUnknown"`)
+	c.Check(lines[0], qt.Contains, `"by"=""`)
 }
