--- a/internal/process/membership/sim_test.go
+++ b/internal/process/membership/sim_test.go
@@ -77,6 +77,9 @@
 	loss, duplicate float64
 	// cut tells whether two nodes cannot reach one another.
 	cut func(a, b view.Node) bool
+	// unreachableAfter is when the sender of an envelope that is cut off gives up; 0 is
+	// never.
+	unreachableAfter time.Duration
 	// fault is the first breach of an invariant that holds at all times.
 	fault string
 	// onChange sees every change at every node.
@@ -227,6 +230,7 @@
 		}
 		return
 	case s.cut(from.node, to.node):
+		s.giveUp(from, addr)
 		return
 	case to.frozen:
 		s.after(tick, func() { s.arrive(from, addr, items) })
@@ -251,6 +255,19 @@
 	}
 }
 
+// giveUp tells the sender of an envelope that was cut off, if it waits for that.
+func (s *sim) giveUp(from *simNode, addr string) {
+	if s.unreachableAfter == 0 {
+		return
+	}
+	core := from.core
+	s.after(s.unreachableAfter, func() {
+		if from.up && !from.frozen && from.core == core {
+			s.do(from, core.Unreachable(s.now, addr))
+		}
+	})
+}
+
 func (s *sim) probe(n *simNode, target view.Node) {
 	core := n.core
 	s.after(s.latency(), func() {
