--- a/internal/process/daemon/submit.go
+++ b/internal/process/daemon/submit.go
@@ -63,8 +63,8 @@
 	return false
 }
 
-// giveUp takes no further source in: where one may have taken the manifest in, the outcome
-// is unknown, whatever the others said.
+// giveUp ends a submission that no source settled. Where one may have taken the manifest
+// in, the outcome is unknown, whatever the others said.
 func (s *submission) giveUp() {
 	if s.unknown && s.answer.Code != result.CommitUnknown {
 		s.answer = source.Answer{Code: result.CommitUnknown, Detail: "a source took the manifest in and its answer was lost"}
