Look for other links at once when every link fails

Cause: a daemon whose links all led to instances without power knew it after 1 s (nothing could be delivered) and looked for another only after 2.5 s of silence, one candidate at a time, each in vain for another second. A version acknowledged meanwhile was in force there 2.08 s later.

Ruled out: a shorter time of silence (healthy links would be dropped in every freeze and squeeze).

Change: what cannot be delivered marks its link; once every link is marked, up to three candidates are asked at once, then the seeds, with the growing pauses of a daemon that has no link. A full view gives up a failing link first. TestSeveredAsksSeedsSeldom bounds the joins where everything refuses at once.

--- a/internal/process/view/alone_test.go
+++ b/internal/process/view/alone_test.go
@@ -46,3 +46,31 @@
 	found = joined(core.Tick(now.Add(100*time.Millisecond))) || found
 	c.Check(found, qt.IsTrue, qt.Commentf("five links fail, and no other node is asked"))
 }
+
+// TestSeveredAsksSeedsSeldom holds that a daemon whose links, candidates and seeds all refuse
+// connections at once asks its seeds with growing pauses and not as fast as they refuse.
+func TestSeveredAsksSeedsSeldom(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	self := Node{Name: "self", Addr: "10.0.0.1:1", Region: "r", Domain: "a"}
+	core := New(Config{Self: self, Seeds: []string{"10.0.9.1:1", "10.0.9.2:1"}, Active: 5, Max: 7, Silence: time.Minute, Interval: time.Second, Seed: 1})
+	link := Node{Name: "n1", Addr: "10.0.1.1:1", Region: "r", Domain: "a"}
+	core.Receive(now, link.Name, Message{Type: MsgAccept, Node: &link})
+	joins := 0
+	var refuse func([]Action)
+	refuse = func(actions []Action) {
+		for _, a := range actions {
+			if a.Send != nil && a.Send.Message.Type == MsgJoin {
+				joins++
+				c.Assert(joins < 100, qt.IsTrue)
+				refuse(core.Unreachable(now, a.Send.To.Addr))
+			}
+		}
+	}
+	refuse(core.Unreachable(now, link.Addr))
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		refuse(core.Tick(now))
+	}
+	c.Check(joins >= 3 && joins <= 15, qt.IsTrue, qt.Commentf("%d joins in 10 s", joins))
+}
--- a/internal/process/view/candidates.go
+++ b/internal/process/view/candidates.go
@@ -99,10 +99,11 @@
 }
 
 // pick returns a random node of a scope that may be asked now.
-func (cs *candidates) pick(now time.Time, scope Scope, linked map[string]*link) *Node {
+// It leaves out those that are taken.
+func (cs *candidates) pick(now time.Time, scope Scope, taken func(name string) bool) *Node {
 	var free []Node
 	for _, c := range cs.scopes[scope] {
-		if linked[c.node.Name] == nil && !now.Before(c.next) {
+		if !taken(c.node.Name) && !now.Before(c.next) {
 			free = append(free, c.node)
 		}
 	}
--- a/internal/process/view/tick.go
+++ b/internal/process/view/tick.go
@@ -3,8 +3,6 @@
 import "time"
 
 const (
-	// joinTimeout bounds the wait for the answer to a join.
-	joinTimeout = 2 * time.Second
 	// seedInterval is the least time between joins at a seed while there are
 	// links; seedShare is added for each daemon known, so that the fleet as a
 	// whole asks about once in seedShare.
@@ -27,27 +25,18 @@
 			actions = append(actions, c.send(n, Message{Type: MsgAlive}))
 		}
 	}
-	if c.attempt != nil && now.After(c.attempt.until) {
-		c.attemptFailed(now)
+	for _, a := range c.attempts.expire(now) {
+		c.attemptFailed(now, a)
 	}
 	return append(actions, c.seek(now)...)
 }
 
-func (c *Core) attemptFailed(now time.Time) {
-	if c.attempt.name == "" {
-		c.seedFailures++
-		if len(c.links) == 0 {
-			c.seedNext = now.Add(backoff(c.rand, c.cfg.Backoff, c.seedFailures))
-		}
-	} else {
-		c.candidates.fail(now, c.attempt.name)
-	}
-	c.attempt = nil
-}
-
-// seek asks one node for a link, if one is wanted and none was asked yet.
+// seek asks others for links, as far as links are wanted and were not asked for yet.
 func (c *Core) seek(now time.Time) []Action {
-	if c.attempt != nil {
+	if c.severed() {
+		return c.seekMany(now)
+	}
+	if len(c.attempts) > 0 {
 		return nil
 	}
 	if n := c.other(now); n != nil {
@@ -61,7 +50,7 @@
 	}
 	if len(c.links) < c.cfg.Active {
 		for s := range scopes {
-			if n := c.candidates.pick(now, s, c.links); n != nil {
+			if n := c.pick(now, s); n != nil {
 				return c.join(now, *n, len(c.links) == 0)
 			}
 		}
@@ -69,6 +58,30 @@
 	return c.askSeed(now)
 }
 
+// seekMany asks several candidates at once, from near to far, and a seed where there
+// are none.
+func (c *Core) seekMany(now time.Time) []Action {
+	var actions []Action
+	for s := range scopes {
+		for len(c.attempts) < severedJoins {
+			n := c.pick(now, s)
+			if n == nil {
+				break
+			}
+			actions = append(actions, c.join(now, *n, true)...)
+		}
+	}
+	if len(c.attempts) == 0 {
+		return c.askSeed(now)
+	}
+	return actions
+}
+
+// pick returns a candidate of a scope that is neither linked nor being asked.
+func (c *Core) pick(now time.Time, s Scope) *Node {
+	return c.candidates.pick(now, s, func(name string) bool { return c.links[name] != nil || c.attempts.asks(name) })
+}
+
 // other picks a candidate after Seek, from far to near.
 func (c *Core) other(now time.Time) *Node {
 	if !c.restless {
@@ -76,7 +89,7 @@
 	}
 	c.restless = false
 	for s := range scopes {
-		if n := c.candidates.pick(now, scopes-1-s, c.links); n != nil {
+		if n := c.pick(now, scopes-1-s); n != nil {
 			return n
 		}
 	}
@@ -89,11 +102,11 @@
 	if counts[s] >= c.want[s] || (counts[s] > 0 && len(c.links) >= c.cfg.Active) {
 		return nil
 	}
-	return c.candidates.pick(now, s, c.links)
+	return c.pick(now, s)
 }
 
 func (c *Core) join(now time.Time, to Node, urgent bool) []Action {
-	c.attempt = &attempt{name: to.Name, addr: to.Addr, until: now.Add(joinTimeout)}
+	c.attempts = append(c.attempts, attempt{name: to.Name, addr: to.Addr, until: now.Add(joinTimeout)})
 	return []Action{c.send(to, Message{Type: MsgJoin, Node: &c.cfg.Self, Urgent: urgent})}
 }
 
@@ -119,7 +132,7 @@
 }
 
 func (c *Core) seedPause() time.Duration {
-	if len(c.links) == 0 {
+	if c.alone() {
 		return backoff(c.rand, c.cfg.Backoff, c.seedFailures)
 	}
 	return seedInterval + jitter(c.rand, time.Duration(2*c.fleet)*seedShare)
--- a/internal/process/view/view.go
+++ b/internal/process/view/view.go
@@ -22,13 +22,9 @@
 	heard, sent time.Time
 	// rival is when another address first asked under the same name.
 	rival time.Time
-}
-
-// attempt is a join that waits for its answer. At most one is under way.
-type attempt struct {
-	// name is empty when a seed is asked.
-	name, addr string
-	until      time.Time
+	// failing is set when something could not be delivered, until the node is heard
+	// again.
+	failing bool
 }
 
 // Core holds the view. It is not safe for concurrent use.
@@ -43,7 +39,7 @@
 	// changed.
 	nodes      []Node
 	candidates candidates
-	attempt    *attempt
+	attempts   attempts
 
 	// restless asks for one link more than wanted; seeks counts the calls of Seek.
 	restless bool
@@ -110,6 +106,7 @@
 func (c *Core) Heard(now time.Time, name string) {
 	if l := c.links[name]; l != nil {
 		l.heard = now
+		l.failing = false
 	}
 }
 
@@ -121,15 +118,42 @@
 }
 
 // Unreachable notes that nothing could be delivered to an address. A join that
-// waits for it ends now; a link is left to its time of silence.
+// waits for it ends now; a link is left to its time of silence, but once every
+// link fails others are looked for at once.
 func (c *Core) Unreachable(now time.Time, addr string) []Action {
-	if c.attempt == nil || c.attempt.addr != addr {
+	before := c.severed()
+	for _, l := range c.links {
+		l.failing = l.failing || l.node.Addr == addr
+	}
+	if !before && c.severed() {
+		c.seedFailures = 0
+		c.seedNext = now.Add(jitter(c.rand, c.cfg.Backoff))
+	}
+	a := c.attempts.end(func(a attempt) bool { return a.addr == addr })
+	if a != nil {
+		c.attemptFailed(now, *a)
+	}
+	if a == nil && !c.severed() {
 		return nil
 	}
-	c.attemptFailed(now)
 	return c.seek(now)
 }
 
+// severed reports whether this daemon has links and every one of them fails. Versions
+// and heartbeats then reach it no more, which the time of silence would tell only
+// seconds later.
+func (c *Core) severed() bool { return len(c.links) > 0 && c.alone() }
+
+// alone reports whether there is no link that works.
+func (c *Core) alone() bool {
+	for _, l := range c.links {
+		if !l.failing {
+			return false
+		}
+	}
+	return true
+}
+
 // Stray answers a node that takes this one for a link.
 func (c *Core) Stray(from Node) []Action {
 	return []Action{c.send(from, Message{Type: MsgLeave})}
@@ -203,6 +227,7 @@
 	}
 	if l := c.links[from.Name]; l != nil {
 		l.heard = now
+		l.failing = false
 		return nil
 	}
 	var actions []Action
@@ -226,16 +251,6 @@
 	return c.seek(now)
 }
 
-// answered ends the attempt that a message of from answers.
-func (c *Core) answered(from Node) {
-	if a := c.attempt; a != nil && (a.name == from.Name || a.addr == from.Addr) {
-		if a.name == "" {
-			c.seedFailures = 0
-		}
-		c.attempt = nil
-	}
-}
-
 const (
 	// refusalCost is the time that each refusal within the last second adds to
 	// "come back in".
@@ -294,9 +309,31 @@
 	return []Action{{Down: &Down{Node: l.node, Failed: failed}}}
 }
 
-// displace ends one link of the scope that has most to spare, to make room for
-// a node.
+// displace ends one link, to make room for a node: one that fails, or else one of
+// the scope that has most to spare.
 func (c *Core) displace(by Node) []Action {
+	victims := c.failing()
+	if len(victims) == 0 {
+		victims = c.spare(by)
+	}
+	victim := victims[c.rand.IntN(len(victims))]
+	leave := Message{Type: MsgLeave, Known: []Node{by}}
+	return append(c.down(victim.Name, false), c.send(victim, leave))
+}
+
+func (c *Core) failing() []Node {
+	var nodes []Node
+	for _, n := range c.nodes {
+		if c.links[n.Name].failing {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// spare returns the links of the scope that would have most to spare beside a new
+// link.
+func (c *Core) spare(by Node) []Node {
 	counts := c.counts()
 	counts[c.cfg.Self.ScopeOf(by)]++
 	spare := SameDomain
@@ -305,18 +342,16 @@
 			spare = s
 		}
 	}
-	var victims []Node
-	for _, n := range c.Links() {
+	var nodes []Node
+	for _, n := range c.nodes {
 		if c.cfg.Self.ScopeOf(n) == spare {
-			victims = append(victims, n)
+			nodes = append(nodes, n)
 		}
 	}
-	if len(victims) == 0 {
-		victims = c.nodes
+	if len(nodes) == 0 {
+		return c.nodes
 	}
-	victim := victims[c.rand.IntN(len(victims))]
-	leave := Message{Type: MsgLeave, Known: []Node{by}}
-	return append(c.down(victim.Name, false), c.send(victim, leave))
+	return nodes
 }
 
 func (c *Core) counts() [scopes]int {
