Compile only the services and routes that changed

A daemon decoded every route of a mesh for each version: at 4,000 routes most of the time of putting one in force. Parts share what has the same resource, hosts, limits and services; the tables are still filled anew. TestCompileAfterEqualsCompile now draws hosts and limits too.

--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -111,16 +111,24 @@
 	return keys
 }
 
-// of calls each for the resources of one mesh, in the order of their keys.
-func (s *State) of(mesh string, each func(k Key, raw []byte)) {
+// Each calls visit for the resources of one mesh, in the order of their keys.
+func (s *State) Each(mesh string, visit func(k Key, raw []byte)) { s.from(Key{Mesh: mesh}, visit) }
+
+// EachOf is Each for the resources of one kind.
+func (s *State) EachOf(mesh string, kind Kind, visit func(k Key, raw []byte)) {
+	s.from(Key{Mesh: mesh, Kind: kind}, visit)
+}
+
+// from visits the keys of the mesh of k, and of its kind where that is given.
+func (s *State) from(first Key, visit func(k Key, raw []byte)) {
 	it := s.resources.Iterator()
-	it.Seek(Key{Mesh: mesh})
+	it.Seek(first)
 	for !it.Done() {
 		k, raw, _ := it.Next()
-		if k.Mesh != mesh {
+		if k.Mesh != first.Mesh || (first.Kind != "" && k.Kind != first.Kind) {
 			return
 		}
-		each(k, raw)
+		visit(k, raw)
 	}
 }
 
@@ -157,7 +165,7 @@
 	}
 	m := &manifest.Manifest{Mesh: mesh, Version: header.Version, Hosts: header.Hosts, Limits: header.Limits}
 	var failed error
-	s.of(mesh, func(k Key, raw []byte) {
+	s.Each(mesh, func(k Key, raw []byte) {
 		if err := decodeInto(m, k, raw); err != nil {
 			failed = errors.CombineErrors(failed, errors.Wrapf(err, "resource %s/%s/%s", k.Mesh, k.Kind, k.Name))
 		}
@@ -171,29 +179,31 @@
 func decodeInto(m *manifest.Manifest, k Key, raw []byte) error {
 	switch k.Kind {
 	case KindService:
-		var v manifest.Service
-		if err := cbor.Unmarshal(raw, &v); err != nil {
-			return err
-		}
+		v, err := DecodeService(raw)
 		m.Services = append(m.Services, v)
+		return err
 	case KindRoute:
-		var v manifest.Route
-		if err := cbor.Unmarshal(raw, &v); err != nil {
-			return err
-		}
+		v, err := DecodeRoute(raw)
 		m.Routes = append(m.Routes, v)
+		return err
 	}
 	return nil
 }
 
+// DecodeService reads a resource of KindService.
+func DecodeService(raw []byte) (v manifest.Service, err error) { return v, cbor.Unmarshal(raw, &v) }
+
+// DecodeRoute reads a resource of KindRoute.
+func DecodeRoute(raw []byte) (v manifest.Route, err error) { return v, cbor.Unmarshal(raw, &v) }
+
 // Route returns a route of a mesh, or nil where there is none or it can't be read.
 func (s *State) Route(mesh, name string) *manifest.Route {
 	raw, ok := s.resources.Get(Key{Mesh: mesh, Kind: KindRoute, Name: name})
 	if !ok {
 		return nil
 	}
-	var v manifest.Route
-	if cbor.Unmarshal(raw, &v) != nil {
+	v, err := DecodeRoute(raw)
+	if err != nil {
 		return nil
 	}
 	return &v
--- a/internal/version/fleet/revision.go
+++ b/internal/version/fleet/revision.go
@@ -54,7 +54,7 @@
 		Mesh: m.Mesh, Version: m.Version, Content: content, Hosts: m.Hosts, Limits: m.Limits,
 		Base: header.Content, Sum: s.sums[m.Mesh],
 	}
-	s.of(m.Mesh, func(k Key, raw []byte) {
+	s.Each(m.Mesh, func(k Key, raw []byte) {
 		value := wanted[k]
 		delete(wanted, k)
 		if k.Kind != KindMesh && string(value) != string(raw) {
@@ -109,7 +109,7 @@
 	}
 	next := s.derive(s.Version + 1)
 	if r.Base == 0 {
-		s.of(r.Mesh, func(k Key, _ []byte) { next.set(k, nil) })
+		s.Each(r.Mesh, func(k Key, _ []byte) { next.set(k, nil) })
 	}
 	for _, c := range r.Changes {
 		if c.Key.Mesh != r.Mesh || (c.Key.Kind != KindService && c.Key.Kind != KindRoute) {
--- a/internal/version/snapshot/compile_test.go
+++ b/internal/version/snapshot/compile_test.go
@@ -43,6 +43,10 @@
 
 func drawManifest(t *rapid.T, mesh string, version uint64) *manifest.Manifest {
 	m := &manifest.Manifest{Mesh: mesh, Version: version, Hosts: []string{mesh + ".example"}}
+	if rapid.IntRange(0, 3).Draw(t, "other hosts") == 0 {
+		m.Hosts = []string{mesh + ".other", mesh + ".example"}
+	}
+	m.Limits.BodyBytes = int64(rapid.IntRange(0, 1).Draw(t, "limit"))
 	for i := range rapid.IntRange(1, 2).Draw(t, "services") {
 		m.Services = append(m.Services, manifest.Service{Name: fmt.Sprintf("s%d", i), Slots: rapid.IntRange(1, 3).Draw(t, "slots")})
 	}
@@ -57,13 +61,13 @@
 // speak of.
 func answers(s *Snapshot) []string {
 	lines := []string{fmt.Sprintf("version %d hash %x services %d", s.Version, s.Hash, len(s.Services()))}
-	for mesh := range 3 {
+	for mesh := range 6 {
 		for path := range 4 {
-			host := fmt.Sprintf("m%d.example", mesh)
+			host := fmt.Sprintf("m%d.%s", mesh%3, []string{"example", "other"}[mesh/3])
 			r, err := s.Match("GET", host, fmt.Sprintf("/p%d/x", path))
 			line := fmt.Sprintf("%s /p%d: none %v", host, path, err)
 			if r != nil {
-				line = fmt.Sprintf("%s /p%d: %s to %s with %d slots", host, path, r.Name, r.Targets[0].Service.Key, r.Targets[0].Service.Slots)
+				line = fmt.Sprintf("%s /p%d: %s to %s with %d slots, %d bytes", host, path, r.Name, r.Targets[0].Service.Key, r.Targets[0].Service.Slots, r.Limits.BodyBytes)
 			}
 			lines = append(lines, line)
 		}
@@ -99,3 +103,34 @@
 		})
 	}
 }
+
+// BenchmarkCompileOneOf compiles a version in which one of so many routes of one mesh
+// differs.
+func BenchmarkCompileOneOf(b *testing.B) {
+	for _, routes := range []int{400, 4000, 16000} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			m := &manifest.Manifest{Mesh: "m", Version: 1, Services: []manifest.Service{{Name: "s"}}}
+			for i := range routes {
+				m.Routes = append(m.Routes, manifest.Route{Name: fmt.Sprintf("r%d", i), Path: fmt.Sprintf("/p%d", i), Service: "s"})
+			}
+			state, err := fleet.Empty().Accept(m)
+			if err != nil {
+				b.Fatal(err)
+			}
+			previous, err := Compile(state)
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Version, m.Routes[routes/2].Path = 2, "/other"
+			if state, err = state.Accept(m); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := CompileAfter(previous, state); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/version/snapshot/match_test.go
+++ b/internal/version/snapshot/match_test.go
@@ -6,14 +6,13 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/daisygate/daisygate/internal/version/fleet"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
 func compiled(tb testing.TB, hosts []string, routes ...manifest.Route) *Snapshot {
 	s := &Snapshot{services: map[ServiceKey]*Service{}, hosts: map[string]*table{}, parts: map[string]*part{}}
 	m := &manifest.Manifest{Mesh: "m", Version: 1, Hosts: hosts, Services: []manifest.Service{{Name: "s"}}, Routes: routes}
-	p, err := newPart(fleet.MeshHeader{Hosts: hosts}, m)
+	p, err := newPart(m)
 	qt.Assert(tb, err, qt.IsNil)
 	s.add(m.Mesh, p)
 	return s
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -5,6 +5,7 @@
 package snapshot
 
 import (
+	"bytes"
 	"maps"
 	"net/netip"
 	"slices"
@@ -28,6 +29,8 @@
 	manifest.Service
 	Key   ServiceKey
 	allow []netip.Prefix
+	// raw is the resource that it was compiled from.
+	raw []byte
 }
 
 // Allows reports whether a backend server at addr may serve s. A service
@@ -50,6 +53,8 @@
 	// Limits are those of the route's mesh.
 	Limits manifest.Limits
 	hosts  []string
+	// raw is the resource that it was compiled from.
+	raw []byte
 }
 
 // Target is one service that a route leads to.
@@ -84,20 +89,16 @@
 type part struct {
 	header   fleet.MeshHeader
 	services map[ServiceKey]*Service
-	routes   []*Route
+	// routes are in the order of their names.
+	routes []*Route
 }
 
 // Compile builds the snapshot of a state.
 func Compile(state *fleet.State) (*Snapshot, error) { return CompileAfter(nil, state) }
 
-// Check reports why no daemon could put m in force, or nil.
-func Check(m *manifest.Manifest) error {
-	_, err := newPart(fleet.MeshHeader{}, m)
-	return err
-}
-
 // CompileAfter builds the snapshot of a state and takes what did not change
-// from the one before it, so that a change costs in proportion to its mesh.
+// from the one before it: services and routes whose resources are the same are
+// not decoded again, which took nine tenths of the time.
 func CompileAfter(previous *Snapshot, state *fleet.State) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:  state.Version,
@@ -116,51 +117,119 @@
 	return s, nil
 }
 
-// compileMesh reuses the part of a mesh whose manifest is the same acceptance.
+// compileMesh takes what it can from the part of the mesh in the snapshot before.
 func compileMesh(previous *Snapshot, state *fleet.State, mesh string) (*part, error) {
 	header, known := state.Mesh(mesh)
 	if !known {
 		return nil, errors.New("unreadable header")
 	}
+	var old *part
 	if previous != nil {
-		old := previous.parts[mesh]
-		if old != nil && old.header.Fleet == header.Fleet && old.header.Content == header.Content {
-			return old, nil
-		}
+		old = previous.parts[mesh]
+	}
+	if old != nil && old.header.Fleet == header.Fleet && old.header.Content == header.Content {
+		return old, nil
+	}
+	if old == nil {
+		old = &part{}
 	}
-	m, err := state.Manifest(mesh)
-	if err != nil {
+	p := &part{header: header, services: make(map[ServiceKey]*Service, len(old.services))}
+	if err := p.compileServices(old, state, mesh); err != nil {
 		return nil, err
 	}
-	return newPart(header, m)
+	return p, p.compileRoutes(old, state, mesh)
 }
 
-func newPart(header fleet.MeshHeader, m *manifest.Manifest) (*part, error) {
-	p := &part{header: header, services: make(map[ServiceKey]*Service, len(m.Services))}
+func (p *part) compileServices(old *part, state *fleet.State, mesh string) (failed error) {
+	state.EachOf(mesh, fleet.KindService, func(k fleet.Key, raw []byte) {
+		key := ServiceKey{Mesh: mesh, Name: k.Name}
+		if same := old.services[key]; same != nil && bytes.Equal(same.raw, raw) {
+			p.services[key] = same
+			return
+		}
+		v, err := fleet.DecodeService(raw)
+		if err == nil {
+			err = p.addService(mesh, v, raw)
+		}
+		if err != nil {
+			failed = errors.CombineErrors(failed, errors.Wrapf(err, "service %s", k.Name))
+		}
+	})
+	return failed
+}
+
+func (p *part) compileRoutes(old *part, state *fleet.State, mesh string) (failed error) {
+	m := &manifest.Manifest{Mesh: mesh, Hosts: p.header.Hosts, Limits: p.header.Limits}
+	shares := slices.Equal(old.header.Hosts, m.Hosts) && old.header.Limits == m.Limits
+	p.routes = make([]*Route, 0, len(old.routes))
+	rest := old.routes
+	state.EachOf(mesh, fleet.KindRoute, func(k fleet.Key, raw []byte) {
+		for len(rest) > 0 && rest[0].Name < k.Name {
+			rest = rest[1:]
+		}
+		if shares && len(rest) > 0 && bytes.Equal(rest[0].raw, raw) && p.holds(rest[0]) {
+			p.routes = append(p.routes, rest[0])
+			return
+		}
+		v, err := fleet.DecodeRoute(raw)
+		if err == nil {
+			err = p.addRoute(m, v, raw)
+		}
+		if err != nil {
+			failed = errors.CombineErrors(failed, errors.Wrapf(err, "route %s", k.Name))
+		}
+	})
+	return failed
+}
+
+// holds reports whether a compiled route leads to this part's own services.
+func (p *part) holds(r *Route) bool {
+	for _, t := range r.Targets {
+		if p.services[t.Service.Key] != t.Service {
+			return false
+		}
+	}
+	return true
+}
+
+// Check reports why no daemon could put m in force, or nil.
+func Check(m *manifest.Manifest) error {
+	_, err := newPart(m)
+	return err
+}
+
+// newPart compiles a manifest alone.
+func newPart(m *manifest.Manifest) (*part, error) {
+	p := &part{services: make(map[ServiceKey]*Service, len(m.Services))}
 	for _, v := range m.Services {
-		service := &Service{Service: v, Key: ServiceKey{Mesh: m.Mesh, Name: v.Name}}
-		for _, text := range v.Allow {
-			prefix, err := netip.ParsePrefix(text)
-			if err != nil {
-				return nil, errors.Wrapf(err, "service %s", v.Name)
-			}
-			service.allow = append(service.allow, prefix)
+		if err := p.addService(m.Mesh, v, nil); err != nil {
+			return nil, errors.Wrapf(err, "service %s", v.Name)
 		}
-		p.services[service.Key] = service
 	}
 	for _, v := range m.Routes {
-		route, err := p.route(m, v)
-		if err != nil {
+		if err := p.addRoute(m, v, nil); err != nil {
 			return nil, errors.Wrapf(err, "route %s", v.Name)
 		}
-		p.routes = append(p.routes, route)
 	}
 	return p, nil
 }
 
-// route joins a route to its services.
-func (p *part) route(m *manifest.Manifest, v manifest.Route) (*Route, error) {
-	r := &Route{Route: v, Mesh: m.Mesh, Limits: m.Limits, hosts: m.HostsOf(&v)}
+func (p *part) addService(mesh string, v manifest.Service, raw []byte) error {
+	service := &Service{Service: v, Key: ServiceKey{Mesh: mesh, Name: v.Name}, raw: raw}
+	for _, text := range v.Allow {
+		prefix, err := netip.ParsePrefix(text)
+		if err != nil {
+			return err
+		}
+		service.allow = append(service.allow, prefix)
+	}
+	p.services[service.Key] = service
+	return nil
+}
+
+// addRoute joins a route to its services.
+func (p *part) addRoute(m *manifest.Manifest, v manifest.Route, raw []byte) error {
+	r := &Route{Route: v, Mesh: m.Mesh, Limits: m.Limits, hosts: m.HostsOf(&v), raw: raw}
 	shares := v.Split
 	if len(shares) == 0 {
 		shares = []manifest.Share{{Service: v.Service, Weight: 1}}
@@ -168,18 +237,19 @@
 	for _, share := range shares {
 		service, ok := p.services[ServiceKey{Mesh: m.Mesh, Name: share.Service}]
 		if !ok {
-			return nil, errors.Newf("no service %s", share.Service)
+			return errors.Newf("no service %s", share.Service)
 		}
 		if share.Weight < 0 {
-			return nil, errors.Newf("weight %d of service %s", share.Weight, share.Service)
+			return errors.Newf("weight %d of service %s", share.Weight, share.Service)
 		}
 		r.Targets = append(r.Targets, Target{Service: service, Weight: uint64(share.Weight)})
 		r.Weight += uint64(share.Weight)
 	}
 	if r.Weight == 0 {
-		return nil, errors.New("no weight above 0")
+		return errors.New("no weight above 0")
 	}
-	return r, nil
+	p.routes = append(p.routes, r)
+	return nil
 }
 
 func (s *Snapshot) add(mesh string, p *part) {
