Return: tell daemons without a version at once, ask one source at a time

Load: the loss of all power; every daemon has links to sources before these have read their logs, and asks which version is committed.

Causes: (1) a source or daemon that installed its first version told links that are no children of the tree with the next digest, up to 1 s later; (2) each daemon asked all sources each 50 ms while none leads: at 33 machines some 300 questions a second to each source, which has 0.12 of a core, at 200 machines 3,000.

Changes: a link that has nothing yet is told when something is installed; a daemon asks one source at a time, in an order of its own.

TestFirstVersionIsToldAtOnce failed before.

--- a/internal/process/daemon/committed.go
+++ b/internal/process/daemon/committed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -15,8 +16,8 @@
 
 // The direct question of a daemon that starts.
 const (
-	// committedPoll is the time between two rounds of the question to all
-	// sources, and committedTimeout bounds one source's answer.
+	// committedPoll is the time between two questions of one daemon, each to another
+	// source, and committedTimeout bounds one source's answer.
 	committedPoll    = 50 * time.Millisecond
 	committedTimeout = 500 * time.Millisecond
 	// committedUntil is when the tree has answered if anything can.
@@ -27,7 +28,9 @@
 
 // askCommitted asks the sources which version is committed, until the answer
 // came this way or by the tree. After a restart of the whole fleet daemons are
-// ready 0.4 s sooner by it.
+// ready 0.4 s sooner by it. Each time one source is asked, in an order of the daemon's
+// own: while the sources elect a leader none of them has an answer, and a fleet of 200
+// that asked all of them had each answer 3,000 questions a second.
 func (d *Daemon) askCommitted(ctx context.Context) {
 	if !d.set.Source.Direct {
 		return
@@ -36,12 +39,10 @@
 	defer cancel()
 	ticker := time.NewTicker(committedPoll)
 	defer ticker.Stop()
-	for !d.mesh.Status().Confirmed {
-		for _, m := range d.sources() {
-			if version, err := d.committedAt(ctx, m.Node, m.Peer); err == nil {
-				d.mesh.Committed(version)
-				return
-			}
+	for turn := int(xxhash.Sum64String(d.set.Node) >> 1); !d.mesh.Status().Confirmed; turn++ {
+		if version, err := d.committedAtOne(ctx, turn); err == nil {
+			d.mesh.Committed(version)
+			return
 		}
 		select {
 		case <-ctx.Done():
@@ -51,6 +52,16 @@
 	}
 }
 
+// committedAtOne asks the source whose turn it is.
+func (d *Daemon) committedAtOne(ctx context.Context, turn int) (uint64, error) {
+	sources := d.sources()
+	if len(sources) == 0 {
+		return 0, errNotSource
+	}
+	m := sources[turn%len(sources)]
+	return d.committedAt(ctx, m.Node, m.Peer)
+}
+
 func (d *Daemon) committedAt(ctx context.Context, node, addr string) (version uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, committedTimeout)
 	defer cancel()
--- a/internal/process/spread/core.go
+++ b/internal/process/spread/core.go
@@ -219,6 +219,10 @@
 	c.out = append(c.out, Action{Install: compiled})
 	for _, l := range c.links {
 		c.noteAhead(l)
+		// One that has nothing yet is told at once and not with the next digest: after a
+		// start of the whole fleet that is a second sooner for daemons whose links came up
+		// before the sources had read their logs.
+		l.due = l.due || (l.heard && l.version == 0)
 	}
 	if c.now.Sub(c.pushAt) >= c.cfg.MergeWindow {
 		c.push()
