--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -219,7 +219,6 @@
 		ID: d.set.Node, Members: d.configured(), DataDir: filepath.Join(d.set.DataDir, "source"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, FirstTicks: sourceFirstTicks, Seed: seed, Idempotent: true,
 		Joins: !d.founds(), ReplaceTicks: d.replaceTicks(), Voters: d.set.Source.Voters,
-		Changed: d.mesh.Wake,
 	}, transport{d}, d.log.WithName(telemetry.SourceLogger), d.mesh.Publish)
 	d.leadership = d.newLeadership()
 	return err
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -161,18 +161,10 @@
 func (m *Mesh) tick(now time.Time) {
 	m.doMembers(now, m.members.core.Tick(now))
 	m.spread.SetFleet(m.members.core.Presence().Len())
-	m.tickSpread(now)
-	m.publishStatus(now)
-}
-
-func (m *Mesh) tickSpread(now time.Time) {
 	m.doSpread(m.spread.Tick(now, m.cfg.Lead(now, m.spread.Asked())))
+	m.publishStatus(now)
 }
 
-// Wake tells that this daemon may lead now, or no longer: a new leader is heard of one
-// tick sooner than it would be. It never blocks.
-func (m *Mesh) Wake() { m.offer(m.tickSpread) }
-
 func (m *Mesh) receive(now time.Time, e Envelope) {
 	for _, item := range e.Items {
 		if item.View != nil {
--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -36,9 +36,6 @@
 	// Idempotent says that the state machine answers a resent command with its
 	// first answer: Propose then resends when an outcome is unknown.
 	Idempotent bool
-	// Changed, if set, is called on the goroutine of Run when who leads, who votes or
-	// whether the disk works is not what it was. It must not block.
-	Changed func()
 }
 
 // inboxLimit bounds what waits for the goroutine in Run.
@@ -176,9 +173,6 @@
 	if before := g.status.Swap(&status); before != nil && status.differs(before) {
 		g.log.Info("group", "leader", status.Lead, "role", status.Role, "term", status.Term, "voters", status.Members,
 			"own_vote", status.Repair.State, "commit", status.Commit, "last", status.Last, "failure", status.Failure)
-		if g.cfg.Changed != nil {
-			g.cfg.Changed()
-		}
 	}
 }
 
