Let requests wait for the end of a daemon's start while that is near

Load: the loss of all power. Callers were told to come back after 0.6 s less the daemon's age; half of the daemons had no version then, and a caller comes back once. Hypothesis: those who wait a moment (a third of their time at most, until 2 s after the start) are served, most of them in time.

TestStartIsWaitedFor failed before.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -75,7 +75,7 @@
 // find matches the route.
 func (x *exchange) find() *refusal {
 	x.told = x.g.cfg.Dialect.Caller(x.r)
-	if !x.g.cfg.Ready() {
+	if !x.g.awaitStart(x.r.Context(), x.told.Left, x.g.cfg.Ready) {
 		return &refusal{Error: result.Errorf(result.NotReady, "no confirmed version yet"), back: x.g.untilReady(x.told.Left)}
 	}
 	if x.r.Method == http.MethodConnect {
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -86,6 +86,8 @@
 	peers    *peers
 	started  time.Time
 	leaving  atomic.Bool
+	// starting counts the requests that wait for the end of this daemon's start.
+	starting atomic.Int64
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -106,27 +108,6 @@
 	learning = 5 * time.Second
 )
 
-const (
-	// readyAfter is how long a daemon that starts usually takes to have a version in
-	// force: 0.4 to 0.8 s while the sources start with it, less if they run.
-	readyAfter = 600 * time.Millisecond
-	// readySoon is the least time that a caller is told meanwhile, and readyPart the
-	// part of the time that it still has: one that is told more cannot come back in
-	// time to be answered.
-	readySoon = 100 * time.Millisecond
-	readyPart = 3
-)
-
-// untilReady is when a caller with so much time left, 0 if it does not tell, may
-// come back to a daemon that has no version yet.
-func (g *Gateway) untilReady(left time.Duration) time.Duration {
-	back := max(readySoon, readyAfter-time.Since(g.started))
-	if left > 0 {
-		back = min(back, left/readyPart)
-	}
-	return back
-}
-
 // New returns a Gateway.
 func New(cfg Config, log logr.Logger) *Gateway {
 	if cfg.Observer == nil {
