--- a/internal/process/source/image.go
+++ b/internal/process/source/image.go
@@ -41,7 +41,7 @@
 	image := machineImage{Delta: delta, History: m.all(), Texts: map[string][]byte{}}
 	for mesh, text := range m.texts {
 		if image.Texts[mesh], err = text.pack(); err != nil {
-			return nil, errors.Wrapf(err, "text of mesh %s", mesh)
+			return nil, result.Errorf(result.StateDiverged, "text of mesh %s: %v", mesh, err)
 		}
 	}
 	raw, err := quorum.Encode(image)
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -128,7 +128,11 @@
 	if _, refused := m.refuse(o); refused {
 		return nil
 	}
-	_, _, err = m.next(o)
+	_, text, err := m.next(o)
+	if err == nil {
+		// Whose hash is wrong could be kept by no source in a snapshot.
+		_, err = text.document.Bytes()
+	}
 	switch {
 	case errors.Is(err, fleet.ErrBase):
 		return result.Errorf(result.RevisionStale, "%v", err)
--- a/internal/process/source/revision_test.go
+++ b/internal/process/source/revision_test.go
@@ -144,6 +144,25 @@
 	}
 }
 
+// TestTextOfAnotherHashStaysOut holds that the leader turns down a text whose hash is not the
+// one announced: every source would take it in and fail at its next snapshot.
+func TestTextOfAnotherHashStaysOut(t *testing.T) {
+	c := qt.New(t)
+	m := builtMachine(t)
+	command, err := m.basis.Load().revise(&Order{Manifest: *testManifest("a", 5, "u"), Text: fleet.Pack([]byte("text"))}, time.Unix(6, 0))
+	c.Assert(err, qt.IsNil)
+	ch, err := decodeChange(command.Change)
+	c.Assert(err, qt.IsNil)
+	ch.Text.Sum++
+	command.Change, err = ch.encode()
+	c.Assert(err, qt.IsNil)
+	raw, err := encodeCommand(command)
+	c.Assert(err, qt.IsNil)
+	refused := m.Check(raw)
+	c.Assert(refused, qt.IsNotNil)
+	c.Check(refused.Code, qt.Equals, result.ManifestInvalid)
+}
+
 // TestRevisionsGiveWhatManifestsGive draws orders of two meshes, as revisions of the newest
 // or of an older manifest, whole, or as entries of the release before, and holds the state,
 // the route index and the texts against those of a machine that was given whole manifests.
@@ -271,7 +290,8 @@
 		if (err != nil || answer.Code != result.Accepted) && (m.state.Version != version || m.state.Hash() != hash) {
 			t.Fatalf("changed by what was not accepted: %+v, %v", answer, err)
 		}
-		if _, err := m.Snapshot(); err != nil {
+		// What the leader turns down never enters the log.
+		if _, err := m.Snapshot(); err != nil && refused == nil {
 			t.Fatal(err)
 		}
 	})
