--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -130,7 +130,7 @@
 	}
 	_, text, err := m.next(o)
 	if err == nil {
-		// Whose hash is wrong could be kept by no source in a snapshot.
+		// No source could put a text with another hash into its next snapshot.
 		_, err = text.document.Bytes()
 	}
 	switch {
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 )
 
 // Document is one text. It is immutable, and shares its pieces with the documents that it
@@ -135,15 +134,3 @@
 		start, length, i = start+n, length-n, i+1
 	}
 }
-
-// Encode returns the form of a patch that a log keeps.
-func (p Patch) Encode() ([]byte, error) {
-	raw, err := cbor.Marshal(p)
-	return raw, errors.Wrap(err, "encode patch")
-}
-
-// DecodePatch reads what Encode wrote.
-func DecodePatch(raw []byte) (Patch, error) {
-	var p Patch
-	return p, errors.Wrap(cbor.Unmarshal(raw, &p), "decode patch")
-}
--- a/internal/version/document/document_test.go
+++ b/internal/version/document/document_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 )
 
@@ -33,11 +34,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			raw, err := patch.Encode()
+			raw, err := cbor.Marshal(patch)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if patch, err = DecodePatch(raw); err != nil {
+			patch = Patch{}
+			if err = cbor.Unmarshal(raw, &patch); err != nil {
 				t.Fatal(err)
 			}
 			if doc, err = doc.Apply(patch); err != nil {
@@ -79,7 +81,7 @@
 		}
 		patch, err := Diff(New(text), next)
 		c.Assert(err, qt.IsNil)
-		raw, err := patch.Encode()
+		raw, err := cbor.Marshal(patch)
 		c.Assert(err, qt.IsNil)
 		c.Check(len(raw) < most, qt.IsTrue, qt.Commentf("%d bytes for %d routes", len(raw), changed))
 	}
@@ -124,15 +126,15 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	raw, err := patch.Encode()
+	raw, err := cbor.Marshal(patch)
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(raw)
 	f.Add([]byte{0xa0})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		patch, err := DecodePatch(raw)
-		if err != nil {
+		var patch Patch
+		if cbor.Unmarshal(raw, &patch) != nil {
 			return
 		}
 		doc, err := New(text).Apply(patch)
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -221,8 +221,8 @@
 // draft is a state that is being built and not handed out yet.
 type draft struct {
 	State
-	// builder holds the resources instead where the draft began empty: filling a map in
-	// place takes a tenth of the memory that 4,000 versions of it would.
+	// builder holds the resources instead where the draft began empty: it fills a map in
+	// place, and makes no version of it for each resource.
 	builder *immutable.SortedMapBuilder[Key, []byte]
 }
 
--- a/internal/version/fleet/revision.go
+++ b/internal/version/fleet/revision.go
@@ -4,14 +4,13 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
 // Revision is what one manifest changes of the one before it in its mesh. It holds the
-// header whole, and of services and routes only those that differ: a change of one route
-// among 4,000 takes 150 bytes instead of 250,000.
+// header whole, and of services and routes only those that differ: with the difference of
+// its text, the change of one route among 4,000 takes 0.3 kB where the manifest takes 173.
 type Revision struct {
 	Mesh string `cbor:"1,keyasint"`
 	// Version is the operators' number, Content the hash of the manifest's canonical
@@ -127,18 +126,3 @@
 	next.set(Key{Mesh: r.Mesh, Kind: KindMesh}, raw)
 	return next.finish(), nil
 }
-
-// Encode returns the form of r that a log keeps.
-func (r *Revision) Encode() ([]byte, error) {
-	raw, err := encMode.Marshal(r)
-	return raw, errors.Wrap(err, "encode revision")
-}
-
-// DecodeRevision reads what Encode wrote.
-func DecodeRevision(raw []byte) (*Revision, error) {
-	var r Revision
-	if err := cbor.Unmarshal(raw, &r); err != nil {
-		return nil, errors.Wrap(err, "decode revision")
-	}
-	return &r, nil
-}
