Route index: one way to put routes in; take out what nothing calls any more

indexRoutes filled an empty index through a function that first looked for routes to take out; it moves them in like every other change now. State.Keys and a counter of the test cluster had lost their last reader. Behaviour is the same.

--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -26,8 +26,6 @@
 	accepted []Accepted
 	// fault is the first broken promise.
 	fault string
-	// stale counts the orders that had to be sent whole.
-	stale int
 	seed  uint64
 	// compactAfter and historyLimit are passed to each node.
 	compactAfter uint64
@@ -276,7 +274,6 @@
 			told(a)
 			return
 		}
-		c.stale++
 		c.propose(m, noBasis, o, func(w outcome, err error) { told(answerOf(w, err)) })
 	})
 }
--- a/internal/process/source/routes.go
+++ b/internal/process/source/routes.go
@@ -45,21 +45,11 @@
 		if err != nil {
 			return nil, err
 		}
-		index.replace(m)
+		index.move(mesh, routeMove{added: placesOf(m)})
 	}
 	return index, nil
 }
 
-// replace takes the routes of one mesh out and puts those of m in.
-func (x routeIndex) replace(m *manifest.Manifest) {
-	for key, owners := range x {
-		x.put(key, slices.DeleteFunc(owners, func(o routeOwner) bool { return o.mesh == m.Mesh }))
-	}
-	for i := range m.Routes {
-		x.add(m.Mesh, routePlace{m.Hosts, &m.Routes[i]})
-	}
-}
-
 // routePlace is a route with the hosts of its manifest.
 type routePlace struct {
 	hosts []string
@@ -108,6 +98,11 @@
 	if err != nil {
 		return nil
 	}
+	return placesOf(m)
+}
+
+// placesOf returns the routes of a manifest with its hosts.
+func placesOf(m *manifest.Manifest) []routePlace {
 	places := make([]routePlace, len(m.Routes))
 	for i := range m.Routes {
 		places[i] = routePlace{m.Hosts, &m.Routes[i]}
@@ -133,13 +128,10 @@
 
 func (x routeIndex) remove(mesh string, p routePlace) {
 	for _, key := range p.keys() {
-		x.put(key, slices.DeleteFunc(x[key], func(o routeOwner) bool { return o.mesh == mesh && o.name == p.route.Name }))
-	}
-}
-
-func (x routeIndex) put(key routeKey, owners []routeOwner) {
-	if x[key] = owners; len(owners) == 0 {
-		delete(x, key)
+		owners := slices.DeleteFunc(x[key], func(o routeOwner) bool { return o.mesh == mesh && o.name == p.route.Name })
+		if x[key] = owners; len(owners) == 0 {
+			delete(x, key)
+		}
 	}
 }
 
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -101,16 +101,6 @@
 // Len is the number of resources.
 func (s *State) Len() int { return s.resources.Len() }
 
-// Keys returns all keys in order.
-func (s *State) Keys() []Key {
-	keys := make([]Key, 0, s.Len())
-	for it := s.resources.Iterator(); !it.Done(); {
-		k, _, _ := it.Next()
-		keys = append(keys, k)
-	}
-	return keys
-}
-
 // Each calls visit for the resources of one mesh, in the order of their keys.
 func (s *State) Each(mesh string, visit func(k Key, raw []byte)) { s.from(Key{Mesh: mesh}, visit) }
 
