--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -18,6 +18,7 @@
 	ExitUnreachable = 4
 	ExitPending     = 5
 	ExitFailed      = 6
+	ExitRolledBack  = 7
 )
 
 // ExitCode is one row of the table of exit codes.
@@ -38,6 +39,7 @@
 	{ExitUnreachable, "Unreachable", "No daemon answered at the given address; nothing was changed."},
 	{ExitPending, "Pending", "Accepted, but not in force everywhere, or not idle, in the time given; it goes on."},
 	{ExitFailed, "Failed", "The command failed on the way, for instance a daemon whose data folder failed; the text says where."},
+	{ExitRolledBack, "RolledBack", "The roll-out was rolled back; the version before serves, and the text says why."},
 }
 
 func exitCode(err error) int {
@@ -50,6 +52,8 @@
 		return ExitUsage
 	case result.Unreachable:
 		return ExitUnreachable
+	case result.RolledBack:
+		return ExitRolledBack
 	case result.NotInForce, result.NotIdle:
 		return ExitPending
 	}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -53,13 +53,19 @@
 // command line.
 func noteBegin(root *cobra.Command) *bool {
 	began := false
-	for _, c := range root.Commands() {
-		begin := c.RunE
-		c.RunE = func(cmd *cobra.Command, args []string) error {
-			began = true
-			return begin(cmd, args)
+	var note func(*cobra.Command)
+	note = func(parent *cobra.Command) {
+		for _, c := range parent.Commands() {
+			note(c)
+			if begin := c.RunE; begin != nil {
+				c.RunE = func(cmd *cobra.Command, args []string) error {
+					began = true
+					return begin(cmd, args)
+				}
+			}
 		}
 	}
+	note(root)
 	return &began
 }
 
@@ -81,7 +87,7 @@
 	}
 	root.AddCommand(
 		newServe(platform), newValidate(), newApply(), newStatus(), newHistory(),
-		newDiff(), newDrain(), newExplain(), newDev(), newVersion(),
+		newDiff(), newDrain(), newRollout(), newExplain(), newDev(), newVersion(),
 	)
 	return root
 }
--- a/internal/connection/announce/announcement.go
+++ b/internal/connection/announce/announcement.go
@@ -16,6 +16,8 @@
 type Announcement struct {
 	Mesh    string `json:"mesh"`
 	Service string `json:"service"`
+	// Version names the server's software; empty if it does not tell.
+	Version string `json:"version,omitempty"`
 	// Address is where the backend server listens, "ip:port".
 	Address string `json:"address"`
 	// Slots is how many requests it runs at a time, 1 to 100000.
@@ -71,7 +73,7 @@
 		seconds = defaultLease
 	}
 	server := presence.Server{
-		Mesh: a.Mesh, Service: a.Service, Addr: a.Address,
+		Mesh: a.Mesh, Service: a.Service, Version: a.Version, Addr: a.Address,
 		Slots: a.Slots, Connections: a.Connections, State: state, Boot: a.Boot, Started: a.Started,
 	}
 	addr, addrErr := netip.ParseAddrPort(a.Address)
@@ -87,8 +89,8 @@
 		return invalid("slots and connections: want 1 to %d, got %d and %d", MaxCapacity, a.Slots, a.Connections)
 	case !known:
 		return invalid("state: want warming, serving or draining, got %q", a.State)
-	case len(a.Boot) > maxName:
-		return invalid("boot: want at most %d bytes", maxName)
+	case len(a.Boot) > maxName || len(a.Version) > maxName:
+		return invalid("boot and version: want at most %d bytes each", maxName)
 	case a.Started < 0:
 		return invalid("started: want Unix milliseconds, got %d", a.Started)
 	case a.ColdMillis < 0 || a.ColdMillis > maxColdMillis:
--- a/internal/connection/announce/registry.go
+++ b/internal/connection/announce/registry.go
@@ -25,6 +25,8 @@
 	failures int
 	// since is when the server began to take work; zero while it takes none.
 	since time.Time
+	// cold is set while the server works slowly after its start.
+	cold bool
 }
 
 // takesWork reports whether the server says that it does and can be reached.
@@ -56,6 +58,7 @@
 // server is what is told of the server to the fleet.
 func (l *lease) server() presence.Server {
 	s := l.announced
+	s.Cold = l.cold
 	if s.State.TakesWork() && !l.takesWork() {
 		s.State = presence.Joining
 	}
@@ -72,6 +75,9 @@
 type Registry struct {
 	leases map[string]*lease
 	boots  boots
+	// tellsCold has servers tell while they work slowly after their start, which takes a
+	// further record of each start.
+	tellsCold bool
 }
 
 // NewRegistry returns an empty registry.
@@ -105,6 +111,7 @@
 	before := l.server()
 	l.announced, l.until, l.sequence = server, now.Add(length), a.Sequence
 	l.coldUntil = now.Add(time.Duration(a.ColdMillis) * time.Millisecond)
+	l.cold = r.tellsCold && a.ColdMillis > 0
 	l.settle(now)
 	return l.server() != before, nil
 }
@@ -148,16 +155,21 @@
 	return false
 }
 
-// Expire drops leases that ran out and reports whether there were any.
+// Expire drops leases that ran out and takes servers for warm whose time has come. It
+// reports whether there were any of either.
 func (r *Registry) Expire(now time.Time) bool {
-	expired := false
+	changed := false
 	for address, l := range r.leases {
-		if now.After(l.until) {
+		switch {
+		case now.After(l.until):
 			delete(r.leases, address)
-			expired = true
+			changed = true
+		case l.cold && !now.Before(l.coldUntil):
+			l.cold = false
+			changed = true
 		}
 	}
-	return expired
+	return changed
 }
 
 // Servers returns the known servers in order of address.
--- a/internal/connection/announce/server.go
+++ b/internal/connection/announce/server.go
@@ -48,6 +48,10 @@
 	return &Server{registry: NewRegistry(), dials: dials, onChange: onChange}
 }
 
+// TellCold has servers tell while they work slowly after their start. It is called before
+// Run.
+func (s *Server) TellCold() { s.registry.tellsCold = true }
+
 // Announce takes in what a server says of itself.
 func (s *Server) Announce(a Announcement) *result.Error {
 	var refused *result.Error
--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -34,6 +34,10 @@
 	origin string
 	// attempts are those begun so far.
 	attempts int
+	// answeredBy is the server whose answer is passed on; serverTook is how long the server
+	// of the last attempt took, 0 if it is not known.
+	answeredBy *directory.Candidate
+	serverTook time.Duration
 	// claimed is set once Claims let the request run; settle is due then.
 	claimed bool
 	// decided is set once the table of claims has told what it knows of the key.
@@ -173,6 +177,7 @@
 	x.g.link.lengths.Note(x.route.Name, resp.ContentLength)
 	whole := relay(x.r.Context(), x.w, resp, kept, nil)
 	x.course.relayed(whole)
+	x.metAnswer(resp.StatusCode, whole)
 	if !whole {
 		if !x.r.ProtoAtLeast(1, 1) {
 			graceful.Reset(x.r.Context())
@@ -194,23 +199,25 @@
 // relay or the caller is to be refused.
 func (x *exchange) dispatch(ctx context.Context, pin uint64) (*http.Response, *refusal) {
 	target := x.target
-	course, action := x.g.service(target.Key).begin(x.dir, target, x.g.cfg.Retry(), flow.Request{
+	course, action := x.g.beginCall(x.g.service(target.Key), x.dir, target, x.route.Name, flow.Request{
 		Deadline: x.deadline, Repeatable: x.route.Repeatable, Retries: x.route.Retries, Target: x.route.Target, Pin: pin, Bytes: x.g.link.large(x.body), Answer: x.g.link.largeAnswer(x.route.Name),
 	})
 	x.course = course
 	var last *refusal
 	for number := 0; action.Kind == flow.Try; number++ {
 		start := time.Now()
-		x.attempts = number + 1
+		x.attempts, x.serverTook = number+1, 0
 		resp, refused := x.attempt(ctx, action.Candidate)
 		took := time.Since(start)
 		x.observe(action.Candidate, number, refused, took)
 		if refused == nil {
 			course.answered()
+			x.answeredBy = action.Candidate
 			x.logAnswered(action.Candidate, resp.StatusCode)
 			return resp, nil
 		}
 		x.logAttempt(action.Candidate, number, refused, took)
+		x.metRefusal(action.Candidate, refused, took)
 		last = refused
 		again := x.isolate(refused) && !x.body.begun.Load()
 		action = course.failed(refused, !again)
@@ -244,11 +251,14 @@
 	if to.Node.Name != x.g.cfg.Self {
 		return x.forward(ctx, to)
 	}
-	return x.g.serve(ctx, &work{
+	k := &work{
 		hooked: x.hooked, body: x.body, addr: to.Server.Addr, priority: x.route.Priority,
 		depth: x.told.Depth, deadline: x.deadline, fresh: !x.route.Repeatable,
 		id: x.told.ID, origin: x.origin, useful: x.useful(), route: x.route.Name,
-	})
+	}
+	resp, refused := x.g.serve(ctx, k)
+	x.serverTook = k.took
+	return resp, refused
 }
 
 // useful is when an answer has lost most of its worth; zero is not known.
@@ -305,6 +315,7 @@
 		return nil, classify(ctx, failure, result.DaemonRefused)
 	}
 	x.hearLoad(to, resp.Header)
+	x.serverTook, _ = durationOf(resp.Header, headerTook)
 	if code := resp.Header.Get(result.HeaderResult); code != "0" {
 		return nil, readRefusal(resp, code)
 	}
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -70,6 +70,8 @@
 	Refused func(addr string)
 	// Retry bounds the further attempts of this daemon.
 	Retry func() retry.Limits
+	// Rollout bounds what software versions under roll-out get.
+	Rollout RolloutConfig
 	// RequestLog receives the lines about single requests, RequestLines of them a
 	// second at most; 0 is no bound.
 	RequestLog   logr.Logger
@@ -128,6 +130,7 @@
 	if cfg.Retry == nil {
 		cfg.Retry = retry.Defaults
 	}
+	cfg.Rollout = cfg.Rollout.withDefaults()
 	if cfg.Calls == 0 {
 		cfg.Calls = defaultCalls
 	}
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -34,6 +34,9 @@
 	// bodies on their way to its instance, share of its requests that fail, bytes of
 	// large answers that have to leave its instance.
 	headerLoad = prefix + "Load"
+	// headerTook is how long the server took for the request, in microseconds; it is told
+	// while a roll-out runs.
+	headerTook = prefix + "Took"
 	// headerUseful is the time left in which the answer is worth most, in
 	// microseconds; it may be past.
 	headerUseful = prefix + "Useful"
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -32,6 +32,7 @@
 	defer func() { k.answered() }()
 	g.setClose(w.Header())
 	g.tellLoad(w.Header(), k.addr)
+	g.tellTook(w.Header(), k)
 	body.announce(w.Header())
 	if refused != nil {
 		code = refused.Code
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -38,8 +38,9 @@
 	// answered tells the link that the answer begins to leave, or will not. It may be
 	// called more than once.
 	answered func()
-	// waited is how long the request stood in the queue.
-	waited time.Duration
+	// waited is how long the request stood in the queue, took how long the server took up to
+	// the answer's header or the loss of it.
+	waited, took time.Duration
 }
 
 // serve runs a request on a backend server beside this daemon. The slot is held
@@ -56,6 +57,9 @@
 	if b == nil || g.leaving.Load() || !k.isFor(&server) {
 		return nil, refuse(result.Draining, "no new work for "+k.addr+" here")
 	}
+	if !g.takes(&server) {
+		return nil, refuse(result.VersionRetired, "version "+server.Version+" of "+k.addr)
+	}
 	if refused := g.admitSuspect(k); refused != nil {
 		return nil, refused
 	}
@@ -121,6 +125,7 @@
 	out.Done = func() { b.gate.Leave(k.route, took) }
 	start := time.Now()
 	resp, failure := b.pool.RoundTrip(ctx, out)
+	k.took = time.Since(start)
 	if failure != nil {
 		refused := classify(ctx, failure, result.BackendRefused)
 		if errors.Is(failure, syscall.ECONNREFUSED) {
@@ -132,7 +137,7 @@
 		span.End(refused.Code)
 		return nil, refused
 	}
-	took = time.Since(start)
+	took = k.took
 	resp.Body = &watchedBody{ReadCloser: resp.Body, ctx: ctx, run: run}
 	refused := g.accept(ctx, k, resp)
 	span.End(codeOf(refused))
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/request/canary"
 	"github.com/daisygate/daisygate/internal/request/flow"
-	"github.com/daisygate/daisygate/internal/request/retry"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/directory"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
@@ -17,6 +17,8 @@
 type service struct {
 	mu   sync.Mutex
 	core *flow.Service
+	// account is nil while no roll-out of the service runs.
+	account *canary.Account
 }
 
 func (g *Gateway) service(key snapshot.ServiceKey) *service {
@@ -45,12 +47,20 @@
 	call    *flow.Call
 }
 
-func (s *service) begin(dir *directory.Directory, target *snapshot.Service, limits retry.Limits, r flow.Request) (*course, flow.Action) {
+func (g *Gateway) beginCall(s *service, dir *directory.Directory, target *snapshot.Service, route string, r flow.Request) (*course, flow.Action) {
+	limits, touch := g.cfg.Retry(), true
+	running := runningRollout(dir.Snapshot, target.Key)
+	if running != nil {
+		touch = g.cfg.Rollout.Touch()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.core.Table.Update(dir.Candidates(target.Key), target.SlowStart)
 	s.core.SetRetryLimits(limits)
+	g.enterRollout(s, dir, running)
+	s.bound(&r, time.Now(), route, touch)
 	call, action := s.core.Begin(time.Now(), rand.Uint64(), r)
+	s.sent(action.Candidate)
 	return &course{service: s, call: call}, action
 }
 
@@ -88,5 +98,7 @@
 	case result.CallerLeft:
 		return c.call.CallerLeft(now)
 	}
-	return c.call.Refused(now, rand.Uint64(), r.Code, r.back)
+	action := c.call.Refused(now, rand.Uint64(), r.Code, r.back)
+	c.service.sent(action.Candidate)
+	return action
 }
--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -77,6 +77,23 @@
 	return status, c.do(ctx, http.MethodGet, DrainPath+"?"+query.Encode(), nil, &status)
 }
 
+// OrderRollout orders a roll-out or its end; repeating it is safe.
+func (c *Client) OrderRollout(ctx context.Context, r RolloutRequest) (source.Answer, error) {
+	var answer source.Answer
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return answer, errors.Wrap(err, "encode roll-out")
+	}
+	return answer, c.do(ctx, http.MethodPost, RolloutsPath, raw, &answer)
+}
+
+// Rollout asks for the newest roll-out of a service.
+func (c *Client) Rollout(ctx context.Context, name source.ServiceName) (source.Answer, error) {
+	var answer source.Answer
+	query := url.Values{meshParameter: {name.Mesh}, serviceParameter: {name.Service}}
+	return answer, c.do(ctx, http.MethodGet, RolloutsPath+"?"+query.Encode(), nil, &answer)
+}
+
 func (c *Client) do(ctx context.Context, method, path string, body []byte, into any) error {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/connection/operator/handler.go
+++ b/internal/connection/operator/handler.go
@@ -31,8 +31,10 @@
 	requestBurst      = 100
 	// submitsAtOnce bounds manifests held in memory at a time.
 	submitsAtOnce = 8
-	// drainBytes is the largest body of a drain request.
-	drainBytes = 4 << 10
+	// orderBytes is the largest body of an order that is no manifest.
+	orderBytes = 4 << 10
+	// maxSeconds is above every time that an order may name, and fits a time.Duration.
+	maxSeconds = 1e9
 	retryAfter = time.Second
 )
 
@@ -77,6 +79,8 @@
 	router.HandleFunc(HistoryPath, a.history).Methods(http.MethodGet)
 	router.HandleFunc(DrainPath, a.drain).Methods(http.MethodPost)
 	router.HandleFunc(DrainPath, a.drainStatus).Methods(http.MethodGet)
+	router.HandleFunc(RolloutsPath, a.orderRollout).Methods(http.MethodPost)
+	router.HandleFunc(RolloutsPath, a.rollout).Methods(http.MethodGet)
 	if cfg.Metrics != nil {
 		router.Handle(MetricsPath, cfg.Metrics).Methods(http.MethodGet)
 	}
@@ -204,16 +208,8 @@
 }
 
 func (a *api) drain(w http.ResponseWriter, r *http.Request) {
-	raw, refused := a.readBody(w, r, drainBytes)
-	if refused != nil {
-		result.WriteHTTP(w, refused)
-		return
-	}
 	var order DrainRequest
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&order); err != nil {
-		result.WriteHTTP(w, result.Errorf(result.BadRequest, "body: %v; want {\"node\": NAME, \"server\": \"ip:port\", \"undo\": BOOL}", err))
+	if !a.decode(w, r, &order, `{"node": NAME, "server": "ip:port", "undo": BOOL}`) {
 		return
 	}
 	status, refused := a.backend.Drain(r.Context(), order)
@@ -226,6 +222,48 @@
 	answer(w, status, refused)
 }
 
+// decode reads the JSON body of a small order; want shows what it looks like. With false the
+// answer was given.
+func (a *api) decode(w http.ResponseWriter, r *http.Request, order any, want string) bool {
+	raw, refused := a.readBody(w, r, orderBytes)
+	if refused != nil {
+		result.WriteHTTP(w, refused)
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(order); err != nil {
+		result.WriteHTTP(w, result.Errorf(result.BadRequest, "body: %v; want %s", err, want))
+		return false
+	}
+	return true
+}
+
+func (a *api) orderRollout(w http.ResponseWriter, r *http.Request) {
+	var order RolloutRequest
+	if !a.decode(w, r, &order, `{"mesh": NAME, "service": NAME, "target": VERSION, "within_seconds": NUMBER}, or "abort": true for the last two`) {
+		return
+	}
+	within := time.Duration(min(order.WithinSeconds, maxSeconds) * float64(time.Second))
+	ctx, cancel := context.WithTimeout(r.Context(), a.cfg.SubmitTimeout)
+	defer cancel()
+	told, err := a.backend.OrderRollout(ctx, &source.RolloutOrder{ServiceName: order.Name(), Target: order.Target, Within: within, Abort: order.Abort})
+	if err != nil {
+		told = source.Answer{Code: result.CommitUnknown, Detail: err.Error()}
+	}
+	writeJSON(w, told.Code, told)
+}
+
+func (a *api) rollout(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	name := source.ServiceName{Mesh: query.Get(meshParameter), Service: query.Get(serviceParameter)}
+	told, err := a.backend.NewestRollout(r.Context(), name)
+	if err != nil {
+		told = source.Answer{Code: result.NoQuorum, Detail: err.Error()}
+	}
+	writeJSON(w, told.Code, told)
+}
+
 func answer(w http.ResponseWriter, v any, refused *result.Error) {
 	if refused != nil {
 		result.WriteHTTP(w, refused)
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -22,6 +22,8 @@
 	// MetricsPath is where the metrics are, in the Prometheus text format.
 	MetricsPath = "/metrics"
 	DrainPath   = "/v1/drain"
+	// RolloutsPath takes orders for roll-outs and tells of the newest one of a service.
+	RolloutsPath = "/v1/rollouts"
 )
 
 // The parameters of requests.
@@ -29,8 +31,10 @@
 	// allParameter asks FleetPath for every daemon of a large fleet, by "true".
 	allParameter = "all"
 	// meshParameter and limitParameter are those of a HistoryRequest.
-	meshParameter  = "mesh"
-	limitParameter = "limit"
+	meshParameter = "mesh"
+	// serviceParameter names the service of a roll-out.
+	serviceParameter = "service"
+	limitParameter   = "limit"
 )
 
 // NodeStatus is what one daemon tells of itself.
@@ -131,6 +135,22 @@
 	Running  int    `json:"running"`
 }
 
+// RolloutRequest orders a roll-out, or with Abort the end of the one that runs.
+type RolloutRequest struct {
+	Mesh    string `json:"mesh"`
+	Service string `json:"service"`
+	// Target is the software version that is to serve.
+	Target string `json:"target,omitempty"`
+	// WithinSeconds is the time in which that is to be decided.
+	WithinSeconds float64 `json:"within_seconds,omitempty"`
+	Abort         bool    `json:"abort,omitempty"`
+}
+
+// Name is the service that the request is about.
+func (r *RolloutRequest) Name() source.ServiceName {
+	return source.ServiceName{Mesh: r.Mesh, Service: r.Service}
+}
+
 // Backend is what the API is built on: the daemon. The errors are refusals
 // that the operator is told as they are.
 type Backend interface {
@@ -140,6 +160,10 @@
 	Fleet(ctx context.Context, all bool) Fleet
 	History(ctx context.Context, r source.HistoryRequest) ([]source.Accepted, error)
 	InForce(ctx context.Context, mesh string) (InForce, *result.Error)
+	// OrderRollout hands an order for a roll-out in, and NewestRollout tells of the newest
+	// one of a service.
+	OrderRollout(ctx context.Context, o *source.RolloutOrder) (source.Answer, error)
+	NewestRollout(ctx context.Context, name source.ServiceName) (source.Answer, error)
 	// Drain begins or undoes a drain.
 	Drain(ctx context.Context, r DrainRequest) (DrainStatus, *result.Error)
 	// DrainStatus tells of the drain that r names, and changes nothing.
--- a/internal/process/daemon/beside.go
+++ b/internal/process/daemon/beside.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisygate/daisygate/internal/connection/announce"
+	"github.com/daisygate/daisygate/internal/version/fleet"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
 )
 
@@ -45,18 +46,37 @@
 		if d.beside.Load() != nil {
 			return
 		}
-		service := d.mesh.Directory().Snapshot.Service(snapshot.ServiceKey{Mesh: beside.Mesh, Name: beside.Service})
+		snap := d.mesh.Directory().Snapshot
+		key := snapshot.ServiceKey{Mesh: beside.Mesh, Name: beside.Service}
+		service := snap.Service(key)
 		if service == nil || service.Health == "" {
 			continue
 		}
+		version, sure := d.versionBeside(snap.Rollout(key))
+		if !sure {
+			continue
+		}
 		tries++
 		if health, ok := d.askHealth(ctx, beside.Addr, service.Health); ok {
-			d.takeHealth(beside, health)
+			d.takeHealth(beside, health, version)
 			return
 		}
 	}
 }
 
+// versionBeside is the software version that a server beside this daemon must have which
+// has not announced itself yet. Where another version may be about, the answer of its
+// health check does not tell which of them it is, and it is left to its announcement.
+func (d *Daemon) versionBeside(r *fleet.Rollout) (version string, sure bool) {
+	switch {
+	case !d.set.Servers.Rollouts:
+		return "", true
+	case r == nil || !d.Ready():
+		return "", false
+	}
+	return r.Serving(), r.Stage == fleet.Admitted || r.Stage == fleet.Completed
+}
+
 // askHealth asks a backend server whether it takes work.
 func (d *Daemon) askHealth(ctx context.Context, addr, path string) (Health, bool) {
 	ctx, cancel := context.WithTimeout(ctx, besideTimeout)
@@ -78,12 +98,12 @@
 
 // takeHealth announces the server in its own place, unless it did so itself
 // meanwhile.
-func (d *Daemon) takeHealth(beside Beside, h Health) {
+func (d *Daemon) takeHealth(beside Beside, h Health, version string) {
 	if d.beside.Load() != nil {
 		return
 	}
 	refused := d.servers.Announce(announce.Announcement{
-		Mesh: beside.Mesh, Service: beside.Service, Address: beside.Addr, Slots: h.Slots,
+		Mesh: beside.Mesh, Service: beside.Service, Version: version, Address: beside.Addr, Slots: h.Slots,
 		Connections: announce.MaxCapacity, LeaseSeconds: beside.LeaseSeconds, Boot: h.Boot,
 	})
 	if refused != nil {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -104,6 +104,10 @@
 	platform Platform
 	// beside is the service that is announced beside this daemon, nil if none is.
 	beside atomic.Pointer[string]
+	// rollouts is nil on a daemon that is no source.
+	rollouts *rollouts
+	// rolloutFailed asks for a report at once.
+	rolloutFailed chan struct{}
 	// retries is the newest part of the fleet's retries.
 	retries atomic.Pointer[retryPart]
 }
@@ -126,8 +130,9 @@
 	d := &Daemon{
 		platform: platform,
 		set:      set, log: log.WithValues("node", set.Node), drains: newDrains(),
-		traffic:   &peer.Traffic{MaxMessage: set.Limits.ControlBytes},
-		listeners: map[string]net.Listener{}, limits: map[string]*limit.Listener{},
+		traffic:       &peer.Traffic{MaxMessage: set.Limits.ControlBytes},
+		rolloutFailed: make(chan struct{}, 1),
+		listeners:     map[string]net.Listener{}, limits: map[string]*limit.Listener{},
 	}
 	maps.Copy(d.listeners, listeners)
 	if err := d.provision(); err != nil {
@@ -198,6 +203,7 @@
 		Directory: d.mesh.Directory, Ready: d.Ready, Observer: d.metrics, Tracer: d.tracer(),
 		Abrupt: !d.set.Servers.Linger, FixedSlots: !d.set.Servers.Adapt, HoldBytes: d.set.Servers.HoldBytes, Origin: d.origin, Retry: d.retryLimits,
 		Refused:    func(addr string) { d.servers.Refused(addr) },
+		Rollout:    d.rolloutConfig(),
 		LinkBytes:  float64(d.set.Limits.LinkBytes),
 		RequestLog: d.log.WithName(telemetry.RequestsLogger), RequestLines: d.set.Log.RequestsPerSecond,
 	}
@@ -212,9 +218,13 @@
 	}
 	d.gateway = gateway.New(cfg, d.log.WithName("gateway"))
 	d.servers = announce.NewServer(d.set.Servers.Dial, d.setServers)
+	if d.set.Servers.Rollouts {
+		d.servers.TellCold()
+	}
 	if !d.set.IsSource() {
 		return nil
 	}
+	d.rollouts = newRollouts(d)
 	d.source, err = source.Open(quorum.Config{
 		ID: d.set.Node, Members: d.configured(), DataDir: filepath.Join(d.set.DataDir, "source"),
 		TickInterval: sourceTick, ElectionTicks: sourceElectionTicks, HeartbeatTicks: sourceHeartbeatTicks, FirstTicks: sourceFirstTicks, Seed: seed, Idempotent: true,
@@ -259,7 +269,9 @@
 	group.Go(func() error { return d.claims.run(groupCtx) })
 	if d.source != nil {
 		group.Go(func() error { return d.source.Run(groupCtx) })
+		group.Go(func() error { d.rollouts.run(groupCtx); return nil })
 	}
+	group.Go(func() error { d.reportRollouts(groupCtx); return nil })
 	group.Go(func() error { d.askBeside(groupCtx); return nil })
 	group.Go(func() error { d.askCommitted(groupCtx); return nil })
 	servers := d.httpServers()
--- a/internal/process/daemon/platform.go
+++ b/internal/process/daemon/platform.go
@@ -49,6 +49,10 @@
 	Order(ctx context.Context, o *source.Order) (source.Answer, error)
 	// Newest returns the newest manifest of a mesh.
 	Newest(ctx context.Context, mesh string) (source.Answer, error)
+	// OrderRollout hands an order for a roll-out in.
+	OrderRollout(ctx context.Context, o *source.RolloutOrder) (source.Answer, error)
+	// NewestRollout returns the newest roll-out of a service.
+	NewestRollout(ctx context.Context, name source.ServiceName) (source.Answer, error)
 	// Announce takes in what a backend server says of itself. When it returns
 	// nil, what was said is in force here.
 	Announce(a announce.Announcement) *result.Error
--- a/internal/process/dev/dev.go
+++ b/internal/process/dev/dev.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,10 @@
 	// Node is the index of the daemon it stands beside.
 	Node          int
 	Mesh, Service string
+	// Version names its software, "" tells none; a version that Fails answers every second
+	// request with a failure.
+	Version string
+	Fails   bool
 }
 
 // Config is fixed for the life of a Mesh.
@@ -60,6 +65,8 @@
 	// lets the system choose, as it does for all other addresses.
 	Operator string
 	Servers  []Server
+	// Rollouts keeps requests away from versions that no roll-out has put in use.
+	Rollouts bool
 	Log      logr.Logger
 }
 
@@ -75,7 +82,9 @@
 	Servers []*standin.Server
 
 	// temp is the folder to remove at the end, or "".
-	temp        string
+	temp string
+	// serving ends with stopServers.
+	serving     context.Context
 	stopServers context.CancelFunc
 	stopDaemons context.CancelFunc
 	servers     sync.WaitGroup
@@ -93,7 +102,8 @@
 	if cfg.Nodes == 0 {
 		cfg.Nodes = DefaultNodes
 	}
-	m := &Mesh{stopServers: func() {}, stopDaemons: func() {}}
+	m := &Mesh{stopDaemons: func() {}}
+	m.serving, m.stopServers = context.WithCancel(context.Background())
 	if err := m.start(cfg); err != nil {
 		return nil, errors.CombineErrors(err, m.Stop())
 	}
@@ -115,7 +125,7 @@
 	if err := m.startDaemons(cfg, listeners); err != nil {
 		return err
 	}
-	return m.startServers(cfg.Servers)
+	return m.StartServers(cfg.Servers)
 }
 
 // listen opens every listener first: each daemon's settings name the peer
@@ -191,6 +201,7 @@
 	set.DataDir = filepath.Join(cfg.DataDir, n.Name)
 	set.Listen = settings.Listen{Caller: n.Caller, Announce: n.Announce, Peer: n.Peer, Operator: n.Operator}
 	set.Operator.TokenFile = cfg.TokenFile
+	set.Servers.Rollouts = cfg.Rollouts
 	for _, o := range m.Nodes[:sources(len(m.Nodes))] {
 		set.Seeds = append(set.Seeds, o.Peer)
 		set.Source.Members = append(set.Source.Members, settings.Member{Node: o.Name, Peer: o.Peer})
@@ -198,27 +209,37 @@
 	return set
 }
 
-func (m *Mesh) startServers(servers []Server) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	m.stopServers = cancel
+// StartServers starts backend servers in a running mesh; Stop ends them too.
+func (m *Mesh) StartServers(servers []Server) error {
 	for _, s := range servers {
+		version := ""
+		if s.Version != "" {
+			version = " version " + s.Version
+		}
 		server, err := standin.New(standin.Config{
 			Listen: "127.0.0.1:0", AnnounceAddr: m.Nodes[s.Node].Announce,
 			Announcement: announce.Announcement{
-				Mesh: s.Mesh, Service: s.Service, Slots: serverSlots, Connections: serverConnections,
+				Mesh: s.Mesh, Service: s.Service, Version: s.Version, Slots: serverSlots, Connections: serverConnections,
 			},
 			Crash:  cutConnection,
-			Answer: fmt.Sprintf("answered by service %s beside daemon %s\n", s.Service, m.Nodes[s.Node].Name),
+			Fails:  everySecond(s.Fails),
+			Answer: fmt.Sprintf("answered by service %s%s beside daemon %s\n", s.Service, version, m.Nodes[s.Node].Name),
 		})
 		if err != nil {
 			return err
 		}
 		m.Servers = append(m.Servers, server)
-		m.servers.Go(func() { m.note(server.Run(ctx)) })
+		m.servers.Go(func() { m.note(server.Run(m.serving)) })
 	}
 	return nil
 }
 
+// everySecond fails every second request, or none.
+func everySecond(fails bool) func(*http.Request) bool {
+	var requests atomic.Uint64
+	return func(*http.Request) bool { return fails && requests.Add(1)%2 == 0 }
+}
+
 // cutConnection is how a stand-in crashes that shares its process with a mesh:
 // the request's connection ends without an answer.
 func cutConnection() { panic(http.ErrAbortHandler) }
--- a/internal/process/presence/record.go
+++ b/internal/process/presence/record.go
@@ -51,6 +51,10 @@
 	// Started is when the boot began, in Unix milliseconds; 0 if it does not tell. One
 	// that starts again may keep its name.
 	Started int64
+	// Version names the server's software; "" if it does not tell. Cold is set while it
+	// still works slowly after its start, where roll-outs are in use.
+	Version string
+	Cold    bool
 	// Since is when the server began to take work, by the owner's clock, in Unix
 	// milliseconds: its first announcement as warming or serving after it was
 	// unknown or draining. 0 while it takes none.
@@ -134,6 +138,7 @@
 	for i := range r.Servers {
 		r.Servers[i].Mesh = intern(r.Servers[i].Mesh)
 		r.Servers[i].Service = intern(r.Servers[i].Service)
+		r.Servers[i].Version = intern(r.Servers[i].Version)
 	}
 	r.Suspects = r.Suspects[:min(len(r.Suspects), MaxSuspects)]
 }
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -29,6 +29,8 @@
 	maxHoldBytes    = 16 << 20
 	maxMemoryBytes  = 1 << 40
 	maxLinkBytes    = 1 << 40
+	minExposure     = 0.001
+	maxExposure     = 0.999
 )
 
 // check reports everything that is wrong with s beyond its form.
@@ -53,6 +55,8 @@
 	strictyaml.Range(d, "retry.ratio", s.Retry.Ratio, 0, 1)
 	strictyaml.Range(d, "retry.slack", s.Retry.Slack, 0, maxRetrySlack)
 	strictyaml.Range(d, "servers.hold_bytes", s.Servers.HoldBytes, 0, maxHoldBytes)
+	strictyaml.Range(d, "exposure.share", s.Exposure.Share, minExposure, maxExposure)
+	strictyaml.Range(d, "exposure.slack", s.Exposure.Slack, 0, maxRetrySlack)
 	d.Duration("retry.window", s.Retry.Window, minTimeout, maxTimeout)
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -49,6 +49,8 @@
 	Retry Retry `yaml:"retry"`
 	// Servers tells how the backend servers beside this daemon behave.
 	Servers Servers `yaml:"servers"`
+	// Exposure bounds what a software version under roll-out may get.
+	Exposure Exposure `yaml:"exposure"`
 }
 
 // Listen holds the addresses of the listeners, each "ip:port".
@@ -215,6 +217,15 @@
 	Window time.Duration `yaml:"window"`
 }
 
+// Exposure bounds the requests that a software version gets before it is judged good: at
+// most Share of all that reach the service while the roll-out runs, and Slack besides.
+type Exposure struct {
+	// Share is above 0 and below 1. Default 0.1.
+	Share float64 `yaml:"share"`
+	// Slack is in requests. Default 50.
+	Slack int `yaml:"slack"`
+}
+
 // Servers tells how the backend servers beside this daemon behave.
 type Servers struct {
 	// Dial opens a connection to each server once a second, to see whether it can
@@ -237,6 +248,10 @@
 	SlowRestart bool `yaml:"slow_restart"`
 	// Quarantine keeps requests away that crash servers. Default true.
 	Quarantine bool `yaml:"quarantine"`
+	// Rollouts keeps requests away from servers of a software version that no roll-out has
+	// put in use; the first version of a service needs none. It is the same on every node.
+	// Default false.
+	Rollouts bool `yaml:"rollouts"`
 }
 
 // Defaults returns the documented defaults.
@@ -262,6 +277,8 @@
 		Stop:    Stop{LeaveDelay: time.Second, Timeout: time.Hour},
 		Retry:   Retry{Ratio: 0.2, Slack: 200, Window: 10 * time.Second},
 		Servers: Servers{Dial: true, Linger: true, Adapt: true, Quarantine: true},
+
+		Exposure: Exposure{Share: 0.1, Slack: 50},
 	}
 }
 
--- a/internal/process/source/command.go
+++ b/internal/process/source/command.go
@@ -19,7 +19,9 @@
 	formatManifest = iota
 	// formatRevision entries hold what an order changes.
 	formatRevision
-	formatNewest = formatRevision
+	// formatRollout entries are about a roll-out of a service's software.
+	formatRollout
+	formatNewest = formatRollout
 )
 
 // Command is what one log entry asks for.
@@ -41,6 +43,8 @@
 	Format uint64 `cbor:"6,keyasint,omitempty"`
 	// Change is an encoded change, packed; set in formatRevision.
 	Change []byte `cbor:"7,keyasint,omitempty"`
+	// Rollout is set in formatRollout.
+	Rollout *rolloutEntry `cbor:"8,keyasint,omitempty"`
 }
 
 // change is what an order changes of the newest manifest and of its text.
--- a/internal/process/source/history.go
+++ b/internal/process/source/history.go
@@ -32,23 +32,18 @@
 	return history, err
 }
 
-// lines holds up the log no longer than the lines it returns take: each
-// accepted manifest raises the fleet version by 1, so that the newest lines are
-// those above a floor.
+// lines returns the newest lines; each mesh gives no more than are asked for, so that the
+// log is held up no longer than these take.
 func (m *machine) lines(r *HistoryRequest) []Accepted {
 	limit := r.limit()
 	if r.Mesh != "" {
 		h := m.history[r.Mesh]
 		return slices.Clone(h[max(len(h)-limit, 0):])
 	}
-	floor := m.state.Version - min(m.state.Version, uint64(limit))
 	var lines []Accepted
 	for _, h := range m.history {
-		from, _ := slices.BinarySearchFunc(h, floor+1, func(line Accepted, version uint64) int {
-			return cmp.Compare(line.Fleet, version)
-		})
-		lines = append(lines, h[from:]...)
+		lines = append(lines, h[max(len(h)-limit, 0):]...)
 	}
 	slices.SortFunc(lines, func(a, b Accepted) int { return cmp.Compare(a.Fleet, b.Fleet) })
-	return lines
+	return lines[max(len(lines)-limit, 0):]
 }
--- a/internal/process/source/image.go
+++ b/internal/process/source/image.go
@@ -15,7 +15,9 @@
 	imagePlain = iota
 	// imagePacked is the image compressed: to a newcomer it crosses failure domains.
 	imagePacked
-	imageNewest = imagePacked
+	// imageRollouts is imagePacked with roll-outs, which older releases would lose.
+	imageRollouts
+	imageNewest = imageRollouts
 )
 
 // mostImage bounds what a snapshot unpacks to.
@@ -48,7 +50,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return quorum.Encode(machineImage{Format: imagePacked, Packed: fleet.Pack(raw)})
+	format := uint64(imagePacked)
+	if m.state.HasRollouts() {
+		format = imageRollouts
+	}
+	return quorum.Encode(machineImage{Format: format, Packed: fleet.Pack(raw)})
 }
 
 // decodeImage reads a snapshot of any known format.
--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -39,6 +39,8 @@
 	// there too, and no answer of the leader would reach an operator who asked another
 	// source.
 	Text []byte `json:"-" cbor:"text,omitempty"`
+	// Rollout is the newest roll-out of the service that was asked about.
+	Rollout *fleet.Rollout `json:"rollout,omitempty"`
 }
 
 // historyLimit bounds the lines kept of one mesh, so that a busy mesh does not
@@ -94,6 +96,9 @@
 		answer := Answer{Code: result.Answered, Fleet: m.state.Version, Winner: m.newest(c.Read)}
 		return outcome{Answer: answer, text: m.texts[c.Read]}, nil
 	}
+	if c.Format == formatRollout && c.Rollout != nil {
+		return outcome{Answer: m.applyRollout(c.Rollout, c.Submitted.UTC())}, nil
+	}
 	o, err := c.order()
 	if err != nil {
 		return outcome{}, err
@@ -118,7 +123,7 @@
 	if err != nil {
 		return result.Errorf(result.ManifestInvalid, "%v", err)
 	}
-	if c.Read != "" {
+	if c.Read != "" || (c.Format == formatRollout && c.Rollout != nil) {
 		return nil
 	}
 	o, err := c.order()
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -42,6 +42,18 @@
 	Bytes int64
 	// Answer is the expected length of a large answer, 0 of a small one.
 	Answer int64
+	// Arm bounds the choice while a roll-out runs.
+	Arm Arm
+}
+
+// Arm is the part of a service's servers that requests may go to. The zero Arm is all.
+type Arm struct {
+	// Version is the software version of its servers; "" with Bound unset is any.
+	Version string
+	Bound   bool
+	// First, if not 0, takes only so many of them: the same ones at each daemon that knows
+	// the same servers.
+	First int
 }
 
 // Load is how full a backend server is, as its gate counts.
@@ -95,6 +107,10 @@
 	failing float64
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
+	// ranks order the servers of each software version, for arms that take ranked of them;
+	// nil until one asks.
+	ranks  map[string]int
+	ranked int
 	// LinkBytes is what the link of an instance carries, in bytes a second; 0 is
 	// not known.
 	LinkBytes float64
@@ -114,7 +130,7 @@
 	if len(candidates) == len(t.candidates) && (len(candidates) == 0 || &candidates[0] == &t.candidates[0]) {
 		return
 	}
-	t.candidates = candidates
+	t.candidates, t.ranks = candidates, nil
 	t.tiers = [tiers][]*directory.Candidate{}
 	servers := make(map[string]*server, len(candidates))
 	for _, c := range candidates {
@@ -259,6 +275,9 @@
 }
 
 func (p *picker) usable(c *directory.Candidate) bool {
+	if !p.table.holds(&p.in.Arm, c) {
+		return false
+	}
 	for _, tried := range p.in.Tried {
 		if tried.Server.Addr == c.Server.Addr || (p.leave == strict && tried.Node.Domain == c.Node.Domain) {
 			return false
--- a/internal/request/balance/pin.go
+++ b/internal/request/balance/pin.go
@@ -17,6 +17,9 @@
 	var best *directory.Candidate
 	var most uint64
 	for _, c := range t.candidates {
+		if !t.holds(&in.Arm, c) {
+			continue
+		}
 		if slices.ContainsFunc(in.Tried, func(o *directory.Candidate) bool { return o.Server.Addr == c.Server.Addr }) {
 			continue
 		}
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -88,6 +88,12 @@
 	Answer int64
 	// Pin, if not 0, chooses the server: all requests with one Pin go to one.
 	Pin uint64
+	// Arm bounds the choice of the first attempt while a roll-out runs, and Then that of
+	// the others. One that holds no server gives way to the other.
+	Arm, Then balance.Arm
+	// Otherwise takes the place of Then once a server refused because its software version
+	// takes no new work: there a later stage of the roll-out is in force than here.
+	Otherwise balance.Arm
 }
 
 type phase uint8
@@ -138,7 +144,7 @@
 	if !now.Before(c.request.Deadline) {
 		return c.answer(result.DeadlineTooShort)
 	}
-	picked := c.service.Table.Pick(balance.Input{Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target, Bytes: c.request.Bytes, Answer: c.request.Answer})
+	picked := c.pick(now, seed)
 	if picked == nil {
 		return c.answer(last)
 	}
@@ -148,6 +154,22 @@
 	return Action{Kind: Try, Candidate: picked}
 }
 
+// pick chooses the server of the next attempt, nil if every one was tried.
+func (c *Call) pick(now time.Time, seed uint64) *directory.Candidate {
+	in := balance.Input{
+		Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target,
+		Bytes: c.request.Bytes, Answer: c.request.Answer, Arm: c.request.Then,
+	}
+	if len(c.tried) == 0 && c.request.Arm.Bound {
+		in.Arm = c.request.Arm
+		if picked := c.service.Table.Pick(in); picked != nil {
+			return picked
+		}
+		in.Arm = c.request.Then
+	}
+	return c.service.Table.Pick(in)
+}
+
 func (c *Call) answer(code result.Code) Action {
 	c.phase = over
 	if c.lost != 0 && code.Outcome() == result.NotRun {
@@ -204,6 +226,9 @@
 	if code.Outcome() != result.NotRun {
 		c.lost = code
 	}
+	if code == result.VersionRetired && c.request.Otherwise.Bound && c.current.Server.Version == c.request.Then.Version {
+		c.request.Then = c.request.Otherwise
+	}
 	if !c.mayRepeat(now, code) {
 		return c.answer(code)
 	}
@@ -230,6 +255,9 @@
 	}
 	c.arrived = c.arrived || arrives(code)
 	switch {
+	case code == result.VersionRetired:
+		c.redirects++
+		return c.redirects <= redirectMax && c.spend(now)
 	case endOf(code) == balance.Neutral:
 		return false
 	case code.Outcome() != result.NotRun && !c.request.Repeatable:
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -67,20 +67,24 @@
 	RouteConflict   Code = 113
 	BaseMoved       Code = 114
 	RevisionStale   Code = 115
-	NoQuorum        Code = 120
-	CommitUnknown   Code = 121
-	StorageFailed   Code = 122
-	NotSource       Code = 123
-	StateDiverged   Code = 124
-	FormatUnknown   Code = 125
-	Unauthorized    Code = 130
-	InputTooLarge   Code = 131
-	UnknownResource Code = 132
-	WrongMethod     Code = 133
-	TooManyRequests Code = 134
-	VersionNotHeld  Code = 135
-	NodeUnreachable Code = 136
-	TextNotHeld     Code = 137
+	RolloutInvalid  Code = 116
+	RolloutRunning  Code = 117
+	// RolloutUnsettled: the serving version of a service is not known yet.
+	RolloutUnsettled Code = 118
+	NoQuorum         Code = 120
+	CommitUnknown    Code = 121
+	StorageFailed    Code = 122
+	NotSource        Code = 123
+	StateDiverged    Code = 124
+	FormatUnknown    Code = 125
+	Unauthorized     Code = 130
+	InputTooLarge    Code = 131
+	UnknownResource  Code = 132
+	WrongMethod      Code = 133
+	TooManyRequests  Code = 134
+	VersionNotHeld   Code = 135
+	NodeUnreachable  Code = 136
+	TextNotHeld      Code = 137
 
 	NoRoute          Code = 210
 	NoBackendServer  Code = 211
@@ -94,6 +98,7 @@
 	BadRequest       Code = 219
 	ServerRefused    Code = 220
 	BodyTooLarge     Code = 221
+	VersionRetired   Code = 222
 	AnswerLost       Code = 230
 	DeadlineExceeded Code = 231
 	CallerLeft       Code = 232
@@ -119,6 +124,7 @@
 	Unreachable Code = 501
 	NotInForce  Code = 502
 	NotIdle     Code = 503
+	RolledBack  Code = 504
 )
 
 type entry struct {
@@ -139,6 +145,9 @@
 	RouteConflict:    {"RouteConflict", NotRun, http.StatusConflict, "Another mesh already has a route for the same host and path."},
 	BaseMoved:        {"BaseMoved", NotRun, http.StatusPreconditionFailed, "The manifest builds on a version that is not the current one; the current one is named."},
 	RevisionStale:    {"RevisionStale", NotRun, http.StatusConflict, "Between two sources: the change was made of a manifest that is not the newest any more; it is sent again whole."},
+	RolloutInvalid:   {"RolloutInvalid", NotRun, http.StatusUnprocessableEntity, "The order for a roll-out has a fault, which is named; nothing was kept."},
+	RolloutRunning:   {"RolloutRunning", NotRun, http.StatusConflict, "Another roll-out of this service is not decided yet."},
+	RolloutUnsettled: {"RolloutUnsettled", NotRun, http.StatusServiceUnavailable, "Which software version serves is not known yet; come back later."},
 	NoQuorum:         {"NoQuorum", NotRun, http.StatusServiceUnavailable, "No majority of sources can be reached; nothing was accepted."},
 	CommitUnknown:    {"CommitUnknown", Unknown, http.StatusGatewayTimeout, "The manifest was handed to the sources but no commit was seen in time; send the same again."},
 	StorageFailed:    {"StorageFailed", NotRun, http.StatusInsufficientStorage, "The source cannot write to its data folder; it accepts nothing until that is mended."},
@@ -165,6 +174,7 @@
 	BadRequest:       {"BadRequest", NotRun, http.StatusBadRequest, "The request is malformed."},
 	ServerRefused:    {"ServerRefused", NotRun, http.StatusServiceUnavailable, "The backend server says that it did not run the request."},
 	BodyTooLarge:     {"BodyTooLarge", NotRun, http.StatusRequestEntityTooLarge, "The request's body is larger than the manifest allows."},
+	VersionRetired:   {"VersionRetired", NotRun, http.StatusServiceUnavailable, "The backend server's software version takes no new work; another one serves."},
 	AnswerLost:       {"AnswerLost", Unknown, http.StatusBadGateway, "The request was handed over and no whole answer came back; it may have run."},
 	DeadlineExceeded: {"DeadlineExceeded", Unknown, http.StatusGatewayTimeout, "The deadline passed while the request was with a backend server; it may have run."},
 	CallerLeft:       {"CallerLeft", Unknown, 499, "The caller went away while the request was with a backend server."},
@@ -177,6 +187,7 @@
 	Unreachable:      {"Unreachable", NotRun, http.StatusServiceUnavailable, "No daemon answered at the given address."},
 	NotInForce:       {"NotInForce", Run, http.StatusGatewayTimeout, "The manifest was accepted, but was not in force on every daemon in the time given."},
 	NotIdle:          {"NotIdle", Run, http.StatusGatewayTimeout, "The drain was begun and takes no new work, but requests were still in progress after the time given."},
+	RolledBack:       {"RolledBack", Run, http.StatusOK, "The roll-out was decided against its version; the version before serves."},
 
 	KeyReused:         {"KeyReused", NotRun, http.StatusUnprocessableEntity, "The idempotency key was used for another request; this one was not run."},
 	AnswerNotKept:     {"AnswerNotKept", Run, http.StatusConflict, "The first request under this idempotency key ran; its answer is not kept, and it is not run again."},
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -56,6 +56,8 @@
 	Answer string
 	// Crash is what HeaderCrash does; nil ends the process.
 	Crash func()
+	// Fails reports whether a request is answered with status 500; nil fails none.
+	Fails func(r *http.Request) bool
 }
 
 // Server is one running stand-in.
@@ -67,7 +69,7 @@
 	mu   sync.Mutex
 	runs map[string]int
 	// running and peak count requests in progress.
-	running, peak atomic.Int64
+	running, peak, requests atomic.Int64
 }
 
 // New opens the listener.
@@ -91,6 +93,9 @@
 // Addr is the address the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// Requests is how many requests it began to work at.
+func (s *Server) Requests() int { return int(s.requests.Load()) }
+
 // Peak is the most requests that ran at one time.
 func (s *Server) Peak() int64 { return s.peak.Load() }
 
@@ -169,6 +174,10 @@
 		}
 	}
 	w.Header().Set(HeaderServer, s.Addr())
+	if s.cfg.Fails != nil && s.cfg.Fails(r) {
+		http.Error(w, "this version fails", http.StatusInternalServerError)
+		return
+	}
 	if r.ContentLength == 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(s.cfg.Answer)))
 		_, _ = io.WriteString(w, s.cfg.Answer)
@@ -180,6 +189,7 @@
 }
 
 func (s *Server) begin(id string) {
+	s.requests.Add(1)
 	running := s.running.Add(1)
 	for peak := s.peak.Load(); running > peak; peak = s.peak.Load() {
 		s.peak.CompareAndSwap(peak, running)
--- a/internal/version/directory/builder.go
+++ b/internal/version/directory/builder.go
@@ -95,7 +95,7 @@
 
 func (b *Builder) allows(key snapshot.ServiceKey, server *presence.Server) bool {
 	service := b.snapshot.Service(key)
-	if service == nil {
+	if service == nil || !b.snapshot.Admits(key, server.Version) {
 		return false
 	}
 	addr, err := netip.ParseAddrPort(server.Addr)
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -74,8 +74,8 @@
 
 // State is the accepted intent at one fleet version.
 type State struct {
-	// Version is the fleet version: 0 is the empty state, each accepted
-	// manifest adds 1.
+	// Version is the fleet version: 0 is the empty state, each accepted manifest and each
+	// step of a roll-out adds 1.
 	Version   uint64
 	resources *resources
 	hash      uint64
@@ -267,7 +267,7 @@
 // count adds to the sums of hashes.
 func (d *draft) count(k Key, hash uint64) {
 	d.hash += hash
-	if k.Kind != KindMesh {
+	if k.Kind.ofManifest() {
 		d.sums[k.Mesh] += hash
 	}
 }
--- a/internal/version/fleet/revision.go
+++ b/internal/version/fleet/revision.go
@@ -56,7 +56,7 @@
 	s.Each(m.Mesh, func(k Key, raw []byte) {
 		value := wanted[k]
 		delete(wanted, k)
-		if k.Kind != KindMesh && string(value) != string(raw) {
+		if k.Kind.ofManifest() && string(value) != string(raw) {
 			r.change(k, raw, value)
 		}
 	})
@@ -108,10 +108,14 @@
 	}
 	next := s.derive(s.Version + 1)
 	if r.Base == 0 {
-		s.Each(r.Mesh, func(k Key, _ []byte) { next.set(k, nil) })
+		s.Each(r.Mesh, func(k Key, _ []byte) {
+			if k.Kind.ofManifest() {
+				next.set(k, nil)
+			}
+		})
 	}
 	for _, c := range r.Changes {
-		if c.Key.Mesh != r.Mesh || (c.Key.Kind != KindService && c.Key.Kind != KindRoute) {
+		if c.Key.Mesh != r.Mesh || !c.Key.Kind.ofManifest() {
 			return nil, errors.Wrapf(ErrForeign, "%s/%s/%s", c.Key.Mesh, c.Key.Kind, c.Key.Name)
 		}
 		next.set(c.Key, c.Value)
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -83,6 +84,8 @@
 	hosts    map[string]*table // "" is any host
 	// parts are the meshes by name, for the compilation of the next version.
 	parts map[string]*part
+	// rollouts are those of the services whose software versions are known.
+	rollouts map[ServiceKey]*fleet.Rollout
 }
 
 // part is one compiled mesh. It is immutable and shared between versions.
@@ -106,6 +109,7 @@
 		services: map[ServiceKey]*Service{},
 		hosts:    map[string]*table{},
 		parts:    map[string]*part{},
+		rollouts: map[ServiceKey]*fleet.Rollout{},
 	}
 	for _, mesh := range state.Meshes() {
 		compiled, err := compileMesh(previous, state, mesh)
@@ -113,6 +117,9 @@
 			return nil, errors.Wrapf(err, "mesh %s", mesh)
 		}
 		s.add(mesh, compiled)
+		if err := s.addRollouts(state, mesh); err != nil {
+			return nil, errors.Wrapf(err, "mesh %s", mesh)
+		}
 	}
 	return s, nil
 }
@@ -282,3 +289,57 @@
 	}
 	return list
 }
+
+func (s *Snapshot) addRollouts(state *fleet.State, mesh string) (failed error) {
+	state.EachOf(mesh, fleet.KindRollout, func(k fleet.Key, raw []byte) {
+		r, err := fleet.DecodeRollout(raw)
+		if err != nil {
+			failed = errors.CombineErrors(failed, errors.Wrapf(err, "roll-out of %s", k.Name))
+			return
+		}
+		s.rollouts[ServiceKey{Mesh: mesh, Name: k.Name}] = r
+	})
+	return failed
+}
+
+// Rollout returns what is known of a service's software versions, or nil.
+func (s *Snapshot) Rollout(k ServiceKey) *fleet.Rollout { return s.rollouts[k] }
+
+// Admits reports whether servers of a software version may get requests: any, while
+// nothing is known of the service's versions.
+func (s *Snapshot) Admits(k ServiceKey, version string) bool {
+	r := s.rollouts[k]
+	return r == nil || r.Admits(version)
+}
+
+// RolloutRuns reports whether any roll-out is not decided yet.
+func (s *Snapshot) RolloutRuns() bool {
+	for _, r := range s.rollouts {
+		if r.Stage.Running() {
+			return true
+		}
+	}
+	return false
+}
+
+// LongestTimeout is the longest that a route to a service lets a request take.
+func (s *Snapshot) LongestTimeout(k ServiceKey) time.Duration {
+	var longest time.Duration
+	for _, p := range s.parts {
+		for _, r := range p.routes {
+			if slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service.Key == k }) {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
+// Takes reports whether servers of a software version take new requests.
+func (s *Snapshot) Takes(k ServiceKey, version string) bool {
+	r := s.rollouts[k]
+	return r == nil || r.Takes(version)
+}
+
+// Rollouts returns those of every service; the map must not be changed.
+func (s *Snapshot) Rollouts() map[ServiceKey]*fleet.Rollout { return s.rollouts }
