--- a/internal/connection/announce/registry_test.go
+++ b/internal/connection/announce/registry_test.go
@@ -117,3 +117,26 @@
 	c.Check(said(100, 60, "serving"), qt.IsFalse)
 	c.Check(said(300, 1, "serving"), qt.IsTrue)
 }
+
+// TestCold tells a server's slow start where roll-outs are in use, and that it is over, and
+// carries its software version.
+func TestCold(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	for _, tells := range []bool{false, true} {
+		r := NewRegistry()
+		r.tellsCold = tells
+		put := func(at time.Time, cold int) bool {
+			changed, err := r.Put(at, Announcement{Mesh: "m", Service: "s", Version: "v2", Address: "10.0.0.1:80", Slots: 1, Connections: 1, LeaseSeconds: 60, ColdMillis: cold})
+			c.Assert(err == nil, qt.IsTrue)
+			return changed
+		}
+		c.Check(put(start, 3000), qt.IsTrue)
+		c.Check(r.Servers()[0].Version, qt.Equals, "v2")
+		c.Check(r.Servers()[0].Cold, qt.Equals, tells)
+		c.Check(put(start.Add(time.Second), 2000), qt.IsFalse, qt.Commentf("nothing new is told"))
+		c.Check(r.Expire(start.Add(2*time.Second)), qt.IsFalse)
+		c.Check(r.Expire(start.Add(3*time.Second)), qt.Equals, tells)
+		c.Check(r.Servers()[0].Cold, qt.IsFalse)
+	}
+}
--- /dev/null
+++ b/internal/request/canary/account_test.go
@@ -0,0 +1,124 @@
+package canary_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/request/canary"
+	"github.com/daisygate/daisygate/internal/version/fleet"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	budget = canary.Budget{Share: 0.1, Slack: 50}
+)
+
+func rolloutIn(stage fleet.Stage) *fleet.Rollout {
+	return &fleet.Rollout{Number: 1, Version: "v1", Target: "v2", Stage: stage, Servers: 3, Within: 10 * time.Second}
+}
+
+// TestBudget lets many accounts choose at random: before the handover, all of them together
+// never send more than the share and the slack to the target version, whatever requests
+// come to whom and however they end.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 80).Draw(t, "daemons")
+		var accounts []*canary.Account
+		for place := range daemons {
+			accounts = append(accounts, canary.NewAccount(rolloutIn(fleet.Canary), budget, budget.Credit(place, daemons)))
+		}
+		reached, spent := 0, 0
+		type sent struct {
+			a      *canary.Account
+			answer canary.Answer
+		}
+		var under []sent
+		for i := range rapid.IntRange(1, 3000).Draw(t, "requests") {
+			n := i * 7919 % (daemons*2 + 1) % daemons
+			a := accounts[n]
+			if i == 1500 {
+				for _, other := range accounts {
+					other.Enter(rolloutIn(fleet.Proof))
+				}
+			}
+			route := []string{"a", "b", "c"}[i%5%3]
+			arm, _ := a.Choose(start.Add(time.Duration(i)*3*time.Millisecond), route, true)
+			a.Sent(arm.Version)
+			if arm.Version == "v2" {
+				spent++
+			}
+			under = append(under, sent{a, canary.Answer{Route: route, Version: arm.Version, Server: "s", Took: 5 * time.Millisecond}})
+			if i%3 == 0 {
+				under[0].a.Answered(under[0].answer)
+				under = under[1:]
+				reached++
+			}
+			if float64(spent) > budget.Share*float64(reached)+float64(budget.Slack) {
+				t.Fatalf("%d of %d requests", spent, reached)
+			}
+		}
+	})
+}
+
+// TestTouch sends nothing to a version under roll-out while the leader is not heard of, and
+// everything in the handover, which a daemon out of touch may not have missed either.
+func TestTouch(t *testing.T) {
+	c := qt.New(t)
+	for stage, version := range map[fleet.Stage]string{fleet.Canary: "v1", fleet.Proof: "v1", fleet.Handover: "v2"} {
+		a := canary.NewAccount(rolloutIn(stage), budget, 5)
+		first, then := a.Choose(start, "a", false)
+		c.Check(first, qt.Equals, balance.Arm{Bound: true, Version: version}, qt.Commentf("%s", stage))
+		c.Check(then.Version, qt.Equals, version)
+		c.Check(a.Other(then).Version, qt.Not(qt.Equals), version)
+	}
+	none := rolloutIn(fleet.Canary)
+	none.Servers = 0
+	first, _ := canary.NewAccount(none, budget, 5).Choose(start, "a", true)
+	c.Check(first.Version, qt.Equals, "v1", qt.Commentf("the leader has named no servers yet"))
+}
+
+// answers counts n answers of both versions, of which those of the target fail or take long
+// at the given rate.
+func answers(a *canary.Account, from, n, failEach, slowEach int, server func(i int) string) {
+	for i := from; i < from+n; i++ {
+		base := canary.Answer{Route: "a", Version: "v1", Server: "o", Took: time.Duration(80+i%40) * time.Millisecond}
+		a.Answered(base)
+		target := canary.Answer{Route: "a", Version: "v2", Server: server(i), Took: base.Took}
+		target.Failed = failEach > 0 && i%failEach == 0
+		if slowEach > 0 && i%slowEach == 0 {
+			target.Took *= 4
+		}
+		a.Answered(target)
+	}
+}
+
+// TestTrip stops a daemon by itself that sees the target version fail or get slow, also when
+// it turns bad late, and not for a single server of several.
+func TestTrip(t *testing.T) {
+	servers := func(i int) string { return []string{"x", "y", "z", "w"}[i%4] }
+	for name, row := range map[string]struct {
+		good, failEach, slowEach int
+		server                   func(int) string
+		trips                    bool
+	}{
+		"good":              {400, 0, 0, servers, false},
+		"fails at once":     {0, 3, 0, servers, true},
+		"fails late":        {400, 3, 0, servers, true},
+		"slow":              {100, 0, 3, servers, true},
+		"one server":        {100, 4, 0, servers, false}, // i%4 == 0 is always the same one
+		"one of one server": {100, 4, 0, func(int) string { return "x" }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			a := canary.NewAccount(rolloutIn(fleet.Canary), budget, 0)
+			answers(a, 0, row.good, 0, 0, row.server)
+			c.Check(a.Tripped(), qt.Equals, "")
+			answers(a, 0, 100, row.failEach, row.slowEach, row.server)
+			c.Check(a.Tripped() != "", qt.Equals, row.trips, qt.Commentf("%s", a.Tripped()))
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/flow/rollout_test.go
@@ -0,0 +1,63 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/view"
+	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/directory"
+)
+
+func versions() *Service {
+	s := NewService(balance.Place{Node: "n0", Domain: "d0"}, nil)
+	var list []*directory.Candidate
+	for i := range 40 {
+		list = append(list, &directory.Candidate{
+			Node:   view.Node{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%3)},
+			Server: presence.Server{Addr: fmt.Sprint("s", i), Slots: 4, State: presence.Serving, Version: []string{"v1", "v2"}[i%2]},
+		})
+	}
+	s.Table.Update(list, 0)
+	return s
+}
+
+// TestArms keeps the first attempt to the arm it was given, on the same few servers for every
+// request, and the others to the other version.
+func TestArms(t *testing.T) {
+	c := qt.New(t)
+	s := versions()
+	now := time.Unix(1000, 0)
+	base, target := balance.Arm{Bound: true, Version: "v1"}, balance.Arm{Bound: true, Version: "v2", First: 3}
+	seen := map[string]bool{}
+	for seed := range uint64(200) {
+		call, a := s.Begin(now, seed, Request{Deadline: now.Add(time.Second), Repeatable: true, Retries: 2, Arm: target, Then: base, Otherwise: balance.Arm{Bound: true, Version: "v2"}})
+		c.Assert(a.Kind, qt.Equals, Try)
+		c.Check(a.Candidate.Server.Version, qt.Equals, "v2")
+		seen[a.Candidate.Server.Addr] = true
+		a = call.Refused(now, seed, result.Overloaded, 0)
+		c.Check(a.Candidate.Server.Version, qt.Equals, "v1")
+		call.CallerLeft(now)
+	}
+	c.Check(len(seen), qt.Equals, 3)
+}
+
+// TestOneStageBehind replays the handover at a daemon that has not heard of it: every server
+// of the version before refuses, and the caller is answered by the other one all the same.
+func TestOneStageBehind(t *testing.T) {
+	c := qt.New(t)
+	s := versions()
+	now := time.Unix(1000, 0)
+	base := balance.Arm{Bound: true, Version: "v1"}
+	call, a := s.Begin(now, 1, Request{Deadline: now.Add(time.Second), Arm: base, Then: base, Otherwise: balance.Arm{Bound: true, Version: "v2"}})
+	c.Assert(a.Candidate.Server.Version, qt.Equals, "v1")
+	a = call.Refused(now, 2, result.VersionRetired, 0)
+	c.Assert(a.Kind, qt.Equals, Try)
+	c.Check(a.Candidate.Server.Version, qt.Equals, "v2")
+	c.Check(call.Answered().Kind, qt.Equals, Relay)
+}
