--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -34,12 +34,14 @@
 
 // devOptions are the flags of dev.
 type devOptions struct {
-	demo    bool
-	verbose bool
-	path    string
-	dataDir string
-	nodes   int
-	port    int
+	demo bool
+	// rollouts shows roll-outs; with it servers tell their version.
+	rollouts bool
+	verbose  bool
+	path     string
+	dataDir  string
+	nodes    int
+	port     int
 }
 
 func newDev() *cobra.Command {
@@ -63,6 +65,7 @@
 	}
 	f := cmd.Flags()
 	f.BoolVar(&opt.demo, "demo", false, "show one request answered and one change taking force, then end")
+	f.BoolVar(&opt.rollouts, "rollouts", false, "show a bad and a good software version rolled out under load, then end; takes half a minute")
 	f.BoolVarP(&opt.verbose, "verbose", "v", false, "print the daemons' logs to stderr")
 	f.StringVarP(&opt.path, "file", "f", "", "manifest (YAML) to apply; empty is the built-in example")
 	f.StringVar(&opt.dataDir, "data-dir", "", "data folder to keep; empty is a temporary one")
@@ -98,7 +101,10 @@
 	if err := d.begin(ctx); err != nil {
 		return err
 	}
-	if opt.demo {
+	switch {
+	case opt.rollouts:
+		return d.demoRollouts(ctx)
+	case opt.demo:
 		return d.demo(ctx)
 	}
 	d.printHints()
@@ -118,10 +124,14 @@
 // start runs the mesh, with a backend server of each service beside every
 // daemon but one, so that some calls cross two daemons.
 func (o *devOptions) start(m *manifest.Manifest) (*dev.Mesh, error) {
-	cfg := dev.Config{Nodes: o.nodes, DataDir: o.dataDir, Log: logr.Discard()}
+	cfg := dev.Config{Nodes: o.nodes, DataDir: o.dataDir, Rollouts: o.rollouts, Log: logr.Discard()}
+	version := ""
+	if o.rollouts {
+		version = demoVersion
+	}
 	for i, service := range m.Services {
 		for node := range max(o.nodes-1, 1) {
-			cfg.Servers = append(cfg.Servers, dev.Server{Node: (i + node) % o.nodes, Mesh: m.Mesh, Service: service.Name})
+			cfg.Servers = append(cfg.Servers, dev.Server{Node: (i + node) % o.nodes, Mesh: m.Mesh, Service: service.Name, Version: version})
 		}
 	}
 	if o.verbose {
@@ -131,7 +141,7 @@
 		}
 		cfg.Log = log
 	}
-	if o.port == 0 || o.demo {
+	if o.port == 0 || o.demo || o.rollouts {
 		return dev.Start(cfg)
 	}
 	cfg.Operator = "127.0.0.1:" + strconv.Itoa(o.port)
--- /dev/null
+++ b/internal/cli/dev_rollout.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/connection/operator"
+	"github.com/daisygate/daisygate/internal/process/dev"
+	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/manifest"
+)
+
+// The roll-outs that the demo shows.
+const (
+	demoVersion = "v1"
+	demoBad     = "v2"
+	demoGood    = "v3"
+	demoWithin  = 12 * time.Second
+	// demoCallers send a request each demoPause meanwhile.
+	demoCallers = 12
+	demoPause   = 10 * time.Millisecond
+)
+
+// demoRollouts rolls out a version that fails every second request, then a good one, under
+// load.
+func (d *devMesh) demoRollouts(ctx context.Context) error {
+	route := &d.manifest.Routes[0]
+	ctx, cancel := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer cancel()
+	for i := range demoCallers {
+		callers.Go(func() { d.keepCalling(ctx, i, route) })
+	}
+	for _, version := range []string{demoBad, demoGood} {
+		if err := d.showRollout(ctx, route, version); err != nil {
+			return err
+		}
+	}
+	answer, err := d.request(ctx, d.mesh.Nodes[0], route)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(d.out, "\nThe service answers now:\n  %s\n", strings.TrimSpace(answer))
+	return nil
+}
+
+func (d *devMesh) keepCalling(ctx context.Context, at int, route *manifest.Route) {
+	for ; ctx.Err() == nil; at++ {
+		_, _ = d.request(ctx, d.mesh.Nodes[at%len(d.mesh.Nodes)], route)
+		time.Sleep(demoPause)
+	}
+}
+
+func (d *devMesh) showRollout(ctx context.Context, route *manifest.Route, version string) error {
+	what := "a good version"
+	if version == demoBad {
+		what = "a version that fails every second request"
+	}
+	fmt.Fprintf(d.out, "\nA roll-out of service %s to %s, %s:\n", route.Service, version, what)
+	order := operator.RolloutRequest{Mesh: d.manifest.Mesh, Service: route.Service, Target: version, WithinSeconds: demoWithin.Seconds()}
+	err := d.eventually(ctx, "the serving version to be known", func() error {
+		_, err := d.client.OrderRollout(ctx, order)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if err := d.startVersion(route.Service, version); err != nil {
+		return err
+	}
+	w := rolloutWaiter{client: d.client, name: source.ServiceName{Mesh: order.Mesh, Service: order.Service}, progress: d.progress}
+	answer, err := w.run(ctx, demoWithin+rolloutGrace)
+	if err != nil && !isCode(err, result.RolledBack) {
+		return err
+	}
+	printRollout(d.out, answer.Rollout)
+	return nil
+}
+
+// startVersion starts servers of another version beside the others of a service.
+func (d *devMesh) startVersion(service, version string) error {
+	var servers []dev.Server
+	for node := range d.mesh.Nodes {
+		servers = append(servers, dev.Server{Node: node, Mesh: d.manifest.Mesh, Service: service, Version: version, Fails: version == demoBad})
+	}
+	return d.mesh.StartServers(servers)
+}
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -35,6 +35,8 @@
 	Listeners []ListenerState
 	// Source is nil on a daemon that is no source.
 	Source *SourceState
+	// Rollouts are those that run.
+	Rollouts []gateway.ServiceTally
 	// Once is about idempotency keys and suspects.
 	Once OnceState
 }
@@ -92,6 +94,9 @@
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("daisygate_listener_connections_limit{listener=%q}", l.Name), uint64(l.Limit))
 		metrics.WriteCounterUint64(w, fmt.Sprintf("daisygate_listener_refused_total{listener=%q}", l.Name), l.Refused)
 	}
+	for _, r := range s.Rollouts {
+		writeRollout(w, r)
+	}
 	if s.Source != nil {
 		s.Source.write(w)
 	}
--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/daisygate/daisygate/internal/connection/gateway"
 	"github.com/daisygate/daisygate/internal/process/settings"
+	"github.com/daisygate/daisygate/internal/request/canary"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -142,7 +143,8 @@
 	m := NewMetrics(func() State {
 		return State{
 			Backends: []gateway.Occupancy{{}}, Listeners: []ListenerState{{}}, Source: &SourceState{},
-			Once: OnceState{Table: &ClaimTableState{}},
+			Once:     OnceState{Table: &ClaimTableState{}},
+			Rollouts: []gateway.ServiceTally{{Tally: canary.Tally{Routes: map[string]*canary.Pair{"r": {}}}}},
 		}
 	})
 	m.Done(gateway.Done{})
