--- a/internal/version/snapshot/compile_test.go
+++ b/internal/version/snapshot/compile_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -104,6 +105,31 @@
 	}
 }
 
+// BenchmarkCompileLimits compiles a version in which only the limits of its mesh differ.
+func BenchmarkCompileLimits(b *testing.B) {
+	for _, routes := range []int{400, 1500, 4000} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			m := &manifest.Manifest{Mesh: "m", Version: 1, Services: []manifest.Service{{Name: "s"}}}
+			for i := range routes {
+				m.Routes = append(m.Routes, manifest.Route{Name: fmt.Sprintf("r%d", i), Path: fmt.Sprintf("/p%d", i), Service: "s"})
+			}
+			state, err := fleet.Empty().Accept(m)
+			qt.Assert(b, err, qt.IsNil)
+			previous, err := Compile(state)
+			qt.Assert(b, err, qt.IsNil)
+			m.Version, m.Limits.IdleTimeout = 2, time.Minute
+			state, err = state.Accept(m)
+			qt.Assert(b, err, qt.IsNil)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := CompileAfter(previous, state); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkCompileOneOf compiles a version in which one of so many routes of one mesh
 // differs.
 func BenchmarkCompileOneOf(b *testing.B) {
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -174,11 +174,19 @@
 		for len(rest) > 0 && rest[0].Name < k.Name {
 			rest = rest[1:]
 		}
-		if shares && len(rest) > 0 && bytes.Equal(rest[0].raw, raw) && p.holds(rest[0]) {
+		same := len(rest) > 0 && bytes.Equal(rest[0].raw, raw)
+		if same && shares && p.holds(rest[0]) {
 			p.routes = append(p.routes, rest[0])
 			return
 		}
-		v, err := fleet.DecodeRoute(raw)
+		var v manifest.Route
+		var err error
+		if same {
+			// Only what the route has of its mesh is new.
+			v = rest[0].Route
+		} else {
+			v, err = fleet.DecodeRoute(raw)
+		}
 		if err == nil {
 			err = p.addRoute(m, v, raw)
 		}
