Roll-outs: a request under an older version does not reset the account

A request that began just before an order and entered after others took the account of the roll-out away, and what was spent of the budget with it. Found by reading; TestOlderVersionKeepsTheAccount fails without the guard.

--- a/internal/connection/gateway/rollout.go
+++ b/internal/connection/gateway/rollout.go
@@ -53,9 +53,14 @@
 	return nil
 }
 
-// enterRollout brings the account of a service in step with its roll-out, nil for none.
+// enterRollout brings the account of a service in step with its roll-out, nil for none. A
+// request that began under an older version changes nothing: what was counted would be lost.
 // s.mu is held.
 func (g *Gateway) enterRollout(s *service, dir *directory.Directory, r *fleet.Rollout) {
+	if dir.Snapshot.Version < s.version {
+		return
+	}
+	s.version = dir.Snapshot.Version
 	switch {
 	case r == nil:
 		s.account = nil
@@ -168,9 +173,14 @@
 		s := g.service(key)
 		s.mu.Lock()
 		g.enterRollout(s, dir, r)
-		t.Tally, t.Tripped = s.account.Tally(), s.account.Tripped()
+		known := s.account != nil && s.account.Of(r)
+		if known {
+			t.Tally, t.Tripped = s.account.Tally(), s.account.Tripped()
+		}
 		s.mu.Unlock()
-		list = append(list, t)
+		if known {
+			list = append(list, t)
+		}
 	}
 	slices.SortFunc(list, func(a, b ServiceTally) int { return cmp.Compare(a.Key.String(), b.Key.String()) })
 	return list
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -17,8 +17,10 @@
 type service struct {
 	mu   sync.Mutex
 	core *flow.Service
-	// account is nil while no roll-out of the service runs.
+	// account is nil while no roll-out of the service runs; version is the newest fleet version
+	// that it was brought in step with.
 	account *canary.Account
+	version uint64
 }
 
 func (g *Gateway) service(key snapshot.ServiceKey) *service {
