A lost race is told as such, also where the winner took the same number

It is answered 114 (412, another version is current); 111 stays for orders that name no base, or the newest one. TestLostRace fails on the code before.

--- a/internal/process/source/machine.go
+++ b/internal/process/source/machine.go
@@ -194,19 +194,21 @@
 	m.history[line.Mesh] = lines
 }
 
-// refuse answers what is not new: a resend, a lost race, an old version.
+// refuse answers what is not new: a resend, a lost race, an old version. An order that names
+// its base and lost a race is told that its base has moved, also where the winner took the
+// same number: that is what its operator has to look at.
 func (m *machine) refuse(o *order) (Answer, bool) {
 	r := o.revision
-	if first := m.find(r.Mesh, r.Version); first != nil {
-		if first.Content == r.Content {
-			return Answer{Code: result.AlreadyAccepted, Fleet: first.Fleet}, true
-		}
-		return Answer{Code: result.VersionConflict, Winner: first}, true
+	first, newest := m.find(r.Mesh, r.Version), m.newest(r.Mesh)
+	if first != nil && first.Content == r.Content {
+		return Answer{Code: result.AlreadyAccepted, Fleet: first.Fleet}, true
 	}
-	newest := m.newest(r.Mesh)
 	if current := newest.Number(); o.base != nil && *o.base != current {
 		return Answer{Code: result.BaseMoved, Winner: newest, Detail: fmt.Sprintf("builds on %d, current is %d", *o.base, current)}, true
 	}
+	if first != nil {
+		return Answer{Code: result.VersionConflict, Winner: first}, true
+	}
 	if newest != nil && r.Version < newest.Version {
 		return Answer{Code: result.VersionOld, Winner: newest, Detail: m.forgotten(r)}, true
 	}
