--- a/internal/cli/rollout.go
+++ b/internal/cli/rollout.go
@@ -119,76 +119,63 @@
 	}
 }
 
-func newRolloutStatus() *cobra.Command {
+// rolloutQuestion asks a daemon about the roll-outs of one service and returns what is printed.
+type rolloutQuestion func(ctx context.Context, client *operator.Client, name source.ServiceName) ([]fleet.RolloutLine, error)
+
+// newRolloutQuestion fills in a command that asks one question about a service.
+func newRolloutQuestion(cmd *cobra.Command, put rolloutQuestion) *cobra.Command {
 	var to target
 	var out output
 	var name source.ServiceName
-	cmd := &cobra.Command{
-		Use:     "status",
-		Short:   "Tell how far the newest roll-out of a service is, and why",
-		Example: "  daisygate rollout status --mesh ahnenbach --service archive",
-		Args:    cobra.NoArgs,
-		RunE: ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
-			answer, err := client.Rollout(cmd.Context(), name)
-			if err != nil {
-				return nil, nil, err
-			}
-			return answer.Rollout, func(w io.Writer) { printRollout(w, answer.Rollout) }, nil
-		}),
-	}
+	cmd.Example = "  daisygate rollout " + cmd.Use + " --mesh ahnenbach --service archive"
+	cmd.Args = cobra.NoArgs
+	cmd.RunE = ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
+		list, err := put(cmd.Context(), client, name)
+		if err != nil {
+			return nil, nil, err
+		}
+		return list, func(w io.Writer) { printRollouts(w, list) }, nil
+	})
 	rolloutName(cmd, &name)
 	to.flags(cmd)
 	out.flags(cmd)
 	return cmd
 }
 
-func newRolloutAbort() *cobra.Command {
-	var to target
-	var out output
-	var name source.ServiceName
-	cmd := &cobra.Command{
-		Use:     "abort",
-		Short:   "Roll back the roll-out of a service that runs; repeating it is safe",
-		Example: "  daisygate rollout abort --mesh ahnenbach --service archive",
-		Args:    cobra.NoArgs,
-		RunE: ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
-			answer, err := client.OrderRollout(cmd.Context(), operator.RolloutRequest{Mesh: name.Mesh, Service: name.Service, Abort: true})
-			if err != nil {
-				return nil, nil, err
-			}
-			return answer.Rollout, func(w io.Writer) { printRollout(w, answer.Rollout) }, nil
-		}),
+// newestLine is the roll-out of an answer as a list.
+func newestLine(answer source.Answer, err error) ([]fleet.RolloutLine, error) {
+	if err != nil || answer.Rollout == nil {
+		return nil, err
 	}
-	rolloutName(cmd, &name)
-	to.flags(cmd)
-	out.flags(cmd)
-	return cmd
+	return []fleet.RolloutLine{answer.Rollout.Line()}, nil
+}
+
+func newRolloutStatus() *cobra.Command {
+	cmd := &cobra.Command{Use: "status", Short: "Tell how far the newest roll-out of a service is, and why"}
+	return newRolloutQuestion(cmd, func(ctx context.Context, client *operator.Client, name source.ServiceName) ([]fleet.RolloutLine, error) {
+		return newestLine(client.Rollout(ctx, name))
+	})
+}
+
+func newRolloutAbort() *cobra.Command {
+	cmd := &cobra.Command{Use: "abort", Short: "Roll back the roll-out of a service that runs; repeating it is safe"}
+	return newRolloutQuestion(cmd, func(ctx context.Context, client *operator.Client, name source.ServiceName) ([]fleet.RolloutLine, error) {
+		return newestLine(client.OrderRollout(ctx, operator.RolloutRequest{Mesh: name.Mesh, Service: name.Service, Abort: true}))
+	})
 }
 
 func newRolloutHistory() *cobra.Command {
-	var to target
-	var out output
-	var name source.ServiceName
-	cmd := &cobra.Command{
-		Use:     "history",
-		Short:   "List the roll-outs of a service that are known, newest first",
-		Example: "  daisygate rollout history --mesh ahnenbach --service archive",
-		Args:    cobra.NoArgs,
-		RunE: ask(&to, &out, func(cmd *cobra.Command, client *operator.Client) (any, func(io.Writer), error) {
-			answer, err := client.Rollout(cmd.Context(), name)
-			if err != nil {
-				return nil, nil, err
-			}
-			list := slices.Clone(answer.Rollout.Past)
-			list = append(list, answer.Rollout.Line())
-			slices.Reverse(list)
-			return list, func(w io.Writer) { printRollouts(w, list) }, nil
-		}),
-	}
-	rolloutName(cmd, &name)
-	to.flags(cmd)
-	out.flags(cmd)
-	return cmd
+	cmd := &cobra.Command{Use: "history", Short: "List the roll-outs of a service that are known, newest first"}
+	return newRolloutQuestion(cmd, func(ctx context.Context, client *operator.Client, name source.ServiceName) ([]fleet.RolloutLine, error) {
+		answer, err := client.Rollout(ctx, name)
+		list, err := newestLine(answer, err)
+		if err != nil || list == nil {
+			return list, err
+		}
+		list = append(slices.Clone(answer.Rollout.Past), list...)
+		slices.Reverse(list)
+		return list, nil
+	})
 }
 
 func printRollout(w io.Writer, r *fleet.Rollout) {
--- a/internal/process/rollout/sim_test.go
+++ b/internal/process/rollout/sim_test.go
@@ -112,10 +112,8 @@
 	account *canary.Account
 	rollout fleet.Rollout
 	version uint64
-	heard   time.Duration
 	cut     bool
 	running map[string]int
-	report  time.Duration
 }
 
 type server struct {
--- a/internal/request/canary/judge.go
+++ b/internal/request/canary/judge.go
@@ -10,53 +10,6 @@
 	"time"
 )
 
-// The sequential test: the cumulative sum of Page, "Continuous Inspection Schemes"
-// (Biometrika, 1954), over the log-likelihood ratio of two shares of bad answers. It takes a
-// version that turns bad late for what it is, however many good answers came before.
-const (
-	// Alarm is the sum at which a version is found worse: one that is not gets there about
-	// once in e to the power of it.
-	Alarm = 7.0
-	// A version is as good with up to worse times the share of failures of the one before
-	// it, and failedMore besides: servers differ, and a few of them are compared with many.
-	// It is bad with leap times as many and a further failedLeap.
-	worse      = 2.0
-	leap       = 1.5
-	failedMore = 0.003
-	failedLeap = 0.02
-	// The same for answers that are slower than all but slowPart of the other version's,
-	// and by slowSteps quarter octaves more.
-	slowPart  = 0.02
-	slowSteps = 2
-	slowMore  = 0.005
-	slowLeap  = 0.03
-	// disturbedSteps is how much later the slow answers of the other version begin, in
-	// quarter octaves, while it is taken for disturbed.
-	disturbedSteps = 3
-	// mostShare keeps shares below 1.
-	mostShare = 0.97
-	// memory is how many answers of the other version are looked back upon: what the
-	// service meets now counts, and not what it met at the start.
-	memory = 1000.0
-	// leastCalm is how many of them tell what is usual.
-	leastCalm = 600
-	// mostCalm is the part of Alarm that evidence against the best time may reach: it is
-	// forgotten soon after both are well again.
-	mostCalm = 0.6
-	// leastTimes is how many answers tell how long answers take.
-	leastTimes = 40
-)
-
-// What is bad at single servers is no fault of their version: one in spareServers of them,
-// with singleBad of all that is bad and at most singleAnswers of the answers. Fewer bad
-// answers than leastBad do not tell.
-const (
-	spareServers  = 3
-	singleBad     = 0.8
-	singleAnswers = 0.55
-	leastBad      = 4
-)
-
 // Judge compares the target version with the one before it, at the same time and under the
 // same load. The zero Judge is ready. It is not safe for concurrent use.
 type Judge struct {
@@ -68,75 +21,25 @@
 	pooled sums
 }
 
-// sums are the cumulative sums of a test. failing and slowing compare with the other version
-// at the same time and convince; the others compare with its best time, and leave the target
-// version in doubt while both are disturbed, for then nothing tells whether it is bad too.
-type sums struct {
-	failing, slowing         float64
-	failingCalm, slowingCalm float64
-	// failingFrom and slowingFrom are the servers as they were when the evidence began.
-	failingFrom, slowingFrom map[string]Server
-}
-
-func (s *sums) add(e sums, alarm float64, servers map[string]Server) {
-	s.failing = math.Max(0, s.failing+e.failing)
-	s.slowing = math.Max(0, s.slowing+e.slowing)
-	s.failingCalm = math.Min(math.Max(0, s.failingCalm+e.failingCalm), mostCalm*alarm)
-	s.slowingCalm = math.Min(math.Max(0, s.slowingCalm+e.slowingCalm), mostCalm*alarm)
-	if s.failing+s.failingCalm == 0 {
-		s.failingFrom = servers
-	}
-	if s.slowing+s.slowingCalm == 0 {
-		s.slowingFrom = servers
-	}
-}
-
-func (s *sums) most() float64 {
-	return max(s.failing, s.slowing, s.failingCalm, s.slowingCalm)
-}
-
-// plus adds the evidence of another route.
-func (s sums) plus(o sums) sums {
-	s.failing, s.slowing = s.failing+o.failing, s.slowing+o.slowing
-	s.failingCalm, s.slowingCalm = s.failingCalm+o.failingCalm, s.slowingCalm+o.slowingCalm
-	return s
-}
-
-// trial is the test of one route.
-type trial struct {
-	sums
-	seen Pair
-	// failed, answers and times are what the other version met lately; older answers count
-	// less.
-	failed, answers float64
-	times           [buckets]float64
-	// calmShare is the least share of its answers that failed at any time, calmEdge the
-	// least edge of slow answers with the share above it; calm tells that they are known.
-	calm      bool
-	calmShare float64
-	calmEdge  int
-	calmSlow  float64
-}
-
 // Update takes in all that was counted so far, and tells why the target version is bad, or "".
-func (j *Judge) Update(t *Tally) string {
+func (j *Judge) Update(tally *Tally) string {
 	if j.routes == nil {
 		j.routes = map[string]*trial{}
 		j.Alarm = cmp.Or(j.Alarm, Alarm)
 	}
 	var found []string
-	servers := maps.Clone(t.Servers)
+	servers := maps.Clone(tally.Servers)
 	var evidence sums
-	for name, pair := range t.Routes {
-		trial := j.routes[name]
-		if trial == nil {
-			trial = newTrial()
-			j.routes[name] = trial
+	for name, pair := range tally.Routes {
+		t := j.routes[name]
+		if t == nil {
+			t = &trial{}
+			j.routes[name] = t
 		}
-		evidence = evidence.plus(trial.update(pair, j.Alarm, servers))
-		if why := trial.verdict(j.Alarm, servers); why != "" {
+		evidence = evidence.plus(t.update(pair, j.Alarm, servers))
+		if why := t.verdict(j.Alarm, servers); why != "" {
 			found = append(found, fmt.Sprintf("route %s: %s (%d of %d answers failed there, before %.0f of %.0f)",
-				name, why, pair.Target.Failed, pair.Target.Answers, trial.failed, trial.answers))
+				name, why, pair.Target.Failed, pair.Target.Answers, t.failed, t.answers))
 		}
 	}
 	j.pooled.add(evidence, j.Alarm, servers)
@@ -156,27 +59,6 @@
 	return math.Min(most/cmp.Or(j.Alarm, Alarm), 1)
 }
 
-// verdict tells why the target version is bad, or "". What single servers do is forgotten.
-func (s *sums) verdict(alarm float64, servers map[string]Server) string {
-	if s.failing > alarm || s.failingCalm >= mostCalm*alarm {
-		if single(servers, s.failingFrom, func(v Server) uint64 { return v.Failed }) {
-			s.failing, s.failingCalm = 0, 0
-		}
-	}
-	if s.slowing > alarm || s.slowingCalm >= mostCalm*alarm {
-		if single(servers, s.slowingFrom, func(v Server) uint64 { return v.Slow }) {
-			s.slowing, s.slowingCalm = 0, 0
-		}
-	}
-	switch {
-	case s.failing > alarm:
-		return "too many answers fail"
-	case s.slowing > alarm:
-		return "too many answers are slow"
-	}
-	return ""
-}
-
 // slow reports whether an answer took longer than almost all of the other version's.
 func (j *Judge) slow(route string, took time.Duration) bool {
 	t := j.routes[route]
@@ -187,144 +69,6 @@
 	return known && bucketOf(took) > edge
 }
 
-func newTrial() *trial { return &trial{} }
-
-// update takes in what was counted so far and returns the evidence in what is new.
-func (t *trial) update(now *Pair, alarm float64, servers map[string]Server) sums {
-	t.learn(&now.Base)
-	answers, failed := now.Target.Answers-t.seen.Target.Answers, now.Target.Failed-t.seen.Target.Failed
-	var e sums
-	usual := t.share(t.failed)
-	e.failing = evidence(failed, answers, usual, failedMore, failedLeap)
-	e.failingCalm = e.failing
-	if edge, slow, known := t.edge(); known {
-		t.settle(usual, edge, slow)
-		e.slowing = evidence(t.over(now, edge), answers, slow, slowMore, slowLeap)
-		e.slowingCalm = e.slowing
-	}
-	if good, _ := hypotheses(t.calmShare, failedMore, failedLeap); t.calm && usual > good {
-		e.failingCalm = evidence(failed, answers, t.calmShare, failedMore, failedLeap)
-	}
-	if edge, _, known := t.edge(); t.calm && known && edge >= t.calmEdge+disturbedSteps {
-		e.slowingCalm = evidence(t.over(now, t.calmEdge), answers, t.calmSlow, slowMore, slowLeap)
-	}
-	t.add(e, alarm, servers)
-	t.seen = Pair{Base: now.Base.clone(), Target: now.Target.clone()}
-	return e
-}
-
-// over counts the new answers of the target version above an edge.
-func (t *trial) over(now *Pair, edge int) uint64 {
-	return above(now.Target.Times, edge) - above(t.seen.Target.Times, edge)
-}
-
-// settle keeps what the other version met at its best.
-func (t *trial) settle(usual float64, edge int, slow float64) {
-	if t.answers < leastCalm && t.calm {
-		return
-	}
-	if !t.calm || usual < t.calmShare {
-		t.calmShare = usual
-	}
-	if !t.calm || edge < t.calmEdge {
-		t.calmEdge, t.calmSlow = edge, slow
-	}
-	t.calm = true
-}
-
-// learn takes in what the other version met since the last time.
-func (t *trial) learn(base *Counts) {
-	fresh := float64(base.Answers - t.seen.Base.Answers)
-	if fresh == 0 {
-		return
-	}
-	keep := math.Exp(-fresh / memory)
-	t.answers = keep*t.answers + fresh
-	t.failed = keep*t.failed + float64(base.Failed-t.seen.Base.Failed)
-	for i := range t.times {
-		t.times[i] = keep*t.times[i] + float64(at(base.Times, i)-at(t.seen.Base.Times, i))
-	}
-}
-
-// share is a share of the other version's answers; of few it is taken for higher than it is.
-func (t *trial) share(of float64) float64 { return (of + 0.5) / (t.answers + 10) }
-
-// edge returns the bucket above which answers are slow, and the other version's share there.
-func (t *trial) edge() (edge int, share float64, known bool) {
-	if t.answers < leastTimes {
-		return 0, 0, false
-	}
-	over := 0.0
-	at := buckets - 1
-	for ; at > 0 && over+t.times[at] <= slowPart*t.answers; at-- {
-		over += t.times[at]
-	}
-	at += slowSteps
-	over = 0
-	for i := at + 1; i < buckets; i++ {
-		over += t.times[i]
-	}
-	return at, over / t.answers, true
-}
-
-// hypotheses are the shares of bad answers of a version that is as good as the other one,
-// and of one that is worse.
-func hypotheses(usual, more, step float64) (good, bad float64) {
-	good = math.Min(worse*usual+more, mostShare/leap)
-	return good, math.Min(leap*good+step, mostShare)
-}
-
-// evidence is how much some answers, of which so many were bad, speak for a worse version.
-func evidence(bad, answers uint64, usual, more, step float64) float64 {
-	good, worse := hypotheses(usual, more, step)
-	return ratio(bad, answers-bad, good, worse)
-}
-
-// ratio is the log-likelihood ratio of some bad and other answers.
-func ratio(bad, other uint64, good, worse float64) float64 {
-	return float64(bad)*math.Log(worse/good) + float64(other)*math.Log((1-worse)/(1-good))
-}
-
-// single reports whether few servers account for most of what was bad since the evidence
-// began, with no more than their part of the answers.
-func single(servers, from map[string]Server, bad func(Server) uint64) bool {
-	list := make([]Server, 0, len(servers))
-	for addr, s := range servers {
-		old := from[addr]
-		if s.Answers > old.Answers {
-			list = append(list, Server{Answers: s.Answers - old.Answers, Failed: s.Failed - old.Failed, Slow: s.Slow - old.Slow})
-		}
-	}
-	spare := len(list) / spareServers
-	slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(bad(b), bad(a)) })
-	var worst, all, answers, total float64
-	for i, s := range list {
-		all += float64(bad(s))
-		total += float64(s.Answers)
-		if i < spare {
-			worst += float64(bad(s))
-			answers += float64(s.Answers)
-		}
-	}
-	return spare > 0 && all >= leastBad && worst >= singleBad*all && answers <= singleAnswers*total
-}
-
-// above counts the answers in buckets over an edge.
-func above(times []uint32, edge int) uint64 {
-	var sum uint64
-	for i := edge + 1; i < len(times); i++ {
-		sum += uint64(times[i])
-	}
-	return sum
-}
-
-func at(times []uint32, i int) uint32 {
-	if i < len(times) {
-		return times[i]
-	}
-	return 0
-}
-
 // String lists the evidence, for logs.
 func (j *Judge) String() string {
 	parts := []string{"all " + j.pooled.String()}
@@ -334,8 +78,3 @@
 	slices.Sort(parts)
 	return strings.Join(parts, ", ")
 }
-
-// String lists the sums.
-func (s *sums) String() string {
-	return fmt.Sprintf("failing %.1f slow %.1f against its best %.1f %.1f", s.failing, s.slowing, s.failingCalm, s.slowingCalm)
-}
