--- a/internal/process/rollout/core.go
+++ b/internal/process/rollout/core.go
@@ -46,7 +46,7 @@
 	// alertAlarm is the evidence that convinces before every daemon has told.
 	alertAlarm = 14.0
 	// leastAnswers of the target version are needed to call it good.
-	leastAnswers = 15
+	leastAnswers = 20
 	// mostDoubt is the part of the evidence against a version that may stand when it goes on.
 	mostDoubt = 0.5
 )
