Roll-outs: a storm of configurations brings no storm of reports

A daemon reported at once whenever another fleet version came into force, so that with a version each 60 ms every daemon sent eight reports a second to the leader. Found by reading. Only another stage of a roll-out is told ahead of time now, at half of the usual interval.

--- a/internal/process/daemon/rollout.go
+++ b/internal/process/daemon/rollout.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/daisygate/daisygate/internal/connection/gateway"
@@ -11,6 +13,7 @@
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/request/canary"
 	"github.com/daisygate/daisygate/internal/result"
+	"github.com/daisygate/daisygate/internal/version/snapshot"
 )
 
 // The names of the control methods for roll-outs.
@@ -155,7 +158,7 @@
 			reporter.leader = ""
 			continue
 		}
-		if !reporter.due(time.Now(), len(d.mesh.Directory().Records), snap.Version, failed) {
+		if !reporter.due(time.Now(), len(d.mesh.Directory().Records), stagesOf(snap), failed) {
 			continue
 		}
 		r := rollout.Report{Node: d.set.Node, Incarnation: d.incarnation, Version: snap.Version}
@@ -177,24 +180,39 @@
 	leader string
 	turn   int
 	last   time.Time
-	// version is the fleet version last told.
-	version uint64
-	// urgent is set by a failure until the next report.
-	urgent bool
+	// stages are those last told.
+	stages uint64
+	// failed is set by a failure, changed by another stage, until the next report.
+	failed, changed bool
 }
 
-// due reports whether a report is to be sent now: soon after a failure of the target version
-// and after another version came into force, else as often as the size of the fleet allows.
-func (r *reporter) due(now time.Time, daemons int, version uint64, failed bool) bool {
-	r.urgent = r.urgent || failed || version != r.version
+// stagesOf names the stages of all roll-outs in force; other changes of the fleet's state
+// leave it as it is.
+func stagesOf(snap *snapshot.Snapshot) uint64 {
+	var sum uint64
+	for key, r := range snap.Rollouts() {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s %d %d", key, r.Number, r.Stage))
+	}
+	return sum
+}
+
+// due reports whether a report is to be sent now: soon after a failure of the target version,
+// twice as soon as usual after another stage came into force, else as often as the size of
+// the fleet allows.
+func (r *reporter) due(now time.Time, daemons int, stages uint64, failed bool) bool {
+	r.failed = r.failed || failed
+	r.changed = r.changed || stages != r.stages
 	wait := min(max(reportLeast, time.Duration(daemons)*reportEach), reportMost)
-	if r.urgent {
+	switch {
+	case r.failed:
 		wait = reportLeast / 2
+	case r.changed:
+		wait /= 2
 	}
 	if now.Sub(r.last) < wait {
 		return false
 	}
-	r.last, r.version, r.urgent = now, version, false
+	r.last, r.stages, r.failed, r.changed = now, stages, false, false
 	return true
 }
 
