Roll-outs: take out what nothing reads, one constant for the canary's part of the budget

Table.Holds and run.name were never called; a report told the leader that its daemon had tripped, which the leader did not read (the metric tells it); the leader sized the canary by a copy of the account's part. No behaviour changes.

--- a/internal/process/daemon/rollout.go
+++ b/internal/process/daemon/rollout.go
@@ -165,7 +165,7 @@
 		for _, t := range d.gateway.Rollouts() {
 			r.Services = append(r.Services, rollout.ServiceReport{
 				ServiceName: source.ServiceName{Mesh: t.Key.Mesh, Service: t.Key.Name}, Number: t.Number,
-				Tally: t.Tally, Tripped: t.Tripped, Running: t.Running,
+				Tally: t.Tally, Running: t.Running,
 			})
 		}
 		if err := d.sendReport(ctx, &reporter, r); err != nil {
--- a/internal/process/rollout/core.go
+++ b/internal/process/rollout/core.go
@@ -67,8 +67,6 @@
 	// Number is that of the roll-out.
 	Number uint64
 	Tally  canary.Tally
-	// Tripped tells why the daemon has left the target version by itself, or "".
-	Tripped string
 	// Running are the requests at servers beside the daemon that are not of the target
 	// version.
 	Running int
@@ -132,7 +130,6 @@
 
 // run is one roll-out that is not decided yet, at the leader.
 type run struct {
-	name    source.ServiceName
 	rollout fleet.Rollout
 	budget  canary.Budget
 	// began is when it was ordered, entered when its stage was first seen here, and since
@@ -287,7 +284,7 @@
 			began = now
 		}
 		r = &run{
-			name: s.ServiceName, budget: c.budget, began: began, since: now, nodes: map[string]*told{},
+			budget: c.budget, began: began, since: now, nodes: map[string]*told{},
 			judge: canary.Judge{Alarm: canary.Alarm}, alert: canary.Judge{Alarm: alertAlarm},
 		}
 		c.runs[k] = r
--- a/internal/process/rollout/decide.go
+++ b/internal/process/rollout/decide.go
@@ -112,9 +112,6 @@
 	return "the answers of the version leave it in doubt: " + r.judge.String()
 }
 
-// canaryShare is the part of all requests that the servers under trial are to get.
-const canaryShare = 0.75
-
 // servers is how many servers of the target version are tried: as many as then are as busy
 // as the others are, and after a while half as many, so that they are under load.
 func (r *run) servers(elapsed, proofAt time.Duration, base, target Side) int {
@@ -123,7 +120,7 @@
 		return 0
 	}
 	slots := float64(target.Slots) / float64(target.Servers)
-	wanted := canaryShare * r.budget.Share * float64(base.Slots) / slots
+	wanted := canary.CanaryPart * r.budget.Share * float64(base.Slots) / slots
 	least := leastServers
 	if float64(elapsed) > loadedPart*float64(proofAt) {
 		wanted, least = wanted/2, 1
--- a/internal/process/rollout/sim_test.go
+++ b/internal/process/rollout/sim_test.go
@@ -363,7 +363,7 @@
 		}
 	}
 	report := &rollout.Report{Node: n.name, Incarnation: 1, Version: n.version, Services: []rollout.ServiceReport{{
-		ServiceName: name, Number: 1, Tally: n.account.Tally(), Tripped: n.account.Tripped(), Running: running,
+		ServiceName: name, Number: 1, Tally: n.account.Tally(), Running: running,
 	}}}
 	s.after(20*time.Millisecond, func() {
 		if s.lead {
--- a/internal/request/balance/arm.go
+++ b/internal/request/balance/arm.go
@@ -21,11 +21,6 @@
 	return a.First == 0 || t.rank(c, a.First) < a.First
 }
 
-// Holds reports whether any candidate belongs to an arm.
-func (t *Table) Holds(a Arm) bool {
-	return slices.ContainsFunc(t.candidates, func(c *directory.Candidate) bool { return t.holds(&a, c) })
-}
-
 // rank is the place of a server among those of its software version, the warm ones first:
 // one that works slowly after its start would be judged by that. Each number of servers has
 // an order of its own, so that others are tried with the next one: servers differ in speed.
--- a/internal/request/canary/account.go
+++ b/internal/request/canary/account.go
@@ -11,10 +11,10 @@
 
 // The parts of the exposure budget.
 const (
-	// canaryPart is spent while a few servers are tried, proofPart until all of them have
+	// CanaryPart is spent while a few servers are tried, proofPart until all of them have
 	// shown that they bear the load. The rest is left for what is under way and for
 	// requests that are counted at one daemon and run at another.
-	canaryPart = 0.75
+	CanaryPart = 0.75
 	proofPart  = 0.8
 	// slackPart of the slack is given out beforehand.
 	slackPart = 0.6
@@ -84,7 +84,7 @@
 		return target, target
 	case fleet.Canary:
 		target.First = a.rollout.Servers
-		if target.First > 0 && touch && a.allows(now, route, canaryPart) {
+		if target.First > 0 && touch && a.allows(now, route, CanaryPart) {
 			return target, base
 		}
 	case fleet.Proof:
