Retries: reserve the calls that running retries are still expected to make

Cause: a retry was admitted while nothing was overdrawn and charged only when its run made calls, so that retries admitted one by one exceeded the budget of the called service together, for instance after a stall.

Change: package lineage counts the calls that the retried runs in progress still owe; a retry is admitted only if the budget covers those.

--- a/internal/connection/gateway/retry_tracker.go
+++ b/internal/connection/gateway/retry_tracker.go
@@ -27,6 +27,7 @@
 type retryTracker struct {
 	mu      sync.Mutex
 	runs    lineage.Runs
+	calls   lineage.Calls
 	origins lineage.Origins
 	// reported is when another daemon last reported that callers of all services use a
 	// route. verdicts holds this daemon's own findings.
@@ -62,10 +63,12 @@
 		return func() {}
 	}
 	t.runs.Begin(req.retryProbability)
+	t.calls.Begin(time.Now(), req.retryProbability)
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.runs.End(req.retryProbability)
+		t.calls.End(time.Now(), req.retryProbability)
 	}
 }
 
@@ -104,6 +107,22 @@
 	return known && time.Since(at) < reportLifetime
 }
 
+// recordCall records a call to a service that was made by a retried run on this instance with
+// the given probability.
+func (t *retryTracker) recordCall(service string, probability float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls.Called(time.Now(), service, probability)
+}
+
+// pendingCalls returns the expected number of calls to a service that the retried runs on this
+// instance will still make.
+func (t *retryTracker) pendingCalls(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls.Pending(time.Now(), service, t.runs.ExpectedRepeats())
+}
+
 // retryShare returns the probability that a call made by a run on this instance follows
 // from a retry.
 func (t *retryTracker) retryShare() float64 {
@@ -124,6 +143,9 @@
 	if share > 0 && x.caller.Depth == 0 && (t.hasRecentReport(route) || t.fromAllServices(route, x.dir)) {
 		return 0
 	}
+	if share > 0 {
+		t.recordCall(x.target.Key.String(), share)
+	}
 	return share
 }
 
@@ -148,8 +170,9 @@
 	return p
 }
 
-// admitRetry refuses a retry while the calls made by earlier retried runs have overdrawn
-// this daemon's retry budget for a service that is called from here.
+// admitRetry refuses a retry while the calls that earlier retried runs made, and those that the
+// running ones are still expected to make, overdraw this daemon's retry budget for a service
+// that is called from here.
 func (g *Gateway) admitRetry(req *backendRequest) *refusal {
 	if req.retryProbability < 1 {
 		return nil
@@ -157,16 +180,17 @@
 	g.servicesMu.RLock()
 	defer g.servicesMu.RUnlock()
 	for key, s := range g.services {
-		if s.overdrawn() {
+		if s.retryTokens() < g.retryTracker.pendingCalls(key.String()) {
 			return newRefusal(result.RepeatDenied, "calls made by retried requests have exhausted the retry budget of "+key.String())
 		}
 	}
 	return nil
 }
 
-// overdrawn reports whether the calls of retried runs have exceeded the retry budget.
-func (s *service) overdrawn() bool {
+// retryTokens returns the number of retries left in the budget; it is negative if the calls of
+// retried runs have exceeded the budget.
+func (s *service) retryTokens() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Budget().Overdrawn(time.Now())
+	return s.core.Budget().Tokens(time.Now())
 }
--- a/internal/request/lineage/runs.go
+++ b/internal/request/lineage/runs.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// ExpectedRepeats returns the expected number of repeats among the runs.
+func (r *Runs) ExpectedRepeats() float64 { return max(r.expectedRepeats, 0) }
+
 // Share returns the probability that a call made by one of the runs was caused by a repeat.
 func (r *Runs) Share() float64 {
 	if r.running == 0 {
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -78,10 +78,10 @@
 	b.tokens -= retries
 }
 
-// Overdrawn reports whether the budget is overdrawn.
-func (b *Budget) Overdrawn(now time.Time) bool {
+// Tokens returns the number of retries saved up; it is negative if the budget is overdrawn.
+func (b *Budget) Tokens(now time.Time) float64 {
 	b.refill(now)
-	return b.tokens < 0
+	return b.tokens
 }
 
 func (b *Budget) add(tokens float64) { b.tokens = min(b.tokens+tokens, b.limits.Slack) }
--- a/internal/request/retry/budget_test.go
+++ b/internal/request/retry/budget_test.go
@@ -105,14 +105,14 @@
 	b.SetLimits(Limits{Ratio: 0.2, Slack: 2, Window: 10 * time.Second})
 	b.Request(now)
 	b.Charge(now, 1.5)
-	c.Check(b.Overdrawn(now), qt.IsFalse)
+	c.Check(b.Tokens(now) < 0, qt.IsFalse)
 	c.Check(b.Take(now), qt.IsFalse, qt.Commentf("half a retry is left"))
 	b.Charge(now, 1)
-	c.Check(b.Overdrawn(now), qt.IsTrue)
+	c.Check(b.Tokens(now) < 0, qt.IsTrue)
 	for range 3 {
 		b.Request(now)
 	}
-	c.Check(b.Overdrawn(now), qt.IsFalse)
+	c.Check(b.Tokens(now) < 0, qt.IsFalse)
 	now = now.Add(10 * time.Second)
 	c.Check(b.Take(now), qt.IsTrue)
 	c.Check(b.Take(now), qt.IsTrue)
