--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -141,6 +141,6 @@
 		fmt.Fprintln(w, c)
 	}
 	if len(r.Changes) == 0 {
-		fmt.Fprintln(w, "no difference in services and routes")
+		fmt.Fprintln(w, "no difference in services, routes and organisations")
 	}
 }
--- a/internal/process/source/command.go
+++ b/internal/process/source/command.go
@@ -21,7 +21,11 @@
 	formatRevision
 	// formatRollout entries contain an operation on the roll-out of a service.
 	formatRollout
-	formatNewest = formatRollout
+	// formatOrganisations entries are formatRevision entries that add, change or remove
+	// organisations. They have a separate number because older releases would not check
+	// API keys.
+	formatOrganisations
+	formatNewest = formatOrganisations
 )
 
 // Command is the payload of a log entry.
@@ -41,7 +45,8 @@
 	Read string `cbor:"5,keyasint,omitempty"`
 	// Format is the format of the entry.
 	Format uint64 `cbor:"6,keyasint,omitempty"`
-	// Change is an encoded and compressed change; set only in formatRevision.
+	// Change is an encoded and compressed change; set only in formatRevision and
+	// formatOrganisations.
 	Change []byte `cbor:"7,keyasint,omitempty"`
 	// Rollout is set only in formatRollout.
 	Rollout *rolloutEntry `cbor:"8,keyasint,omitempty"`
@@ -85,7 +90,7 @@
 		o.revision = r
 		o.updateText = func(*manifestText) (*manifestText, error) { return unpackManifestText(c.Text), nil }
 		return o, nil
-	case formatRevision:
+	case formatRevision, formatOrganisations:
 		diff, err := decodeChange(c.Change)
 		if err != nil {
 			return nil, result.Errorf(result.StateDiverged, "%v", err)
@@ -150,6 +155,9 @@
 	if err != nil {
 		return c, err
 	}
+	if revision.HasOrganisations() {
+		c.Format = formatOrganisations
+	}
 	diff := change{Revision: *revision}
 	if diff.Text, err = document.Diff(documentOrEmpty(b.texts[o.Manifest.Mesh]), rawText); err != nil {
 		return c, err
--- a/internal/process/source/snapshot.go
+++ b/internal/process/source/snapshot.go
@@ -19,7 +19,10 @@
 	// snapshotWithRollouts is snapshotCompressed with roll-outs. It has a separate
 	// number because older releases would drop the roll-outs.
 	snapshotWithRollouts
-	snapshotNewest = snapshotWithRollouts
+	// snapshotWithOrganisations is snapshotCompressed with organisations and perhaps
+	// roll-outs. It has a separate number because older releases would not check API keys.
+	snapshotWithOrganisations
+	snapshotNewest = snapshotWithOrganisations
 )
 
 // maxSnapshotBytes bounds the decompressed size of a snapshot.
@@ -54,7 +57,10 @@
 		return nil, err
 	}
 	format := uint64(snapshotCompressed)
-	if m.state.HasRollouts() {
+	switch {
+	case m.state.HasOrganisations():
+		format = snapshotWithOrganisations
+	case m.state.HasRollouts():
 		format = snapshotWithRollouts
 	}
 	return quorum.Encode(encodedSnapshot{Format: format, Packed: fleet.Pack(raw)})
--- a/internal/version/diff/diff.go
+++ b/internal/version/diff/diff.go
@@ -1,10 +1,11 @@
-// Package diff compares two manifests of one mesh. It reports the services and
-// routes that were added, removed or changed, and their changed fields.
+// Package diff compares two manifests of one mesh. It reports the services, routes and
+// organisations that were added, removed or changed, and their changed fields.
 package diff
 
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/daisygate/daisygate/internal/version/manifest"
@@ -23,7 +24,7 @@
 // Change describes one resource that differs.
 type Change struct {
 	Kind Kind `json:"kind"`
-	// Resource is "mesh", "service" or "route".
+	// Resource is "mesh", "service", "route" or "organisation".
 	Resource string `json:"resource"`
 	Name     string `json:"name"`
 	// Fields lists the fields that differ, if Kind is Changed.
@@ -53,15 +54,32 @@
 }
 
 // Compare returns the changes between two manifests: changes of the mesh, then of
-// services, then of routes. Added and changed resources are in the order of to,
-// followed by removed ones in the order of from. Version numbers are not compared.
+// services, routes and organisations. Added and changed resources are in the order of
+// to, followed by removed ones in the order of from. Version numbers are not compared.
 func Compare(from, to *manifest.Manifest) []Change {
 	var changes []Change
 	if fields := compareFields(meshFields{from.Hosts, from.Limits}, meshFields{to.Hosts, to.Limits}); len(fields) > 0 {
 		changes = append(changes, Change{Kind: Changed, Resource: "mesh", Name: to.Mesh, Fields: fields})
 	}
 	changes = append(changes, compareLists("service", from.Services, to.Services, func(s manifest.Service) string { return s.Name })...)
-	return append(changes, compareLists("route", from.Routes, to.Routes, func(r manifest.Route) string { return r.Name })...)
+	changes = append(changes, compareLists("route", from.Routes, to.Routes, func(r manifest.Route) string { return r.Name })...)
+	return append(changes, compareLists("organisation", shortenDigests(from.Organisations), shortenDigests(to.Organisations), func(o manifest.Organisation) string { return o.Name })...)
+}
+
+// shownDigestLength is the number of characters of a key digest that are shown.
+const shownDigestLength = 12
+
+// shortenDigests returns a copy of a list in which the key digests are shortened.
+func shortenDigests(organisations []manifest.Organisation) []manifest.Organisation {
+	shortened := slices.Clone(organisations)
+	for i := range shortened {
+		o := &shortened[i]
+		o.KeyDigests = slices.Clone(o.KeyDigests)
+		for j, digest := range o.KeyDigests {
+			o.KeyDigests[j] = digest[:min(len(digest), shownDigestLength)]
+		}
+	}
+	return shortened
 }
 
 // meshFields holds the compared fields of a manifest other than its services and
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"slices"
 	"strings"
 
 	"github.com/benbjohnson/immutable"
@@ -26,9 +27,10 @@
 
 // The kinds of resources.
 const (
-	KindMesh    Kind = "mesh"
-	KindRoute   Kind = "route"
-	KindService Kind = "service"
+	KindMesh         Kind = "mesh"
+	KindOrganisation Kind = "organisation"
+	KindRoute        Kind = "route"
+	KindService      Kind = "service"
 )
 
 // Key identifies one resource.
@@ -50,7 +52,7 @@
 }
 
 // MeshHeader is the resource of KindMesh: the configuration of a mesh except its
-// services and routes.
+// services, routes and organisations.
 type MeshHeader struct {
 	// Version is the version number that the operators set in the manifest.
 	Version uint64 `cbor:"1,keyasint"`
@@ -80,7 +82,8 @@
 	Version   uint64
 	resources *resources
 	hash      uint64
-	// meshHashes maps each mesh to the sum of the hashes of its services and routes.
+	// meshHashes maps each mesh to the sum of the hashes of its resources that come from
+	// the lists of its manifest.
 	meshHashes map[string]uint64
 }
 
@@ -179,6 +182,10 @@
 		v, err := DecodeRoute(raw)
 		m.Routes = append(m.Routes, v)
 		return err
+	case KindOrganisation:
+		v, err := DecodeOrganisation(raw)
+		m.Organisations = append(m.Organisations, v)
+		return err
 	}
 	return nil
 }
@@ -189,6 +196,20 @@
 // DecodeRoute decodes a resource of KindRoute.
 func DecodeRoute(raw []byte) (v manifest.Route, err error) { return v, cbor.Unmarshal(raw, &v) }
 
+// DecodeOrganisation decodes a resource of KindOrganisation.
+func DecodeOrganisation(raw []byte) (v manifest.Organisation, err error) {
+	return v, cbor.Unmarshal(raw, &v)
+}
+
+// HasOrganisations reports whether any mesh has organisations.
+func (s *State) HasOrganisations() bool {
+	return slices.ContainsFunc(s.Meshes(), func(mesh string) bool {
+		found := false
+		s.EachOf(mesh, KindOrganisation, func(Key, []byte) { found = true })
+		return found
+	})
+}
+
 // Route returns a route of a mesh, or nil if it does not exist or cannot be
 // decoded.
 func (s *State) Route(mesh, name string) *manifest.Route {
@@ -268,11 +289,11 @@
 	return b.resources.Get(k)
 }
 
-// addHash adds the hash of a resource to the hash of the state and, for services and
-// routes, to that of the mesh.
+// addHash adds the hash of a resource to the hash of the state and, if the resource comes
+// from a manifest, to that of the mesh.
 func (b *stateBuilder) addHash(k Key, hash uint64) {
 	b.hash += hash
-	if k.Kind.isServiceOrRoute() {
+	if k.Kind.isFromManifest() {
 		b.meshHashes[k.Mesh] += hash
 	}
 }
--- a/internal/version/fleet/revision.go
+++ b/internal/version/fleet/revision.go
@@ -9,8 +9,8 @@
 )
 
 // Revision is the difference between a manifest and the previous one of its mesh. It
-// holds the complete header but only those services and routes that differ, so that
-// its cost depends on the size of the change and not on that of the manifest.
+// holds the complete header but only those services, routes and organisations that
+// differ, so that its cost depends on the size of the change and not on that of the manifest.
 type Revision struct {
 	Mesh string `cbor:"1,keyasint"`
 	// Version is the version number that the operators set in the manifest, Content the
@@ -20,11 +20,12 @@
 	Hosts   []string        `cbor:"4,keyasint,omitempty"`
 	Limits  manifest.Limits `cbor:"5,keyasint,omitempty"`
 	// Base is the Content of the manifest that the revision applies to. 0 means none:
-	// the revision then holds every service and route.
+	// the revision then holds every service, route and organisation.
 	Base uint64 `cbor:"6,keyasint,omitempty"`
-	// Changes are changed services and routes, sorted by key.
+	// Changes are changed services, routes and organisations, sorted by key.
 	Changes []Change `cbor:"7,keyasint"`
-	// Sum is the sum of the hashes of all services and routes of the new manifest.
+	// Sum is the sum of the hashes of all services, routes and organisations of the new
+	// manifest.
 	Sum uint64 `cbor:"8,keyasint"`
 }
 
@@ -32,8 +33,8 @@
 var ErrBase = errors.New("revision does not apply to the current manifest")
 
 // ErrForeignResource is returned by ApplyRevision for a revision with a resource that is not a
-// service or route of its mesh.
-var ErrForeignResource = errors.New("revision contains a resource that is not a service or route of its mesh")
+// service, route or organisation of its mesh.
+var ErrForeignResource = errors.New("revision contains a resource that is not a service, route or organisation of its mesh")
 
 // Revise returns the revision from the current manifest of the mesh to m.
 func (s *State) Revise(m *manifest.Manifest) (*Revision, error) {
@@ -56,7 +57,7 @@
 	s.Each(m.Mesh, func(k Key, raw []byte) {
 		value := wanted[k]
 		delete(wanted, k)
-		if k.Kind.isServiceOrRoute() && string(value) != string(raw) {
+		if k.Kind.isFromManifest() && string(value) != string(raw) {
 			r.addChange(k, raw, value)
 		}
 	})
@@ -67,7 +68,13 @@
 	return r, nil
 }
 
-// FullRevision returns a revision to m without a base: it holds every service and route.
+// HasOrganisations reports whether r adds, changes or removes an organisation.
+func (r *Revision) HasOrganisations() bool {
+	return slices.ContainsFunc(r.Changes, func(c Change) bool { return c.Key.Kind == KindOrganisation })
+}
+
+// FullRevision returns a revision to m without a base: it holds every service, route and
+// organisation.
 func FullRevision(m *manifest.Manifest) (*Revision, error) { return Empty().Revise(m) }
 
 func (r *Revision) addChange(k Key, old, value []byte) {
@@ -80,9 +87,9 @@
 	}
 }
 
-// encodeResources encodes the services and routes of m.
+// encodeResources encodes the services, routes and organisations of m.
 func encodeResources(m *manifest.Manifest) (map[Key][]byte, error) {
-	all := make(map[Key][]byte, len(m.Services)+len(m.Routes))
+	all := make(map[Key][]byte, len(m.Services)+len(m.Routes)+len(m.Organisations))
 	for _, v := range m.Services {
 		raw, err := encMode.Marshal(v)
 		if err != nil {
@@ -97,6 +104,16 @@
 		}
 		all[Key{Mesh: m.Mesh, Kind: KindRoute, Name: v.Name}] = raw
 	}
+	for _, v := range m.Organisations {
+		if len(v.Keys) > 0 {
+			return nil, errors.Newf("organisation %s: API keys must be replaced with their digests", v.Name)
+		}
+		raw, err := encMode.Marshal(v)
+		if err != nil {
+			return nil, errors.Wrapf(err, "organisation %s", v.Name)
+		}
+		all[Key{Mesh: m.Mesh, Kind: KindOrganisation, Name: v.Name}] = raw
+	}
 	return all, nil
 }
 
@@ -110,19 +127,19 @@
 	next := s.builder(s.Version + 1)
 	if r.Base == 0 {
 		s.Each(r.Mesh, func(k Key, _ []byte) {
-			if k.Kind.isServiceOrRoute() {
+			if k.Kind.isFromManifest() {
 				next.set(k, nil)
 			}
 		})
 	}
 	for _, c := range r.Changes {
-		if c.Key.Mesh != r.Mesh || !c.Key.Kind.isServiceOrRoute() {
+		if c.Key.Mesh != r.Mesh || !c.Key.Kind.isFromManifest() {
 			return nil, errors.Wrapf(ErrForeignResource, "%s/%s/%s", c.Key.Mesh, c.Key.Kind, c.Key.Name)
 		}
 		next.set(c.Key, c.Value)
 	}
 	if sum := next.meshHashes[r.Mesh]; sum != r.Sum {
-		return nil, errors.Wrapf(ErrHash, "services and routes of version %d: got %x, want %x", r.Version, sum, r.Sum)
+		return nil, errors.Wrapf(ErrHash, "resources of version %d: got %x, want %x", r.Version, sum, r.Sum)
 	}
 	raw, err := encMode.Marshal(MeshHeader{Version: r.Version, Content: r.Content, Hosts: r.Hosts, FleetVersion: next.Version, Limits: r.Limits})
 	if err != nil {
--- a/internal/version/fleet/rollout.go
+++ b/internal/version/fleet/rollout.go
@@ -13,9 +13,11 @@
 // part of a manifest and persists when manifests change.
 const KindRollout Kind = "rollout"
 
-// isServiceOrRoute reports whether resources of the kind come from the services and
-// routes of a manifest.
-func (k Kind) isServiceOrRoute() bool { return k == KindService || k == KindRoute }
+// isFromManifest reports whether resources of the kind are entries of the lists of a
+// manifest: services, routes and organisations.
+func (k Kind) isFromManifest() bool {
+	return k == KindService || k == KindRoute || k == KindOrganisation
+}
 
 // Stage is the stage of a rollout. The values are stored in the replicated log and
 // must not change.
--- a/internal/version/manifest/check.go
+++ b/internal/version/manifest/check.go
@@ -52,6 +52,7 @@
 		m.Services[i].check(d, key)
 	}
 	m.checkRoutes(d)
+	m.checkOrganisations(d)
 	m.Limits.check(d)
 }
 
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -20,6 +20,10 @@
 	Routes []Route `yaml:"routes" cbor:"5,keyasint"`
 	// Limits restrict what callers may send.
 	Limits Limits `yaml:"limits" cbor:"6,keyasint,omitempty"`
+	// Organisations are the groups of callers that may send requests. If there are any,
+	// requests need an API key of one of them, except on routes with Keyless. Without
+	// organisations, no route needs a key.
+	Organisations []Organisation `yaml:"organisations" cbor:"7,keyasint,omitempty"`
 }
 
 // Limits restrict what callers of a mesh may send. A limit of 0 adds no
@@ -91,6 +95,8 @@
 	Upload bool `yaml:"upload" cbor:"12,keyasint,omitempty"`
 	// Download marks routes with large responses. They are always repeatable.
 	Download bool `yaml:"download" cbor:"13,keyasint,omitempty"`
+	// Keyless marks routes that accept requests without an API key.
+	Keyless bool `yaml:"keyless" cbor:"14,keyasint,omitempty"`
 }
 
 // Share is the fraction of a route's requests that one service receives.
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -94,7 +94,8 @@
 	header   fleet.MeshHeader
 	services map[ServiceKey]*Service
 	// routes are sorted by name.
-	routes []*Route
+	routes  []*Route
+	keyring *keyring
 }
 
 // Compile builds the snapshot of a state.
@@ -139,12 +140,16 @@
 		return old, nil
 	}
 	if old == nil {
-		old = &compiledMesh{}
+		old = &compiledMesh{keyring: newKeyring()}
 	}
 	c := &compiledMesh{header: header, services: make(map[ServiceKey]*Service, len(old.services))}
 	if err := c.compileServices(old, state, mesh); err != nil {
 		return nil, err
 	}
+	var err error
+	if c.keyring, err = compileKeyring(old.keyring, state, mesh); err != nil {
+		return nil, err
+	}
 	return c, c.compileRoutes(old, state, mesh)
 }
 
@@ -216,7 +221,7 @@
 
 // compileManifest compiles a manifest without a fleet.State.
 func compileManifest(m *manifest.Manifest) (*compiledMesh, error) {
-	c := &compiledMesh{services: make(map[ServiceKey]*Service, len(m.Services))}
+	c := &compiledMesh{services: make(map[ServiceKey]*Service, len(m.Services)), keyring: newKeyring()}
 	for _, v := range m.Services {
 		if err := c.addService(m.Mesh, v, nil); err != nil {
 			return nil, errors.Wrapf(err, "service %s", v.Name)
@@ -227,6 +232,11 @@
 			return nil, errors.Wrapf(err, "route %s", v.Name)
 		}
 	}
+	for _, v := range m.Organisations {
+		if err := c.keyring.add(v, nil); err != nil {
+			return nil, errors.Wrapf(err, "organisation %s", v.Name)
+		}
+	}
 	return c, nil
 }
 
