Dissemination: prove how recently the version in force was the newest

Answers contain durations only, so no clocks are compared, and the clock advances while an instance is suspended. The leader answers after a round of the sources.

Weighed: leases given out by the sources, which would hold back every acknowledgement while a daemon is cut off; a query per daemon up to the leader, whose messages grow with the fleet.

--- a/internal/process/daemon/committed.go
+++ b/internal/process/daemon/committed.go
@@ -6,6 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/daisygate/daisygate/internal/process/bootclock"
 )
 
 // RPC methods that return the committed version.
@@ -45,8 +47,9 @@
 	ticker := time.NewTicker(committedPollInterval)
 	defer ticker.Stop()
 	for turn := int(xxhash.Sum64String(d.settings.Node) >> 1); !d.mesh.Status().Confirmed; turn++ {
+		askedAt := bootclock.Now()
 		if version, err := d.queryCommittedInTurn(ctx, turn); err == nil {
-			d.mesh.SetCommittedVersion(version)
+			d.mesh.SetCommittedVersion(version, askedAt)
 			return
 		}
 		select {
--- a/internal/process/dissemination/confirm.go
+++ b/internal/process/dissemination/confirm.go
@@ -67,7 +67,7 @@
 // HasOpenQuery reports whether a query of this node or of a child is unanswered.
 func (c *Core) HasOpenQuery() bool {
 	unanswered := func(l *link) bool { return l.childAsk.ask != 0 && l.childAsk.answer == nil }
-	return c.confirm.outstanding() != 0 || slices.ContainsFunc(c.links, unanswered)
+	return c.leaderOwesProof() || c.confirm.outstanding() != 0 || slices.ContainsFunc(c.links, unanswered)
 }
 
 // receiveAsk handles the query number in the report of a child.
@@ -120,9 +120,12 @@
 }
 
 // SetCommittedVersion handles the committed version that the leader returned to a direct
-// request sent after the start of this node.
-func (c *Core) SetCommittedVersion(version uint64) []Action {
+// request, which this node sent after its start, at the time askedAt on Config.Clock.
+func (c *Core) SetCommittedVersion(version uint64, askedAt time.Duration) []Action {
 	c.setMinVersion(version, ByQuorum)
+	if c.provesVersions() {
+		c.recordProof(versionProof{version: version, at: askedAt})
+	}
 	c.checkMinVersion()
 	return c.flush()
 }
--- a/internal/process/dissemination/core.go
+++ b/internal/process/dissemination/core.go
@@ -47,6 +47,7 @@
 	// sentVersion is the newest version that the node has or that was sent to it.
 	sentVersion uint64
 	childAsk    childAsk
+	childProof  childProof
 
 	// avoidUntil is the time until which nothing is pulled over the link.
 	avoidUntil time.Time
@@ -101,6 +102,7 @@
 	// interval because the whole subtree had it.
 	reportedVersion uint64
 	confirm         confirmState
+	proof           proofState
 
 	lastPush time.Time
 	// pushPending is true if a push was delayed by Config.MergeWindow.
@@ -122,6 +124,8 @@
 	}
 	c.history = fleet.History{Count: c.cfg.History, Bytes: c.cfg.HistoryBytes}
 	c.confirm = newConfirmState(c.rand)
+	c.proof.asked = c.rand.Uint64()>>1 + 1
+	c.proof.answered = c.proof.asked
 	return c
 }
 
@@ -202,6 +206,7 @@
 	c.updateLead(lead)
 	c.checkParent()
 	c.tickConfirm()
+	c.tickProof()
 	c.tickTransfers()
 	c.catchUp()
 	if c.pushPending && c.now.Sub(c.lastPush) >= c.cfg.MergeWindow {
@@ -229,6 +234,7 @@
 	c.history.Add(delta)
 	clear(c.packedCache)
 	c.actions = append(c.actions, Action{Install: compiled})
+	c.checkPendingProof()
 	for _, l := range c.links {
 		c.updateAheadSince(l)
 		// A node without any version gets a digest at once. After a start of the whole
--- a/internal/process/dissemination/digest.go
+++ b/internal/process/dissemination/digest.go
@@ -31,6 +31,9 @@
 	if d.Confirmed != nil {
 		c.receiveConfirmed(*d.Confirmed)
 	}
+	if d.Proof != nil {
+		c.receiveProof(*d.Proof)
+	}
 	c.catchUp()
 }
 
@@ -80,8 +83,9 @@
 		l.lastSent.countVersion, l.lastSent.countSum = inForce.Version, inForce.Sum
 	}
 	if l.name == c.parent {
-		d.Report = &Report{InForce: c.subtree(), Ask: c.confirm.outstanding()}
+		d.Report = &Report{InForce: c.subtree(), Ask: c.confirm.outstanding(), ProofAsk: c.proof.outstanding()}
 	}
 	d.Confirmed = l.childAsk.answer
+	d.Proof = l.childProof.takeProof()
 	return d
 }
--- a/internal/process/dissemination/driver_test.go
+++ b/internal/process/dissemination/driver_test.go
@@ -40,6 +40,8 @@
 	installedAt         time.Duration
 	phase               time.Duration
 	seeks               int
+	// clockOffset is the difference of the node's clock from the time of the network.
+	clockOffset time.Duration
 }
 
 type packet struct {
@@ -127,7 +129,7 @@
 		_ = enc.Encode(rpc.Response{ServiceMethod: "Mesh.Deliver", Seq: 1000})
 		return buf.Len()
 	}
-	all := dissemination.Message{Digest: &dissemination.Digest{InForce: &dissemination.InForce{}, Report: &dissemination.Report{}, Confirmed: &dissemination.Confirmed{}},
+	all := dissemination.Message{Digest: &dissemination.Digest{InForce: &dissemination.InForce{}, Report: &dissemination.Report{}, Confirmed: &dissemination.Confirmed{}, Proof: &dissemination.Proof{}},
 		Chunk: &dissemination.Chunk{}, Pull: &dissemination.Pull{}, Busy: &dissemination.Busy{}}
 	size(all)
 	return size
@@ -136,6 +138,7 @@
 func (n *network) restart(d *node) {
 	cfg := n.cfg
 	cfg.Self, cfg.Seed = d.name, n.rand.Uint64()
+	cfg.Clock = func() time.Duration { return n.now + d.clockOffset }
 	d.core = dissemination.New(cfg, fleet.Empty())
 	d.dead, d.frozen, d.minVersion = false, false, d.highest
 	if n.deposed == d.name {
--- a/internal/process/dissemination/report.go
+++ b/internal/process/dissemination/report.go
@@ -18,7 +18,7 @@
 func (c *Core) receiveReport(l *link, d *Digest) {
 	if d.Report == nil {
 		l.child = false
-		l.childAsk = childAsk{}
+		l.childAsk, l.childProof = childAsk{}, childProof{}
 		return
 	}
 	if !l.child {
@@ -32,6 +32,7 @@
 	}
 	l.report = d.Report.InForce
 	c.receiveAsk(l, d.Report.Ask)
+	c.receiveProofAsk(l, d.Report.ProofAsk)
 	if l.sentVersion < c.state.Version && !c.pushPending {
 		c.push()
 	}
--- a/internal/process/dissemination/types.go
+++ b/internal/process/dissemination/types.go
@@ -58,6 +58,8 @@
 	Report *Report
 	// Confirmed answers the receiver's Report.Ask.
 	Confirmed *Confirmed
+	// Proof answers the receiver's Report.ProofAsk.
+	Proof *Proof
 }
 
 // Report is sent by a child to its parent.
@@ -66,6 +68,9 @@
 	// Ask is the number of a query for the version committed at the leader; 0 means no
 	// query.
 	Ask uint64
+	// ProofAsk is the number of a query for a proof that the sender's version is the newest; 0
+	// means no query.
+	ProofAsk uint64
 }
 
 // Confirmed contains a version that was committed at the leader at some time after the query
@@ -205,6 +210,12 @@
 	StateBytes int
 	// MaxTransfers bounds the number of chunked transfers served at the same time.
 	MaxTransfers int
+	// ProofInterval is the time between two queries for a proof that the installed version is
+	// the newest one. 0 turns the proofs off.
+	ProofInterval time.Duration
+	// Clock returns a time that also advances while the instance is suspended. It is required
+	// if ProofInterval is set.
+	Clock func() time.Duration
 }
 
 // Defaults of Config.
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -146,10 +146,11 @@
 }
 
 // SetCommittedVersion records the version that a source reported as committed. The source must
-// have been asked after the start of this process.
-func (m *Mesh) SetCommittedVersion(version uint64) {
+// have been asked after the start of this process; askedAt is when, on the clock of
+// dissemination.Config.
+func (m *Mesh) SetCommittedVersion(version uint64, askedAt time.Duration) {
 	m.ops <- func(now time.Time) {
-		m.runSpreadActions(m.spread.SetCommittedVersion(version))
+		m.runSpreadActions(m.spread.SetCommittedVersion(version, askedAt))
 		m.publishStatus(now)
 	}
 }
--- a/internal/process/mesh/versions.go
+++ b/internal/process/mesh/versions.go
@@ -24,6 +24,9 @@
 	// leader.
 	Parent string `json:"parent,omitempty"`
 	Depth  uint32 `json:"depth"`
+	// Proven is when the version was last proven to be the newest accepted one, as a time
+	// since the boot of the instance; 0 means never, or that proofs are turned off.
+	Proven time.Duration `json:"proven,omitempty"`
 	// Diverged counts how often a linked daemon had different content under the same version.
 	// This must never happen.
 	Diverged uint64  `json:"diverged"`
@@ -100,6 +103,7 @@
 	}
 	s.Heartbeat, _ = m.spread.Heartbeat()
 	s.Parent, s.Depth = m.spread.Parent()
+	s.Proven = m.spread.Proven()
 	return s
 }
 
