Gateway: API keys, organisations and their limits

A request with an unknown key is refused with 401, one beyond the limit with 429 and the time of the next token, and one for which the daemon has no recent proof with 503. Servers receive the name of the organisation and never the key, also not in a trailer.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -26,6 +26,10 @@
 	target  *snapshot.Service
 	request *Request
 	caller  CallerMetadata
+	// organisation is the organisation whose API key the caller sent, or nil.
+	organisation *snapshot.Organisation
+	// allowanceUsed is set while the request counts against the limit of organisation.
+	allowanceUsed bool
 	// fixedDeadline is set if the caller specified the deadline, so that body transfer
 	// does not extend it.
 	fixedDeadline bool
@@ -65,6 +69,10 @@
 		return
 	}
 	defer g.releaseShare(x.route.Mesh)
+	if refused := x.admitOrganisation(); refused != nil {
+		x.refuse(refused)
+		return
+	}
 	x.request = &Request{Mesh: x.route.Mesh, Service: x.target.Name, Repeatable: x.route.Repeatable, HTTP: x.r}
 	x.run()
 }
@@ -73,11 +81,15 @@
 func (x *exchange) refuse(r *refusal) {
 	x.observation.result.Code = r.Code
 	outcome := x.outcome(r.Code)
+	if outcome == result.NotRun {
+		x.refundAllowance()
+	}
 	x.logRefusal(r, outcome)
 	x.g.cfg.Dialect.Refuse(x.w, Refusal{Error: r.Error, Outcome: outcome, RetryAfter: r.retryAfter})
 }
 
-// matchRoute finds the route, the target service and the deadline of the request.
+// matchRoute finds the route, the organisation, the target service and the deadline of the
+// request.
 func (x *exchange) matchRoute() *refusal {
 	x.caller = x.g.cfg.Dialect.Caller(x.r)
 	if !x.g.awaitReady(x.r.Context(), x.caller.Left, x.g.cfg.Ready) {
@@ -96,6 +108,9 @@
 	}
 	x.route = route
 	x.observation.setRoute(route.Mesh, route.Name)
+	if refused := x.authenticate(); refused != nil {
+		return refused
+	}
 	if maxBytes := route.Limits.BodyBytes; maxBytes > 0 {
 		if x.r.ContentLength > maxBytes {
 			return newRefusal(result.BodyTooLarge, strconv.FormatInt(x.r.ContentLength, 10)+" bytes")
--- a/internal/connection/gateway/dialect.go
+++ b/internal/connection/gateway/dialect.go
@@ -31,6 +31,8 @@
 	Left time.Duration
 	// Depth is the number of backend servers that the request has passed through.
 	Depth int
+	// Key is the API key; "" if the caller sent none.
+	Key string
 }
 
 // ServerMetadata is the request metadata sent to a backend server.
@@ -44,6 +46,8 @@
 	Boot string
 	// Origin is the service of the instance where the request originated, or "".
 	Origin string
+	// Organisation is the organisation whose API key the caller sent, or "".
+	Organisation string
 }
 
 // ResponseMetadata is the response metadata sent by a backend server.
@@ -66,6 +70,9 @@
 	RetryAfter time.Duration
 }
 
+// authorizationScheme is the scheme of the Authorization header that carries API keys.
+const authorizationScheme = "Bearer"
+
 // defaultDialect is daisygate's own Dialect.
 type defaultDialect struct{}
 
@@ -74,14 +81,15 @@
 // running.
 func (defaultDialect) Caller(r *http.Request) CallerMetadata {
 	depth, left := nestedCall(r)
-	return CallerMetadata{Depth: depth, Left: left}
+	return CallerMetadata{Depth: depth, Left: left, Key: APIKey(r.Header, authorizationScheme)}
 }
 
 // Server implements Dialect.
 func (defaultDialect) Server(t ServerMetadata) http.Header {
 	return http.Header{
-		HeaderTimeout: {formatMicroseconds(t.Left)},
-		HeaderDepth:   {strconv.Itoa(t.Depth)},
+		HeaderTimeout:      {formatMicroseconds(t.Left)},
+		HeaderDepth:        {strconv.Itoa(t.Depth)},
+		HeaderOrganisation: optionalHeader(t.Organisation),
 	}
 }
 
@@ -90,5 +98,8 @@
 
 // Refuse implements Dialect.
 func (defaultDialect) Refuse(w http.ResponseWriter, r Refusal) {
+	if r.Code == result.KeyUnknown {
+		w.Header().Set("WWW-Authenticate", authorizationScheme)
+	}
 	result.WriteHTTPOutcome(w, r.Error, r.RetryAfter, r.Outcome)
 }
--- a/internal/connection/gateway/forward.go
+++ b/internal/connection/gateway/forward.go
@@ -15,13 +15,16 @@
 // attempt sends the request to one candidate: directly to a server on this instance,
 // otherwise to the daemon on the server's instance.
 func (x *exchange) attempt(ctx context.Context, action flow.Action) (*http.Response, *refusal) {
+	if refused := x.checkKeysCurrent(); refused != nil {
+		return nil, refused
+	}
 	to := action.Candidate
 	if to.Node.Name != x.g.cfg.Self {
 		return x.forward(ctx, to, action.Repeat)
 	}
 	req := &backendRequest{
-		request: x.request, body: x.body, addr: to.Server.Addr, priority: x.route.Priority,
-		depth: x.caller.Depth, deadline: x.deadline, nonRepeatable: !x.route.Repeatable,
+		request: x.request, body: x.body, addr: to.Server.Addr, priority: x.organisation.PriorityOn(x.route),
+		organisation: x.organisationName(), depth: x.caller.Depth, deadline: x.deadline, nonRepeatable: !x.route.Repeatable,
 		id: x.caller.ID, origin: x.origin, usefulUntil: x.usefulUntil(), route: x.route.Name, retryProbability: parseRetryProbability(x.retryHeader(action.Repeat)),
 	}
 	resp, refused := x.g.serve(ctx, req)
@@ -56,9 +59,12 @@
 		headerServer:   {to.Server.Addr},
 		headerMesh:     {x.route.Mesh},
 		headerService:  {x.target.Name},
-		headerPriority: {strconv.Itoa(x.route.Priority)},
+		headerPriority: {strconv.Itoa(x.organisation.PriorityOn(x.route))},
 		headerRoute:    {x.route.Name},
 	}
+	if name := x.organisationName(); name != "" {
+		out.ExtraHeader[HeaderOrganisation] = []string{name}
+	}
 	if !x.route.Repeatable {
 		out.ExtraHeader[headerFresh] = []string{"1"}
 	}
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -75,6 +75,11 @@
 	// OnMisdirected is called with an address at which a different boot (start of a server)
 	// answered than the expected one; boot is "" if none was expected.
 	OnMisdirected func(addr, boot string)
+	// KeysCurrent reports whether the API keys in force are certain to be recent enough to
+	// accept requests with one; nil means that they always are.
+	KeysCurrent func() bool
+	// Allowances limits the requests of organisations; nil means that there are no limits.
+	Allowances Allowances
 	// Retry returns the limits on this daemon's retries.
 	Retry func() retry.Limits
 	// Rollout limits the exposure of software versions during a rollout.
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -21,7 +21,11 @@
 	HeaderTimeout = headerPrefix + "Timeout"
 	// HeaderDepth is the number of backend servers that the request has passed through.
 	// It is sent to backend servers.
-	HeaderDepth    = headerPrefix + "Depth"
+	HeaderDepth = headerPrefix + "Depth"
+	// HeaderOrganisation is the organisation whose API key the caller sent. It is sent to
+	// backend servers.
+	HeaderOrganisation = headerPrefix + "Organisation"
+
 	headerStall    = headerPrefix + "Stall"
 	headerServer   = headerPrefix + "Server"
 	headerMesh     = headerPrefix + "Mesh"
@@ -79,6 +83,13 @@
 	}
 }
 
+// skipTrailer reports whether a trailer is not forwarded. Trailers arrive after the request
+// was authenticated, so that they must not contain what identifies the caller (RFC 9110,
+// section 6.5.1).
+func skipTrailer(name string) bool {
+	return name == headerAuthorization || isHopByHop(name) || strings.HasPrefix(name, headerPrefix)
+}
+
 // connectionOptions returns the header names listed in the Connection header, or nil if
 // there are none.
 func connectionOptions(h http.Header) map[string]bool {
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -59,7 +59,8 @@
 	req = &backendRequest{
 		addr: r.Header.Get(headerServer), priority: priority, depth: depth,
 		deadline: time.Now().Add(timeout), nonRepeatable: r.Header.Get(headerFresh) != "",
-		remote: true, releaseResponse: func() {}, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
+		organisation: r.Header.Get(HeaderOrganisation),
+		remote:       true, releaseResponse: func() {}, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
 		retryProbability: parseRetryProbability(r.Header.Get(headerRepeat)),
 		request:          &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Isolated: r.Header.Get(headerAlone) != ""},
 	}
--- a/internal/connection/gateway/requestlog.go
+++ b/internal/connection/gateway/requestlog.go
@@ -75,6 +75,9 @@
 		values = append(values, "route", x.route.Name, "version", x.dir.Snapshot.Version, "attempts", x.attempts,
 			"left", time.Until(x.deadline).String())
 	}
+	if x.organisation != nil {
+		values = append(values, "organisation", x.organisation.Name)
+	}
 	if x.target != nil {
 		values = append(values, "service", x.target.Name, "servers", len(x.dir.Candidates(x.target.Key)))
 	}
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -34,6 +34,8 @@
 	id string
 	// origin is the service of the instance where the request originated, or "".
 	origin string
+	// organisation is the organisation of the caller, or "".
+	organisation string
 	// retryProbability is the probability that the request is a retry.
 	retryProbability float64
 	// boot identifies the start of the server for which the request was admitted, or is
@@ -120,6 +122,7 @@
 	out := req.body.outgoing(req.request.HTTP)
 	out.ExtraHeader = g.cfg.Dialect.Server(ServerMetadata{
 		Left: time.Until(req.deadline), Depth: req.depth + 1, Boot: req.boot, Origin: req.origin,
+		Organisation: req.organisation,
 	})
 	out.MaxIdleAge = backendIdleTimeout
 	if req.nonRepeatable {
@@ -192,7 +195,7 @@
 func (b *requestBody) outgoing(r *http.Request) *upstream.Request {
 	out := &upstream.Request{
 		Method: r.Method, Target: requestTarget(r), Host: r.Host,
-		Header: r.Header, SkipHeader: skipHeader(r.Header), SmallBody: b.buffered, StallTimeout: maxStall,
+		Header: r.Header, SkipHeader: skipHeader(r.Header), SkipTrailer: skipTrailer, SmallBody: b.buffered, StallTimeout: maxStall,
 	}
 	if b.streamed {
 		out.Body, out.Length, out.Trailer, out.AbortBody = b, b.contentLength(), r.Trailer, b.abortRead
--- a/internal/connection/upstream/request.go
+++ b/internal/connection/upstream/request.go
@@ -23,10 +23,12 @@
 	// SmallBody is a complete body, sent together with the header.
 	SmallBody []byte
 	// Body is streamed if it is not nil: Length bytes, or, if Length is
-	// negative, chunked and followed by Trailer.
-	Body    io.Reader
-	Length  int64
-	Trailer http.Header
+	// negative, chunked and followed by Trailer, except for the names in ExtraHeader and
+	// those for which SkipTrailer returns true.
+	Body        io.Reader
+	Length      int64
+	Trailer     http.Header
+	SkipTrailer func(name string) bool
 	// Expect delays sending Body until a "100 Continue" response.
 	Expect bool
 	// AbortBody must unblock a pending Read of Body.
@@ -52,10 +54,7 @@
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = appendField(b, "Host", r.Host)
 	for name, values := range r.Header {
-		if r.SkipHeader != nil && r.SkipHeader(name) {
-			continue
-		}
-		if _, replaced := r.ExtraHeader[name]; !replaced {
+		if !r.replaces(name) && (r.SkipHeader == nil || !r.SkipHeader(name)) {
 			b = appendFields(b, name, values)
 		}
 	}
@@ -65,12 +64,24 @@
 	return append(r.appendFraming(b), "\r\n"...)
 }
 
+// replaces reports whether ExtraHeader replaces a field with the name.
+func (r *Request) replaces(name string) bool {
+	_, replaced := r.ExtraHeader[name]
+	return replaced
+}
+
+func (r *Request) skipsTrailer(name string) bool {
+	return r.replaces(name) || (r.SkipTrailer != nil && r.SkipTrailer(name))
+}
+
 func (r *Request) appendFraming(b []byte) []byte {
 	switch {
 	case r.Body != nil && r.Length < 0:
 		b = appendField(b, "Transfer-Encoding", "chunked")
 		for name := range r.Trailer {
-			b = appendField(b, "Trailer", name)
+			if !r.skipsTrailer(name) {
+				b = appendField(b, "Trailer", name)
+			}
 		}
 	case r.Body != nil:
 		b = appendField(b, "Content-Length", strconv.FormatInt(r.Length, 10))
--- a/internal/connection/upstream/upload.go
+++ b/internal/connection/upstream/upload.go
@@ -157,7 +157,9 @@
 func (u *upload) lastChunk() []byte {
 	b := []byte("0\r\n")
 	for name, values := range u.request.Trailer {
-		b = appendFields(b, http.CanonicalHeaderKey(name), values)
+		if name = http.CanonicalHeaderKey(name); !u.request.skipsTrailer(name) {
+			b = appendFields(b, name, values)
+		}
 	}
 	return append(b, "\r\n"...)
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/daisygate/daisygate/internal/connection/limit"
 	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/connection/peer"
+	"github.com/daisygate/daisygate/internal/process/bootclock"
 	"github.com/daisygate/daisygate/internal/process/dissemination"
 	"github.com/daisygate/daisygate/internal/process/mesh"
 	"github.com/daisygate/daisygate/internal/process/presence"
@@ -83,6 +84,7 @@
 	leadership *leadership
 	servers    *announce.Server
 	claims     *claimManager
+	allowances *allowances
 
 	// incarnation is the start time of this process in Unix milliseconds.
 	incarnation uint64
@@ -195,7 +197,7 @@
 			Self: d.self, Seeds: d.otherSeeds(d.settings.Seeds), Active: activeLinks, Max: maxLinks,
 			Silence: linkSilence, Interval: linkInterval, Backoff: d.settings.JoinBackoff, Seed: seed,
 		},
-		Spread: dissemination.Config{Self: d.settings.Node, Seed: seed},
+		Spread: dissemination.Config{Self: d.settings.Node, Seed: seed, ProofInterval: d.proofInterval(), Clock: bootclock.Now},
 		Presence: presence.Config{
 			Self: d.self, Incarnation: incarnation, DigestInterval: presenceInterval, SuspectFor: suspectFor,
 			ForgetAfter: forgetAfter, ProbeInterval: probeInterval, Seed: seed,
@@ -211,12 +213,14 @@
 	if d.claims, err = newClaimManager(d, incarnation, seed); err != nil {
 		return err
 	}
+	d.allowances = newAllowances(d, seed)
 	cfg := gateway.Config{
 		Self: d.settings.Node, Domain: d.settings.Domain, Region: d.settings.Region, QueuePerSlot: d.settings.Limits.QueuePerSlot,
 		Directory: d.mesh.Directory, Ready: d.Ready, Observer: d.metrics, Tracer: d.tracer(),
 		CloseAbandoned: !d.settings.Servers.Linger, FixedSlots: !d.settings.Servers.Adapt, MaxBufferedResponse: d.settings.Servers.HoldBytes, Origin: d.origin, Retry: d.retryLimits,
 		OnConnectionRefused: func(addr string) { d.servers.RecordDialFailure(addr) },
 		OnMisdirected:       d.handleBootMismatch,
+		Allowances:          d.allowances,
 		Rollout:             d.rolloutConfig(),
 		LinkBytes:           float64(d.settings.Limits.LinkBytes),
 		RequestLog:          d.log.WithName(telemetry.RequestsLogger), RequestLines: d.settings.Log.RequestsPerSecond,
@@ -224,6 +228,9 @@
 	if d.platform != nil {
 		cfg.Dialect = d.platform
 	}
+	if d.settings.Organisations.RevokeWithin > 0 {
+		cfg.KeysCurrent = d.keysCurrent
+	}
 	if d.settings.Source.Claims {
 		cfg.Claims = d.claims.once
 	}
@@ -287,6 +294,7 @@
 		group.Go(func() error { d.rollouts.run(groupCtx); return nil })
 	}
 	group.Go(func() error { d.reportRollouts(groupCtx); return nil })
+	group.Go(func() error { d.allowances.run(groupCtx); return nil })
 	group.Go(func() error { d.probeLocalServer(groupCtx); return nil })
 	group.Go(func() error { d.queryCommitted(groupCtx); return nil })
 	servers := d.httpServers()
--- a/internal/process/daemon/wire_test.go
+++ b/internal/process/daemon/wire_test.go
@@ -47,7 +47,7 @@
 // controlTypes returns the argument and the reply of each control method, by name.
 func controlTypes() map[string]reflect.Type {
 	types := map[string]reflect.Type{}
-	for _, service := range []any{&meshService{}, &sourceService{}, &nodeService{}, &claimsService{}} {
+	for _, service := range []any{&meshService{}, &sourceService{}, &nodeService{}, &claimsService{}, &allowanceService{}} {
 		typ := reflect.TypeOf(service)
 		for i := range typ.NumMethod() {
 			method := typ.Method(i)
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -31,6 +31,8 @@
 	maxLinkBytes      = 1 << 40
 	minExposure       = 0.001
 	maxExposure       = 0.999
+	// minRevokeWithin leaves time for several proofs across the depth of the fleet.
+	minRevokeWithin = time.Second
 )
 
 // check adds a fault to d for each invalid value in s. Syntax and types are checked by
@@ -58,6 +60,10 @@
 	strictyaml.Range(d, "servers.hold_bytes", s.Servers.HoldBytes, 0, maxHoldBytes)
 	strictyaml.Range(d, "exposure.share", s.Exposure.Share, minExposure, maxExposure)
 	strictyaml.Range(d, "exposure.slack", s.Exposure.Slack, 0, maxRetrySlack)
+	if s.Organisations.RevokeWithin != 0 {
+		d.Duration("organisations.revoke_within", s.Organisations.RevokeWithin, minRevokeWithin, maxTimeout)
+	}
+	strictyaml.Range(d, "organisations.limit_slack", s.Organisations.LimitSlack, 0, maxRetrySlack)
 	d.Duration("retry.window", s.Retry.Window, minTimeout, maxTimeout)
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -54,6 +54,8 @@
 	Servers Servers `yaml:"servers"`
 	// Exposure bounds the traffic to a software version that is being rolled out.
 	Exposure Exposure `yaml:"exposure"`
+	// Organisations configures how API keys are checked.
+	Organisations Organisations `yaml:"organisations"`
 }
 
 // Listen holds the addresses of the listeners, each "ip:port".
@@ -232,6 +234,18 @@
 	Window time.Duration `yaml:"window"`
 }
 
+// Organisations configures how API keys are checked.
+type Organisations struct {
+	// RevokeWithin is the time after which an API key that was withdrawn no longer works at
+	// any daemon, even at one without contact to the sources. Such a daemon refuses all
+	// requests with a key. 0s lets it accept the keys that it knows. It must be the same on
+	// every node. Default 0s.
+	RevokeWithin time.Duration `yaml:"revoke_within"`
+	// LimitSlack is the number of requests by which an organisation may exceed its burst,
+	// because the daemons learn of each other's requests only after some time. Default 10.
+	LimitSlack int `yaml:"limit_slack"`
+}
+
 // Exposure bounds the requests that a software version receives before it is found
 // healthy: at most Share of all requests that reach the service during the roll-out,
 // plus Slack.
@@ -296,6 +310,8 @@
 		Servers: Servers{Dial: true, Linger: true, Adapt: true, Quarantine: true},
 
 		Exposure: Exposure{Share: 0.1, Slack: 50},
+
+		Organisations: Organisations{LimitSlack: 10},
 	}
 }
 
--- a/internal/process/telemetry/metrics.go
+++ b/internal/process/telemetry/metrics.go
@@ -44,6 +44,13 @@
 	reads  metricCache[result.Code, *metrics.Counter]
 	// announcements counts the announcements of backend servers by verdict.
 	announcements metricCache[string, *metrics.Counter]
+	// allowances counts the requests of organisations with a limit.
+	allowances metricCache[allowanceKey, *metrics.Counter]
+}
+
+type allowanceKey struct {
+	mesh, organisation string
+	admitted           bool
 }
 
 type routeKey struct{ mesh, route string }
@@ -77,6 +84,9 @@
 	m.announcements.make = func(verdict string) *metrics.Counter {
 		return set.GetOrCreateCounter(fmt.Sprintf("daisygate_announcements_total{verdict=%q}", verdict))
 	}
+	m.allowances.make = func(k allowanceKey) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf("daisygate_allowance_requests_total{mesh=%q,organisation=%q,admitted=\"%t\"}", k.mesh, k.organisation, k.admitted))
+	}
 	set.RegisterMetricsWriter(func(w io.Writer) { m.state().write(w) })
 	return m
 }
@@ -116,6 +126,12 @@
 // CountAnnouncement counts an announcement of a backend server by its verdict.
 func (m *Metrics) CountAnnouncement(verdict string) { m.announcements.get(verdict, verdict).Inc() }
 
+// CountAllowance counts a request of an organisation with a limit.
+func (m *Metrics) CountAllowance(mesh, organisation string, admitted bool) {
+	other := allowanceKey{mesh: otherLabel, organisation: otherLabel, admitted: admitted}
+	m.allowances.get(allowanceKey{mesh: mesh, organisation: organisation, admitted: admitted}, other).Inc()
+}
+
 // Done implements gateway.Observer.
 func (m *Metrics) Done(d gateway.Done) {
 	route, other := routeKey{d.Mesh, d.Route}, routeKey{otherLabel, otherLabel}
