Metrics: bytes between daemons by traffic and failure domain

daisygate_peer_bytes_total counts both directions of the connections that a daemon opened, so that the sum over the fleet counts each byte once.

--- a/internal/connection/gateway/forward.go
+++ b/internal/connection/gateway/forward.go
@@ -88,7 +88,7 @@
 	span := x.g.cfg.Tracer.Send(ctx, HopForward, out.ExtraHeader)
 	span.Set(SpanNode, to.Node.Name)
 	defer func() { span.End(codeOf(refused)) }()
-	resp, failure := x.g.peerPools.pool(to.Node.Addr).RoundTrip(ctx, out)
+	resp, failure := x.g.peerPools.pool(to.Node.Addr, to.Node.Domain).RoundTrip(ctx, out)
 	if failure != nil {
 		return nil, classifyFailure(ctx, failure, result.DaemonRefused)
 	}
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -152,7 +152,7 @@
 		cfg.MaxConcurrentCalls = defaultMaxCalls
 	}
 	return &Gateway{
-		cfg: cfg, log: log, requestLog: newRequestLog(cfg.RequestLog, cfg.RequestLines), link: newLink(cfg.LinkBytes), responseBuffer: &responseBuffer{maxBytes: cfg.MaxBufferedResponse}, started: time.Now(), peerPools: newPeerPools(), retryTracker: newRetryTracker(), shares: share.New(cfg.MaxConcurrentCalls),
+		cfg: cfg, log: log, requestLog: newRequestLog(cfg.RequestLog, cfg.RequestLines), link: newLink(cfg.LinkBytes), responseBuffer: &responseBuffer{maxBytes: cfg.MaxBufferedResponse}, started: time.Now(), peerPools: newPeerPools(cfg.Domain), retryTracker: newRetryTracker(), shares: share.New(cfg.MaxConcurrentCalls),
 		backends: map[string]*backend{}, services: map[snapshot.ServiceKey]*service{},
 	}
 }
@@ -176,6 +176,12 @@
 	}
 }
 
+// PeerBytes returns the bytes of calls exchanged with the daemons of the same failure domain
+// and of others since the start.
+func (g *Gateway) PeerBytes() (same, other uint64) {
+	return g.peerPools.bytes.Same.Load(), g.peerPools.bytes.Other.Load()
+}
+
 // acquireShare counts a call against the share of a mesh and reports whether there was
 // room. If so, the caller must call releaseShare.
 func (g *Gateway) acquireShare(mesh string) bool {
@@ -202,6 +208,21 @@
 type peerPools struct {
 	mu    sync.RWMutex
 	pools map[string]*upstream.Pool
+	// domain is the failure domain of this daemon. bytes counts the bytes of calls to and
+	// from the daemons of this domain and of others.
+	domain string
+	bytes  DomainBytes
+}
+
+// DomainBytes counts bytes exchanged with daemons of the same failure domain and of others.
+type DomainBytes struct{ Same, Other atomic.Uint64 }
+
+// Of returns the counter for a peer that is in the same failure domain or not.
+func (b *DomainBytes) Of(same bool) *atomic.Uint64 {
+	if same {
+		return &b.Same
+	}
+	return &b.Other
 }
 
 const (
@@ -212,10 +233,13 @@
 	peerSweepInterval = 256
 )
 
-func newPeerPools() *peerPools { return &peerPools{pools: map[string]*upstream.Pool{}} }
+func newPeerPools(domain string) *peerPools {
+	return &peerPools{pools: map[string]*upstream.Pool{}, domain: domain}
+}
 
-// pool returns the connection pool of the daemon at addr.
-func (p *peerPools) pool(addr string) *upstream.Pool {
+// pool returns the connection pool of the daemon at addr, which is in the given failure
+// domain.
+func (p *peerPools) pool(addr, domain string) *upstream.Pool {
 	p.mu.RLock()
 	pool := p.pools[addr]
 	p.mu.RUnlock()
@@ -230,7 +254,7 @@
 	if len(p.pools)%peerSweepInterval == peerSweepInterval-1 {
 		p.sweep()
 	}
-	pool = upstream.NewPool(upstream.Config{Addr: addr, IdleMax: maxIdlePeerConns, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout})
+	pool = upstream.NewPool(upstream.Config{Addr: addr, IdleMax: maxIdlePeerConns, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout, Bytes: p.bytes.Of(domain == p.domain)})
 	p.pools[addr] = pool
 	return pool
 }
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -91,16 +91,26 @@
 	net.Conn
 	traffic *Traffic
 	limiter frameLimiter
+	// dialled counts the bytes in both directions of a connection that this daemon opened;
+	// nil for others.
+	dialled *atomic.Uint64
 }
 
 func newControlConn(conn net.Conn, traffic *Traffic) *controlConn {
 	return &controlConn{Conn: conn, traffic: traffic, limiter: frameLimiter{max: traffic.maxMessage()}}
 }
 
+func (c *controlConn) count(n int) {
+	if c.dialled != nil {
+		c.dialled.Add(uint64(n))
+	}
+}
+
 // Read implements net.Conn.
 func (c *controlConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.traffic.Received.Add(uint64(n))
+	c.count(n)
 	if limitErr := c.limiter.consume(p[:n]); limitErr != nil {
 		return 0, limitErr
 	}
@@ -111,6 +121,7 @@
 func (c *controlConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.traffic.Sent.Add(uint64(n))
+	c.count(n)
 	c.traffic.Messages.Add(1)
 	return n, err
 }
@@ -118,6 +129,10 @@
 // Pool keeps one control connection for each address that was called, and closes idle
 // connections.
 type Pool struct {
+	// Counter returns the counter for the bytes of a new connection to an address. It may be
+	// nil and must not change after the first call.
+	Counter func(addr string) *atomic.Uint64
+
 	traffic     *Traffic
 	idleTimeout time.Duration
 	mu          sync.Mutex
@@ -293,7 +308,11 @@
 		return nil, errors.CombineErrors(errors.Newf("open control connection: %s", resp.Status), conn.Close())
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return newControlConn(conn, p.traffic), nil
+	control := newControlConn(conn, p.traffic)
+	if p.Counter != nil {
+		control.dialled = p.Counter(addr)
+	}
+	return control, nil
 }
 
 // Reachable reports whether a TCP connection to addr can be opened.
--- a/internal/connection/upstream/conn.go
+++ b/internal/connection/upstream/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,8 @@
 	stallTimeout time.Duration
 	// ctx is the context of the current request; its end aborts every read.
 	ctx context.Context
+	// bytes counts the bytes sent and received; it may be nil.
+	bytes *atomic.Uint64
 	// deadlineSet reports whether an earlier read left a read deadline set.
 	deadlineSet bool
 }
@@ -57,12 +60,26 @@
 		c.extendReadDeadline()
 	}
 	n, err := c.Conn.Read(p)
+	c.count(n)
 	if c.headerLeft > 0 {
 		c.headerLeft -= n
 	}
 	return n, err
 }
 
+// Write implements io.Writer.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count(n)
+	return n, err
+}
+
+func (c *conn) count(n int) {
+	if c.bytes != nil {
+		c.bytes.Add(uint64(n))
+	}
+}
+
 // extendReadDeadline sets the deadline of the next read. If the request was
 // canceled, the deadline stays in the past.
 func (c *conn) extendReadDeadline() {
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,8 @@
 	// Linger half-closes the connection of a canceled request and waits for the
 	// server to finish the request before calling Request.Done.
 	Linger bool
+	// Bytes counts the bytes sent and received; nil does not count them.
+	Bytes *atomic.Uint64
 }
 
 // Pool keeps the connections to one address. It is safe for concurrent use.
@@ -178,7 +181,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: tcp}
+	c := &conn{Conn: tcp, bytes: p.cfg.Bytes}
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
--- a/internal/process/daemon/observe.go
+++ b/internal/process/daemon/observe.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -114,6 +115,8 @@
 		Backends: d.gateway.Occupancy(), Budgets: d.gateway.Budgets(), Rollouts: d.gateway.Rollouts(), Once: d.claims.metricsState(),
 	}
 	state.Servers = len(state.Backends)
+	state.CallsSameDomain, state.CallsOtherDomain = d.gateway.PeerBytes()
+	state.ControlSameDomain, state.ControlOtherDomain = d.controlBytes.Same.Load(), d.controlBytes.Other.Load()
 	for name, l := range d.limits {
 		state.Listeners = append(state.Listeners, telemetry.ListenerState{Name: name, Open: l.Open(), Limit: l.Limit(), Refused: l.Refused()})
 	}
@@ -128,6 +131,17 @@
 	return state
 }
 
+// controlCounter returns the counter for a control connection to a daemon. A daemon that is not
+// known yet counts as one of another failure domain.
+func (d *Daemon) controlCounter(addr string) *atomic.Uint64 {
+	for _, r := range d.mesh.Directory().Records {
+		if r.Node.Addr == addr {
+			return d.controlBytes.Of(r.Node.Domain == d.settings.Domain)
+		}
+	}
+	return d.controlBytes.Of(false)
+}
+
 // serverLog returns the error log of an http.Server. It writes at verbosity 1, because anyone
 // who can reach a listener can cause these messages.
 func serverLog(log logr.Logger) *stdlog.Logger {
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -30,6 +30,11 @@
 	Links, Nodes, Servers int
 	// ControlSent and ControlReceived are the bytes of control messages since the start.
 	ControlSent, ControlReceived uint64
+	// ControlSameDomain to CallsOtherDomain are the bytes, in both directions, on connections
+	// that this daemon opened to daemons of the same failure domain and of others. In the sum
+	// over all daemons each byte counts once.
+	ControlSameDomain, ControlOtherDomain uint64
+	CallsSameDomain, CallsOtherDomain     uint64
 	// Backends is the occupancy of the local backend servers.
 	Backends []gateway.Occupancy
 	// Budgets is the state of the retry budget of each service.
@@ -90,6 +95,8 @@
 	metrics.WriteGaugeUint64(w, "daisygate_backend_servers", uint64(s.Servers))
 	metrics.WriteCounterUint64(w, `daisygate_control_bytes_total{direction="sent"}`, s.ControlSent)
 	metrics.WriteCounterUint64(w, `daisygate_control_bytes_total{direction="received"}`, s.ControlReceived)
+	writePeerBytes(w, "control", s.ControlSameDomain, s.ControlOtherDomain)
+	writePeerBytes(w, "calls", s.CallsSameDomain, s.CallsOtherDomain)
 	for _, b := range s.Backends {
 		writeBackend(w, b)
 	}
@@ -110,6 +117,11 @@
 	s.Once.write(w)
 }
 
+func writePeerBytes(w io.Writer, traffic string, same, other uint64) {
+	metrics.WriteCounterUint64(w, fmt.Sprintf("daisygate_peer_bytes_total{traffic=%q,domain=\"same\"}", traffic), same)
+	metrics.WriteCounterUint64(w, fmt.Sprintf("daisygate_peer_bytes_total{traffic=%q,domain=\"other\"}", traffic), other)
+}
+
 func writeBackend(w io.Writer, b gateway.Occupancy) {
 	labels := fmt.Sprintf("{server=%q}", b.Server)
 	metrics.WriteGaugeUint64(w, "daisygate_backend_slots_in_use"+labels, uint64(b.Running))
--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -156,6 +156,7 @@
 	m.CountOrder(result.Accepted)
 	m.CountRead(result.Answered)
 	m.CountAnnouncement("renewed")
+	m.CountAllowance("m", "o", true)
 	written := map[string]bool{}
 	for _, name := range regexp.MustCompile(`(?m)^daisygate_\w+`).FindAllString(scrape(m), -1) {
 		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
