--- a/internal/request/allowance/aggregator.go
+++ b/internal/request/allowance/aggregator.go
@@ -166,6 +166,9 @@
 	interval time.Duration
 	members  members
 	entries  map[Name]*entry
+	// activeSince is when the first of an uninterrupted series of reports arrived, receivedAt
+	// when the last one did.
+	activeSince, receivedAt time.Time
 	// limit returns the limit of an organisation, with a Rate of 0 if it has none.
 	limit func(Name) Limit
 }
@@ -196,16 +199,22 @@
 	predictionWindow = 300 * time.Millisecond
 	// settlementTime is the time over which the tokens left are given out, or a debt is paid off.
 	settlementTime = time.Second
+	// takeoverTime is how long the buckets of a new Ledger start empty, because the previous
+	// one may have given out their tokens.
+	takeoverTime = 2 * time.Second
 )
 
-// NewLedger returns a Ledger to which aggregators report once per interval. The buckets start
-// empty, because a previous Ledger may have given out their tokens.
+// NewLedger returns a Ledger to which aggregators report once per interval.
 func NewLedger(interval time.Duration, limit func(Name) Limit) *Ledger {
 	return &Ledger{interval: interval, members: newMembers(), entries: map[Name]*entry{}, limit: limit}
 }
 
 // Receive handles the report of an Aggregator.
 func (l *Ledger) Receive(now time.Time, r *Report) Reply {
+	if l.activeSince.IsZero() || now.Sub(l.receivedAt) > memberTimeout {
+		l.activeSince = now
+	}
+	l.receivedAt = now
 	l.members.expire(now)
 	l.members.record(now, r, l.interval)
 	for _, u := range r.Usage {
@@ -229,10 +238,16 @@
 func (l *Ledger) charge(now time.Time, u Usage) {
 	e := l.entries[u.Name]
 	if e == nil {
-		if l.limit(u.Name).Rate == 0 {
+		limit := l.limit(u.Name)
+		if limit.Rate == 0 {
 			return
 		}
-		e = &entry{restricted: true, refilledAt: now, demandAt: now}
+		e = &entry{refilledAt: now, demandAt: now}
+		if now.Sub(l.activeSince) >= takeoverTime {
+			e.tokens = limit.burst()
+		} else {
+			e.restricted = true
+		}
 		l.entries[u.Name] = e
 	}
 	l.refill(now, u.Name, e)
@@ -255,7 +270,7 @@
 // refill adds the tokens since the last refill and decides on the restriction.
 func (l *Ledger) refill(now time.Time, name Name, e *entry) {
 	e.limit = l.limit(name)
-	burst := max(e.limit.Burst+e.limit.Slack, 1)
+	burst := e.limit.burst()
 	e.updateDemand(now)
 	e.tokens = min(e.tokens+max(0, now.Sub(e.refilledAt).Seconds())*e.limit.Rate, burst)
 	e.refilledAt = now
--- a/internal/request/allowance/allowance.go
+++ b/internal/request/allowance/allowance.go
@@ -30,6 +30,9 @@
 // lack of precision.
 type Limit struct{ Rate, Burst, Slack float64 }
 
+// burst returns the capacity of the token bucket that enforces the limit.
+func (l Limit) burst() float64 { return max(l.Burst+l.Slack, 1) }
+
 // Usage counts the requests of one organisation since the previous report. Admitted is negative
 // if more earlier requests turned out not to have run than new ones were admitted.
 type Usage struct {
--- a/internal/request/allowance/sim_test.go
+++ b/internal/request/allowance/sim_test.go
@@ -291,3 +291,16 @@
 		last = retryAfter
 	}
 }
+
+// TestFirstRequestsAfterIdleTime guards against refusals of the first requests of an
+// organisation because its bucket starts empty although no request was admitted before.
+func TestFirstRequestsAfterIdleTime(t *testing.T) {
+	c := qt.New(t)
+	limits := organisations(20, 600)
+	s := newSim(1, 74, limits)
+	s.run(5*time.Second, nil, s.anywhere)
+	s.run(5*time.Second, scaled(limits, 0.6), s.anywhere)
+	for name, refused := range s.refused {
+		c.Check(refused, qt.Equals, 0, qt.Commentf("%v", name))
+	}
+}
