--- a/internal/process/daemon/allowances.go
+++ b/internal/process/daemon/allowances.go
@@ -55,7 +55,7 @@
 		d: d, meter: allowance.NewMeter(seed), aggregator: allowance.NewAggregator(meterInterval),
 		avoided: map[string]time.Time{},
 	}
-	a.ledger = allowance.NewLedger(aggregatorInterval, a.limitOf)
+	a.ledger = allowance.NewLedger(aggregatorInterval, d.settings.Organisations.LimitWindow, a.limitOf)
 	return a
 }
 
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -33,6 +33,8 @@
 	maxExposure       = 0.999
 	// minRevokeWithin leaves time for several proofs across the depth of the fleet.
 	minRevokeWithin = time.Second
+	// minLimitWindow is several times as long as it takes to restrict an organisation.
+	minLimitWindow = 2 * time.Second
 )
 
 // check adds a fault to d for each invalid value in s. Syntax and types are checked by
@@ -63,6 +65,7 @@
 	if s.Organisations.RevokeWithin != 0 {
 		d.Duration("organisations.revoke_within", s.Organisations.RevokeWithin, minRevokeWithin, maxTimeout)
 	}
+	d.Duration("organisations.limit_window", s.Organisations.LimitWindow, minLimitWindow, maxTimeout)
 	strictyaml.Range(d, "organisations.limit_slack", s.Organisations.LimitSlack, 0, maxRetrySlack)
 	d.Duration("retry.window", s.Retry.Window, minTimeout, maxTimeout)
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -241,8 +241,11 @@
 	// requests with a key. 0s lets it accept the keys that it knows. It must be the same on
 	// every node. Default 0s.
 	RevokeWithin time.Duration `yaml:"revoke_within"`
-	// LimitSlack is the number of requests by which an organisation may exceed its burst,
-	// because the daemons learn of each other's requests only after some time. Default 10.
+	// LimitWindow is the time within which an organisation may send its rate times this time,
+	// plus its burst. Default 5s.
+	LimitWindow time.Duration `yaml:"limit_window"`
+	// LimitSlack is the number of requests by which an organisation may exceed that, because
+	// the daemons learn of each other's requests only after some time. Default 10.
 	LimitSlack int `yaml:"limit_slack"`
 }
 
@@ -311,7 +314,7 @@
 
 		Exposure: Exposure{Share: 0.1, Slack: 50},
 
-		Organisations: Organisations{LimitSlack: 10},
+		Organisations: Organisations{LimitWindow: 5 * time.Second, LimitSlack: 10},
 	}
 }
 
--- a/internal/request/allowance/allowance.go
+++ b/internal/request/allowance/allowance.go
@@ -3,12 +3,12 @@
 //
 // Each daemon counts the requests that it admits in a Meter and reports them several times per
 // second to an Aggregator, which sums up the reports of a few dozen daemons and reports the sum
-// to the Ledger. The Ledger keeps a token bucket for each organisation. An organisation with
-// enough tokens is not restricted anywhere. When its tokens run low, the Ledger divides its rate
-// among the Aggregators, and these among their daemons, by the demand of each; every daemon then
-// enforces its share until the tokens have recovered. Requests admitted before the shares arrive
-// are charged to the bucket, which may become negative; the shares stay below the rate until the
-// debt is paid off. The design follows the capacity leases of Doorman and the distributed rate
+// to the Ledger. The Ledger counts the requests of each organisation within a sliding window. An
+// organisation that has used little of its limit is not restricted anywhere. When it nears the
+// limit, the Ledger divides a rate among the Aggregators, and these among their daemons, by the
+// demand of each; every daemon then enforces its share until enough of the limit is left again.
+// Requests admitted before the shares arrive may exceed the limit; the shares are lower until
+// these requests have left the window. The design follows the capacity leases of Doorman and the distributed rate
 // limiting of Raghavan et al., "Cloud Control with Distributed Rate Limiting" (2007).
 //
 // A daemon without contact to the Ledger falls back to a part of the limit that all daemons can
@@ -25,13 +25,14 @@
 // Name identifies an organisation.
 type Name struct{ Mesh, Organisation string }
 
-// Limit is the limit of one organisation: Rate requests per second on average and up to Burst
-// more at once. Slack is the number of further requests by which the limit may be exceeded for
-// lack of precision.
+// Limit is the limit of one organisation within any window: Rate requests per second, Burst more
+// at any time, and Slack more for lack of precision.
 type Limit struct{ Rate, Burst, Slack float64 }
 
-// burst returns the capacity of the token bucket that enforces the limit.
-func (l Limit) burst() float64 { return max(l.Burst+l.Slack, 1) }
+// perWindow returns the number of requests that the limit allows within a window.
+func (l Limit) perWindow(window time.Duration) float64 {
+	return max(l.Rate*window.Seconds()+l.Burst+l.Slack, 1)
+}
 
 // Usage counts the requests of one organisation since the previous report. Admitted is negative
 // if more earlier requests turned out not to have run than new ones were admitted.
--- a/internal/request/allowance/bucket.go
+++ b/internal/request/allowance/bucket.go
@@ -51,9 +51,13 @@
 	return retryAfter, false
 }
 
-// restrict changes the rate and capacity. The tokens saved so far are kept up to the capacity.
+// restrict changes the rate and capacity. The tokens saved so far are kept up to the capacity, and
+// in proportion if the rate falls.
 func (b *bucket) restrict(now time.Time, rate, capacity float64) {
 	b.refill(now)
+	if rate < b.rate && b.tokens > 0 {
+		b.tokens *= rate / b.rate
+	}
 	b.rate, b.capacity = rate, capacity
 	b.tokens = min(b.tokens, capacity)
 }
--- a/internal/version/manifest/organisation.go
+++ b/internal/version/manifest/organisation.go
@@ -35,9 +35,9 @@
 	KeyDigests []string `yaml:"key_digests" cbor:"2,keyasint,omitempty"`
 	// Priority replaces the priority of the route. Default RoutePriority.
 	Priority int `yaml:"priority" cbor:"3,keyasint"`
-	// Rate and Burst limit the requests of the organisation at all daemons together: on
-	// average Rate requests per second, and up to Burst more at once. With a Rate of 0,
-	// the default, there is no limit.
+	// Rate and Burst limit the requests of the organisation at all daemons together: Rate
+	// requests per second, and up to Burst more within each window of the settings. With a
+	// Rate of 0, the default, there is no limit.
 	Rate  int `yaml:"rate" cbor:"4,keyasint,omitempty"`
 	Burst int `yaml:"burst" cbor:"5,keyasint,omitempty"`
 }
