Membership: gateways carry the updates between failure domains

Cause: every daemon kept about three of its six links to other failure domains and sent each update over all of them, so that a change cost 317 B between domains for each daemon of the fleet, and the start of a fleet grew with its square.

Change: six daemons of each domain, those with the lowest IDs, keep links to other domains; others end theirs, pull tables from neighbours in their domain and send no updates over a link that is about to end. Referrals name nodes of the asker's domain first. Domains of up to six daemons behave as before.

--- a/internal/process/dissemination/core.go
+++ b/internal/process/dissemination/core.go
@@ -124,8 +124,7 @@
 	}
 	c.history = fleet.History{Count: c.cfg.History, Bytes: c.cfg.HistoryBytes}
 	c.confirm = newConfirmState(c.rand)
-	c.proof.asked = c.rand.Uint64()>>1 + 1
-	c.proof.answered = c.proof.asked
+	c.proof = newProofState(c.cfg.Seed)
 	return c
 }
 
--- a/internal/process/dissemination/proof.go
+++ b/internal/process/dissemination/proof.go
@@ -1,6 +1,9 @@
 package dissemination
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // proofReuse is the maximum age of a proof that is passed on to a child without a new query.
 // It bounds the queries of a node, whatever the size of its subtree, and adds to the age of a
@@ -55,6 +58,11 @@
 	due bool
 }
 
+func newProofState(seed uint64) proofState {
+	base := rand.New(rand.NewPCG(seed, 4)).Uint64()>>1 + 1
+	return proofState{asked: base, answered: base}
+}
+
 func (s *proofState) outstanding() uint64 {
 	if s.asked == s.answered {
 		return 0
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -46,16 +46,20 @@
 
 // Core combines a view.Core and a presence.Core. It is not safe for concurrent use.
 type Core struct {
+	self     view.Node
 	view     *view.Core
 	presence *presence.Core
 	// links holds the live links by node name.
 	links              map[string]view.Node
 	nextCandidateCheck time.Time
+	// gatewaysOf is the number of records from which the gateways were selected.
+	gatewaysOf       int
+	nextGatewayCheck time.Time
 }
 
 // New returns a Core that knows only itself.
 func New(cfg Config) *Core {
-	return &Core{view: view.New(cfg.View), presence: presence.New(cfg.Presence), links: map[string]view.Node{}}
+	return &Core{self: cfg.View.Self, view: view.New(cfg.View), presence: presence.New(cfg.Presence), links: map[string]view.Node{}}
 }
 
 // Presence returns the table of records. Callers must only read from it.
@@ -134,6 +138,12 @@
 		c.nextCandidateCheck = now.Add(candidateInterval)
 		c.addCandidates()
 	}
+	if n := c.presence.Len(); n != c.gatewaysOf && !now.Before(c.nextGatewayCheck) {
+		c.gatewaysOf, c.nextGatewayCheck = n, now.Add(gatewayInterval)
+		isGateway, all := c.selectGateways()
+		c.view.SetGateways(isGateway, all)
+		c.presence.SetGateways(isGateway)
+	}
 	actions := c.convertPresence(c.presence.Tick(now))
 	return append(actions, c.convertView(now, c.view.Tick(now))...)
 }
@@ -152,6 +162,9 @@
 	}
 }
 
+// isNear reports whether a node is in the failure domain of this daemon.
+func (c *Core) isNear(n view.Node) bool { return c.self.ScopeOf(n) == view.SameDomain }
+
 // convertView converts the actions of package view and passes link changes on to package
 // presence.
 func (c *Core) convertView(now time.Time, in []view.Action) []Action {
@@ -163,7 +176,7 @@
 		case a.Up != nil:
 			c.links[a.Up.Name] = *a.Up
 			out = append(out, Action{Up: a.Up})
-			out = append(out, c.convertPresence(c.presence.LinkUp(now, a.Up.Name))...)
+			out = append(out, c.convertPresence(c.presence.LinkUp(now, a.Up.Name, c.isNear(*a.Up)))...)
 		case a.Down != nil:
 			delete(c.links, a.Down.Node.Name)
 			out = append(out, Action{Down: a.Down})
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -32,9 +32,12 @@
 	rand  *rand.Rand
 	self  Record
 	table *table
+	// links maps the names of the links to whether they are within the failure domain.
 	links map[string]bool
 	// linkNames are the names of the links, sorted.
 	linkNames []string
+	// isGateway reports whether a daemon passes updates on to other failure domains.
+	isGateway func(name string) bool
 
 	// suspectedIDs are the IDs of the entries with suspected set.
 	suspectedIDs map[ID]bool
@@ -55,7 +58,7 @@
 	c := &Core{
 		cfg: cfg, id: IDOf(cfg.Self.Name), rand: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		table: newTable(), links: map[string]bool{}, suspectedIDs: map[ID]bool{},
-		updates: newUpdateQueue(),
+		updates: newUpdateQueue(), isGateway: func(string) bool { return true },
 	}
 	c.self = Record{Node: cfg.Self, Incarnation: cfg.Incarnation, Seq: 1}
 	c.storeSelf()
@@ -171,12 +174,13 @@
 	return Action{Send: &Send{To: to, Message: m}}
 }
 
-// LinkUp adds a link and starts to compare the tables.
-func (c *Core) LinkUp(now time.Time, node string) []Action {
+// LinkUp adds a link and starts to compare the tables. near is set if the node is in the failure
+// domain of this daemon.
+func (c *Core) LinkUp(now time.Time, node string, near bool) []Action {
 	if len(c.links) == 0 {
 		c.clearSuspicions()
 	}
-	c.links[node] = true
+	c.links[node] = near
 	c.linkNames = slices.Sorted(maps.Keys(c.links))
 	var actions []Action
 	if !c.pull.done {
@@ -319,3 +323,19 @@
 	c.nextDigest = now.Add(c.cfg.DigestInterval)
 	return append(actions, c.sendDigest(c.linkNames[c.rand.IntN(len(c.linkNames))]))
 }
+
+// SetGateways sets which daemons exchange updates with other failure domains. Until the first call,
+// all do.
+func (c *Core) SetGateways(isGateway func(name string) bool) { c.isGateway = isGateway }
+
+// carriesUpdates reports whether updates that are not urgent are sent on a link. They are not on a
+// link to another failure domain without a gateway at either end, which is about to be ended.
+func (c *Core) carriesUpdates(name string) bool {
+	return c.links[name] || c.isGateway(c.cfg.Self.Name) || c.isGateway(name)
+}
+
+// linked reports whether there is a link to the named daemon.
+func (c *Core) linked(name string) bool {
+	_, linked := c.links[name]
+	return linked
+}
--- a/internal/process/presence/probe.go
+++ b/internal/process/presence/probe.go
@@ -37,7 +37,7 @@
 // first tries the failure domain of the failed daemon, then its region.
 func (c *Core) probeTarget() *entry {
 	eligible := func(r *Record) bool {
-		return r.Node.Name != c.cfg.Self.Name && !c.links[r.Node.Name] && !c.suspectedIDs[IDOf(r.Node.Name)]
+		return r.Node.Name != c.cfg.Self.Name && !c.linked(r.Node.Name) && !c.suspectedIDs[IDOf(r.Node.Name)]
 	}
 	for scope := view.SameDomain; c.prober.searching && scope <= view.SameRegion; scope++ {
 		near := func(r *Record) bool { return c.prober.lost.ScopeOf(r.Node) <= scope && eligible(r) }
--- a/internal/process/presence/repair.go
+++ b/internal/process/presence/repair.go
@@ -33,10 +33,24 @@
 	if c.pull.done || c.pull.from != "" || len(c.links) == 0 {
 		return nil
 	}
-	c.pull.from = c.linkNames[c.rand.IntN(len(c.linkNames))]
+	c.pull.from = c.pullSource()
 	return c.pullPage(now)
 }
 
+// pullSource returns a random neighbour, within the failure domain if there is one.
+func (c *Core) pullSource() string {
+	var near []string
+	for _, name := range c.linkNames {
+		if c.links[name] {
+			near = append(near, name)
+		}
+	}
+	if len(near) == 0 {
+		near = c.linkNames
+	}
+	return near[c.rand.IntN(len(near))]
+}
+
 func (c *Core) pullPage(now time.Time) []Action {
 	c.pull.requestedAt = now
 	return []Action{c.send(c.pull.from, Message{Type: MsgPull, From: c.pull.next})}
--- a/internal/process/presence/updates.go
+++ b/internal/process/presence/updates.go
@@ -66,7 +66,9 @@
 	}
 	var actions []Action
 	for _, name := range c.linkNames {
-		actions = append(actions, c.flushUpdatesTo(name)...)
+		if c.carriesUpdates(name) {
+			actions = append(actions, c.flushUpdatesTo(name)...)
+		}
 	}
 	c.updates = newUpdateQueue()
 	return actions
--- a/internal/process/view/tick.go
+++ b/internal/process/view/tick.go
@@ -28,9 +28,42 @@
 	for _, a := range c.attempts.expire(now) {
 		c.attemptFailed(now, a)
 	}
+	actions = append(actions, c.prune(now)...)
 	return append(actions, c.seek(now)...)
 }
 
+const (
+	// pruneInterval is the minimum time between the ends of two surplus links.
+	pruneInterval = 200 * time.Millisecond
+	// minNearLinks is the number of links within the failure domain that must remain working
+	// for a link to another domain to be surplus.
+	minNearLinks = 2
+)
+
+// prune ends a link to another failure domain if neither end is a gateway.
+func (c *Core) prune(now time.Time) []Action {
+	if now.Before(c.pruneNext) || c.isGateway(c.cfg.Self.Name) {
+		return nil
+	}
+	near := 0
+	var surplus *Node
+	for _, n := range c.nodes {
+		switch {
+		case c.cfg.Self.ScopeOf(n) != SameDomain:
+			if !c.isGateway(n.Name) {
+				surplus = &n
+			}
+		case !c.links[n.Name].failing:
+			near++
+		}
+	}
+	if surplus == nil || near < minNearLinks {
+		return nil
+	}
+	c.pruneNext = now.Add(pruneInterval)
+	return append(c.removeLink(surplus.Name, false), c.send(*surplus, Message{Type: MsgLeave}))
+}
+
 // seek sends joins if more links are needed and no join for them is pending.
 func (c *Core) seek(now time.Time) []Action {
 	if c.allLinksFailing() {
--- a/internal/process/view/view.go
+++ b/internal/process/view/view.go
@@ -10,6 +10,7 @@
 package view
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -40,6 +41,10 @@
 	nodes      []Node
 	candidates candidates
 	attempts   attempts
+	// isGateway reports whether a node keeps links to other failure domains.
+	isGateway func(name string) bool
+	// pruneNext is the earliest time at which the next surplus link is ended.
+	pruneNext time.Time
 
 	// seekExtra requests one link more than needed. seekCount counts the calls of
 	// Seek.
@@ -64,12 +69,29 @@
 	if cfg.Backoff == 0 {
 		cfg.Backoff = DefaultBackoff
 	}
-	sameDomain := (cfg.Active - 1) / 2
-	return &Core{
+	c := &Core{
 		cfg: cfg, rand: r, links: map[string]*link{}, fleetSize: 1,
-		targets:    [numScopes]int{SameDomain: sameDomain, SameRegion: cfg.Active - 1 - sameDomain, OtherRegion: 1},
 		candidates: candidates{self: cfg.Self, rand: r},
 	}
+	c.SetGateways(func(string) bool { return true }, true)
+	return c
+}
+
+// SetGateways sets which nodes are gateways. A gateway keeps links to nodes of other failure
+// domains and regions; any other node keeps links within its own domain, so that most traffic
+// stays there. all is set if every node of this domain is a gateway. Until the first call, all
+// nodes are gateways.
+func (c *Core) SetGateways(isGateway func(name string) bool, all bool) {
+	c.isGateway = isGateway
+	sameDomain := (c.cfg.Active - 1) / 2
+	switch {
+	case all:
+		c.targets = [numScopes]int{SameDomain: sameDomain, SameRegion: c.cfg.Active - 1 - sameDomain, OtherRegion: 1}
+	case isGateway(c.cfg.Self.Name):
+		c.targets = [numScopes]int{SameDomain: c.cfg.Active - 2, SameRegion: 1, OtherRegion: 1}
+	default:
+		c.targets = [numScopes]int{SameDomain: c.cfg.Active}
+	}
 }
 
 // Links returns the links sorted by name. The slice must not be modified.
@@ -210,7 +232,7 @@
 		c.displaceNext = now.Add(c.cfg.Interval)
 		actions = append(actions, c.displace(from)...)
 	}
-	accept := c.send(from, Message{Type: MsgAccept, Node: &c.cfg.Self, Known: c.referral(from.Name)})
+	accept := c.send(from, Message{Type: MsgAccept, Node: &c.cfg.Self, Known: c.referral(from)})
 	return append(append(actions, accept), c.addLink(now, from)...)
 }
 
@@ -272,7 +294,7 @@
 		c.refusalsSince, c.refusals = now, 0
 	}
 	c.refusals++
-	known := c.referral(to.Name)
+	known := c.referral(to)
 	c.Learn(to)
 	after := min(minBackoff+time.Duration(c.refusals)*refusalDelay, maxBackoff)
 	return c.send(to, Message{Type: MsgRefuse, Node: &c.cfg.Self, Known: known, After: after})
@@ -285,8 +307,9 @@
 // referralSize is the maximum number of nodes in a referral.
 const referralSize = 6
 
-// referral returns a random selection of links and candidates.
-func (c *Core) referral(except string) []Node {
+// referral returns a random selection of links and candidates for a node, those in its failure
+// domain first.
+func (c *Core) referral(to Node) []Node {
 	nodes := slices.Clone(c.nodes)
 	for _, scope := range c.candidates.byScope {
 		for _, cand := range scope {
@@ -295,8 +318,11 @@
 			}
 		}
 	}
-	nodes = slices.DeleteFunc(nodes, func(n Node) bool { return n.Name == except })
+	nodes = slices.DeleteFunc(nodes, func(n Node) bool { return n.Name == to.Name })
 	c.rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	slices.SortStableFunc(nodes, func(a, b Node) int {
+		return cmp.Compare(min(to.ScopeOf(a), SameRegion), min(to.ScopeOf(b), SameRegion))
+	})
 	return nodes[:min(len(nodes), referralSize)]
 }
 
