--- a/bench/capacity_state.go
+++ b/bench/capacity_state.go
@@ -76,7 +76,7 @@
 		Self: view.Node{Name: "self", Domain: "d00"}, Incarnation: 1,
 		DigestInterval: presenceInterval, SuspectFor: presenceInterval, ForgetAfter: presenceInterval, ProbeInterval: presenceInterval,
 	})
-	t.core.LinkUp(t.now, linkName)
+	t.core.LinkUp(t.now, linkName, true)
 	t.builder = directory.NewBuilder(snap, t.core.All())
 	return t
 }
