Balance: a refusal for lack of room says nothing about its failure domain

Cause: after any unsuccessful attempt the next one went to another failure domain.

Change: only servers that failed or could not be reached exclude their domain.

--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -33,9 +33,11 @@
 	Now time.Time
 	// Seed is a random number.
 	Seed uint64
-	// Tried are the servers to which this request was sent already. Other servers
-	// in their failure domains are used last.
+	// Tried are the servers to which this request was sent already.
 	Tried []*directory.Candidate
+	// Failed are those of Tried that failed or could not be reached, rather than
+	// refusing for lack of room. Other servers in their failure domains are used last.
+	Failed []*directory.Candidate
 	// Pin, if not 0, determines the server by rendezvous hashing alone.
 	Pin uint64
 	// Target is the time within which an answer has its full value; 0 if unknown.
@@ -238,7 +240,7 @@
 type relaxation uint8
 
 const (
-	// strict excludes ejected servers and failure domains that were tried.
+	// strict excludes ejected servers and failure domains in which an attempt failed.
 	strict relaxation = iota
 	// anyDomain excludes ejected servers only.
 	anyDomain
@@ -283,9 +285,16 @@
 		return false
 	}
 	for _, tried := range p.in.Tried {
-		if tried.Server.Addr == c.Server.Addr || (p.relaxation == strict && tried.Node.Domain == c.Node.Domain) {
+		if tried.Server.Addr == c.Server.Addr {
 			return false
 		}
 	}
+	if p.relaxation == strict {
+		for _, failed := range p.in.Failed {
+			if failed.Node.Domain == c.Node.Domain {
+				return false
+			}
+		}
+	}
 	return p.relaxation == anyUntried || !p.table.servers[c.Server.Addr].ejected(p.in.Now)
 }
--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -121,8 +121,10 @@
 	request Request
 	phase   phase
 	current *directory.Candidate
-	// tried holds the servers of all attempts; current is the last one.
+	// tried holds the servers of all attempts; current is the last one. failed holds those
+	// that failed or could not be reached.
 	tried     []*directory.Candidate
+	failed    []*directory.Candidate
 	retries   int
 	redirects int
 	// reachedServer is set once an attempt reached a server. Every later attempt is
@@ -168,7 +170,7 @@
 // pick returns the server of the next attempt, or nil if every one was tried.
 func (c *Call) pick(now time.Time, seed uint64) *directory.Candidate {
 	in := balance.Input{
-		Now: now, Seed: seed, Tried: c.tried, Pin: c.request.Pin, Target: c.request.Target,
+		Now: now, Seed: seed, Tried: c.tried, Failed: c.failed, Pin: c.request.Pin, Target: c.request.Target,
 		Bytes: c.request.Bytes, Answer: c.request.Answer, Arm: c.request.RetryArm,
 	}
 	if len(c.tried) == 0 && c.request.Arm.Bound {
@@ -230,7 +232,11 @@
 	if c.phase != attempting {
 		return Action{}
 	}
-	c.service.Table.Ended(now, c.current, outcomeFor(code))
+	outcome := outcomeFor(code)
+	c.service.Table.Ended(now, c.current, outcome)
+	if outcome != balance.Full {
+		c.failed = append(c.failed, c.current)
+	}
 	if retryAfter > 0 && (c.retryAfter == 0 || retryAfter < c.retryAfter) {
 		c.retryAfter = retryAfter
 	}
