Allowances: a ledger gives out the part of the limits that its reports cover

A report that was not answered within 200 ms went to another ledger for 2 s, and each of the two gave out whole limits to its part of the fleet. A report now waits for 500 ms.

--- a/internal/process/daemon/allowances.go
+++ b/internal/process/daemon/allowances.go
@@ -19,7 +19,9 @@
 	aggregatorInterval = 100 * time.Millisecond
 	// allowanceHeartbeat is the time after which a report is sent even if there is no usage.
 	allowanceHeartbeat = 400 * time.Millisecond
-	allowanceTimeout   = 200 * time.Millisecond
+	// allowanceTimeout is long enough for a busy daemon to answer: a report to another one
+	// splits the knowledge of the usage.
+	allowanceTimeout = 500 * time.Millisecond
 	// allowanceAvoidance is how long a daemon that did not answer a report is passed over.
 	allowanceAvoidance = 2 * time.Second
 )
@@ -160,7 +162,7 @@
 		return false, nil
 	}
 	a.place(now)
-	usage := a.aggregator.Report()
+	usage, members := a.aggregator.Report(), a.aggregator.Members()
 	to, known := a.firstReachable(now, a.ledgers)
 	a.mu.Unlock()
 	if len(usage) == 0 && !force {
@@ -169,7 +171,7 @@
 	if !known {
 		return true, errNoAllowancePeer
 	}
-	reply, err := a.send(ctx, to, allowanceSettle, allowance.Report{From: a.d.settings.Node, Usage: usage}, a.settle)
+	reply, err := a.send(ctx, to, allowanceSettle, allowance.Report{From: a.d.settings.Node, Members: members, Usage: usage}, a.settle)
 	if err != nil {
 		return true, err
 	}
@@ -211,7 +213,9 @@
 	}
 	a.aggregators = allowance.AggregatorsFor(a.d.settings.Node, a.d.settings.Domain, all)
 	a.ledgers = allowance.LedgersFor(all)
-	a.meter.SetDaemons(a.daemons.Daemons(now, len(all)))
+	daemons := a.daemons.Daemons(now, len(all))
+	a.meter.SetDaemons(daemons)
+	a.ledger.SetDaemons(daemons)
 }
 
 // firstReachable returns the first daemon that is not passed over, or the first one if all are.
--- a/internal/request/allowance/aggregator.go
+++ b/internal/request/allowance/aggregator.go
@@ -18,6 +18,8 @@
 // member is a daemon that sends reports.
 type member struct {
 	reportedAt time.Time
+	// daemons is the number of daemons that the reports cover.
+	daemons int
 	// demand is the smoothed rate of requests, admitted or refused, by organisation.
 	demand map[Name]float64
 }
@@ -39,7 +41,7 @@
 		s.byName[r.From] = m
 	}
 	elapsed := max(now.Sub(m.reportedAt), time.Millisecond)
-	m.reportedAt = now
+	m.reportedAt, m.daemons = now, max(r.Members, 1)
 	weight := smoothing(elapsed)
 	sample := make(map[Name]float64, len(r.Usage))
 	for _, u := range r.Usage {
@@ -79,6 +81,15 @@
 	}
 }
 
+// daemons returns the number of daemons that the reports of all members cover.
+func (s *members) daemons() int {
+	sum := 0
+	for _, m := range s.byName {
+		sum += m.daemons
+	}
+	return sum
+}
+
 // share returns the part of a rate that a member receives.
 func (s *members) share(from string, name Name, rate float64) float64 {
 	count := float64(max(len(s.byName), 1))
@@ -138,6 +149,9 @@
 	return len(a.members.byName) > 0
 }
 
+// Members returns the number of daemons that have reported recently.
+func (a *Aggregator) Members() int { return len(a.members.byName) }
+
 // Report returns the usage of all members since the last acknowledged report.
 func (a *Aggregator) Report() []Usage {
 	for _, u := range a.pending {
--- a/internal/request/allowance/allowance.go
+++ b/internal/request/allowance/allowance.go
@@ -44,8 +44,10 @@
 // Report is a report from a Meter to an Aggregator, or from an Aggregator to the Ledger.
 type Report struct {
 	// From is the name of the reporting daemon.
-	From  string
-	Usage []Usage
+	From string
+	// Members is the number of daemons whose usage the report of an Aggregator contains.
+	Members int
+	Usage   []Usage
 }
 
 // Share restricts an organisation to a rate in requests per second at the receiver.
--- a/internal/request/allowance/ledger.go
+++ b/internal/request/allowance/ledger.go
@@ -37,6 +37,8 @@
 	// activeSince is when the first of an uninterrupted series of reports arrived, receivedAt
 	// when the last one did.
 	activeSince, receivedAt time.Time
+	// daemons is the number of daemons of the fleet.
+	daemons int
 	// limit returns the limit of an organisation, with a Rate of 0 if it has none.
 	limit func(Name) Limit
 }
@@ -47,6 +49,19 @@
 	return &Ledger{interval: interval, window: window, members: newMembers(), entries: map[Name]*entry{}, limit: limit}
 }
 
+// SetDaemons sets the number of daemons of the fleet. A Ledger gives out only the part of each limit
+// that corresponds to the daemons that report to it: while daemons disagree on which one holds the
+// role, several Ledgers together then give out no more than the limits.
+func (l *Ledger) SetDaemons(n int) { l.daemons = n }
+
+// coverage returns the part of the fleet that reports to this Ledger.
+func (l *Ledger) coverage() float64 {
+	if l.daemons == 0 {
+		return 1
+	}
+	return min(float64(l.members.daemons())/float64(l.daemons), 1)
+}
+
 // Receive handles the report of an Aggregator.
 func (l *Ledger) Receive(now time.Time, r *Report) Reply {
 	if l.activeSince.IsZero() || now.Sub(l.receivedAt) > memberTimeout {
@@ -58,13 +73,13 @@
 	for _, u := range r.Usage {
 		l.charge(now, u)
 	}
-	reply := Reply{Attached: true}
+	reply, coverage := Reply{Attached: true}, l.coverage()
 	for name, e := range l.entries {
 		if now.Sub(e.usedAt) > accountTimeout {
 			delete(l.entries, name)
 			continue
 		}
-		if e.update(now, l.limit(name)); e.restricted {
+		if e.update(now, l.limit(name), coverage); e.restricted {
 			reply.Shares = append(reply.Shares, Share{Name: name, Rate: l.members.share(r.From, name, e.rate())})
 		}
 	}
@@ -79,14 +94,14 @@
 		if limit.Rate == 0 {
 			return
 		}
-		e = &entry{limit: limit, window: newWindow(now, l.window), demandAt: now}
+		e = &entry{limit: limit, coverage: 1, window: newWindow(now, l.window), demandAt: now}
 		if now.Sub(l.activeSince) < takeoverTime {
 			e.window.fill(limit.perWindow(l.window))
 			e.restricted = true
 		}
 		l.entries[u.Name] = e
 	}
-	e.update(now, limit)
+	e.update(now, limit, l.coverage())
 	e.usedAt = now
 	e.window.add(float64(u.Admitted))
 	e.requests += float64(max(u.Admitted, 0) + u.Refused)
@@ -94,7 +109,9 @@
 
 // entry is the usage of one organisation.
 type entry struct {
-	limit      Limit
+	limit Limit
+	// coverage is the part of the limit that is given out.
+	coverage   float64
 	window     window
 	usedAt     time.Time
 	restricted bool
@@ -106,17 +123,18 @@
 }
 
 // update advances the window to now and decides on the restriction.
-func (e *entry) update(now time.Time, limit Limit) {
+func (e *entry) update(now time.Time, limit Limit, coverage float64) {
 	e.window.advance(now)
 	e.updateDemand(now)
+	e.coverage = coverage
 	before, after := e.limit.perWindow(e.window.length()), limit.perWindow(e.window.length())
 	if e.limit = limit; after < before {
 		// What was admitted under a higher limit is not held against the organisation.
 		e.window.scale(after / before)
 	}
-	burst := max(limit.Burst+limit.Slack, 1)
+	burst := max(coverage*(limit.Burst+limit.Slack), 1)
 	left := e.left()
-	predicted := left + min(limit.Rate-e.demand, 0)*reactionTime.Seconds()
+	predicted := left + min(coverage*limit.Rate-e.demand, 0)*reactionTime.Seconds()
 	switch {
 	case limit.Rate == 0:
 		e.restricted = false
@@ -139,14 +157,17 @@
 }
 
 // left returns the number of requests that are left of the limit in the current window.
-func (e *entry) left() float64 { return e.limit.perWindow(e.window.length()) - e.window.sum }
+func (e *entry) left() float64 { return e.perWindow() - e.window.sum }
+
+// perWindow returns the number of requests per window that are given out.
+func (e *entry) perWindow() float64 { return e.coverage * e.limit.perWindow(e.window.length()) }
 
 // rate returns the rate at which all daemons together may admit requests: that at which earlier
 // ones leave the window, and what is left of the limit. It is bounded so that a burst does not
 // recur whenever the previous one leaves the window.
 func (e *entry) rate() float64 {
 	leaving := e.window.oldest(leavingTime) / leavingTime.Seconds()
-	mean := e.limit.perWindow(e.window.length()) / e.window.length().Seconds()
+	mean := e.perWindow() / e.window.length().Seconds()
 	return min(max(leaving+e.left()/settlementTime.Seconds(), 0), maxRateRatio*mean)
 }
 
--- a/internal/request/allowance/sim_test.go
+++ b/internal/request/allowance/sim_test.go
@@ -29,6 +29,8 @@
 	aggregators []*Aggregator
 	ledger      *Ledger
 	limits      map[Name]Limit
+	// otherLedger, if set, is the one that every second aggregator reports to.
+	otherLedger *Ledger
 	// cutOff reports whether a daemon cannot reach its aggregator.
 	cutOff func(daemon int) bool
 	// admitted holds the times of admitted requests, by organisation.
@@ -47,7 +49,7 @@
 		rand: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1000, 0), limits: limits,
 		cutOff: func(int) bool { return false }, admitted: map[Name][]time.Time{}, central: map[Name]*window{},
 	}
-	s.ledger = NewLedger(simAggregator, simWindow, func(n Name) Limit { return limits[n] })
+	s.ledger = s.newLedger(daemons)
 	for i := range daemons {
 		s.meters = append(s.meters, NewMeter(seed+uint64(i)))
 		s.meters[i].SetDaemons(daemons)
@@ -59,6 +61,19 @@
 	return s
 }
 
+func (s *sim) newLedger(daemons int) *Ledger {
+	l := NewLedger(simAggregator, simWindow, func(n Name) Limit { return s.limits[n] })
+	l.SetDaemons(daemons)
+	return l
+}
+
+func (s *sim) ledgerOf(aggregator int) *Ledger {
+	if s.otherLedger != nil && aggregator%2 == 1 {
+		return s.otherLedger
+	}
+	return s.ledger
+}
+
 func (s *sim) resetCounts() {
 	s.offered, s.refused, s.ideal = map[Name]int{}, map[Name]int{}, map[Name]int{}
 }
@@ -126,8 +141,8 @@
 		if (step+i)%int(simAggregator/simStep) != 0 || !a.Active(s.now) {
 			continue
 		}
-		r := Report{From: fmt.Sprint("a", i), Usage: a.Report()}
-		a.Acknowledge(s.now, s.ledger.Receive(s.now, &r))
+		r := Report{From: fmt.Sprint("a", i), Members: a.Members(), Usage: a.Report()}
+		a.Acknowledge(s.now, s.ledgerOf(i).Receive(s.now, &r))
 		s.messages++
 	}
 }
@@ -238,7 +253,7 @@
 	s := newSim(1, 74, limits)
 	for range 6 {
 		s.run(1500*time.Millisecond, scaled(limits, 4), s.anywhere)
-		s.ledger = NewLedger(simAggregator, simWindow, func(n Name) Limit { return limits[n] })
+		s.ledger = s.newLedger(74)
 	}
 	for name := range limits {
 		c.Check(s.worstWindow(name) <= 1, qt.IsTrue, qt.Commentf("%v: %.2f", name, s.worstWindow(name)))
@@ -307,3 +322,17 @@
 		c.Check(refused, qt.Equals, 0, qt.Commentf("%v", name))
 	}
 }
+
+// TestTwoLedgers guards against limits that are given out twice while daemons disagree on which
+// daemon holds the role of the ledger.
+func TestTwoLedgers(t *testing.T) {
+	c := qt.New(t)
+	limits := organisations(20, 600)
+	s := newSim(1, 74, limits)
+	s.run(5*time.Second, scaled(limits, 0.6), s.anywhere)
+	s.otherLedger = s.newLedger(74)
+	s.run(10*time.Second, scaled(limits, 3), s.anywhere)
+	for name := range limits {
+		c.Check(s.worstWindow(name) <= 1, qt.IsTrue, qt.Commentf("%v: %.2f", name, s.worstWindow(name)))
+	}
+}
