Balance: servers without a recent report count as averagely occupied

Cause: a server of which no report had arrived for half a second seemed idle. Reports come from the servers that a daemon uses, mostly near ones, so that the far ones attracted requests whenever the near ones were busy.

--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -111,6 +111,9 @@
 	// all servers.
 	meanServiceTime time.Duration
 	meanFailureRate float64
+	// meanOccupancy is the smoothed number of requests at a server per request that may run
+	// there, over all servers.
+	meanOccupancy float64
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
 	// ranks holds the position of each server in its software version's order, for
--- a/internal/request/balance/expected.go
+++ b/internal/request/balance/expected.go
@@ -54,7 +54,7 @@
 func (t *Table) expectedCost(in *Input, c *directory.Candidate) float64 {
 	now := in.Now
 	s := t.servers[c.Server.Addr]
-	l, inProgress := s.estimate(now, c.Server.Slots)
+	l, inProgress := s.estimate(now, c.Server.Slots, t.meanOccupancy)
 	if t.local != nil && t.distance(c) == sameNode {
 		if exact, ok := t.local.LocalLoad(c.Server.Addr); ok {
 			l, inProgress = exact, float64(exact.Running+exact.Queued)
@@ -120,6 +120,9 @@
 // updateMeans adds a measured load to the means over all servers.
 func (t *Table) updateMeans(l Load) {
 	t.meanFailureRate += meanWeight * (l.FailureRate - t.meanFailureRate)
+	if l.Limit > 0 {
+		t.meanOccupancy += meanWeight * (float64(l.Running+l.Queued)/float64(l.Limit) - t.meanOccupancy)
+	}
 	switch {
 	case l.Service == 0:
 	case t.meanServiceTime == 0:
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -142,3 +142,20 @@
 	table.ReportLoad(now, near, Load{Limit: 4, Service: 20 * time.Millisecond, Outflow: 900_000})
 	c.Check(pick(90_000), qt.Equals, "far")
 }
+
+// TestUnknownFarServersAttractNoWork guards against requests that leave the failure domain
+// because servers elsewhere, of which no report has arrived, seem to be idle.
+func TestUnknownFarServersAttractNoWork(t *testing.T) {
+	c := qt.New(t)
+	const target = 200 * time.Millisecond
+	near, far := candidateAt("near", "d"), candidateAt("far", "e")
+	table := tableAt("caller", near, far)
+	busy := Load{Limit: 4, Running: 4, Queued: 3, Service: 200 * time.Millisecond}
+	for range 100 {
+		table.ReportLoad(now, near, busy)
+	}
+	c.Check(countPicks(table, now, target)["far"], qt.Equals, 0)
+	// A server that reports room is still used.
+	table.ReportLoad(now, far, Load{Limit: 4, Service: 200 * time.Millisecond})
+	c.Check(countPicks(table, now, target)["far"], qt.Equals, 100)
+}
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -48,8 +48,9 @@
 
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
-// estimate returns the load of a server and the requests in progress there.
-func (s *server) estimate(now time.Time, slots int) (Load, float64) {
+// estimate returns the load of a server and the requests in progress there. The older the report
+// of the server, the more the mean occupancy of all servers counts instead.
+func (s *server) estimate(now time.Time, slots int, meanOccupancy float64) (Load, float64) {
 	l := s.load
 	l.Idle += max(0, now.Sub(s.loadAt))
 	if l.Limit == 0 {
@@ -60,12 +61,13 @@
 		// A refusal for lack of room means that the queue is full too.
 		own = max(own, 2*float64(l.Limit))
 	}
+	expected := max(own, meanOccupancy*float64(l.Limit))
 	if s.loadAt.IsZero() {
-		return l, own
+		return l, expected
 	}
 	weight := math.Exp(-max(0, now.Sub(s.loadAt).Seconds()) / loadDecay.Seconds())
 	reported := max(0, float64(l.Running+l.Queued+s.sentSinceLoad))
-	return l, max(own, weight*reported+(1-weight)*own)
+	return l, max(own, weight*reported+(1-weight)*expected)
 }
 
 // ReportLoad records the load that the daemon on a server's instance reported with an answer.
