--- a/internal/request/allowance/meter.go
+++ b/internal/request/allowance/meter.go
@@ -10,9 +10,13 @@
 	shareBurst = 250 * time.Millisecond
 	// minShareCapacity is the minimum number of tokens that a daemon may save up.
 	minShareCapacity = 2
-	// fallbackFairPart is the part of the limit that is divided equally among the daemons
-	// without contact to the Ledger. The rest is divided by what each of them used before.
-	fallbackFairPart = 0.5
+	// A daemon without contact to the Ledger may use fallbackFairPart of its equal part of the
+	// limit, and fallbackUsualPart of what it used before. All daemons together exceed the limit
+	// only if the organisation had used it up before.
+	fallbackFairPart  = 0.4
+	fallbackUsualPart = 0.8
+	// fallbackBurst is the time whose tokens such a daemon may save up.
+	fallbackBurst = time.Second
 )
 
 // mode is how a Meter restricts an organisation.
@@ -124,8 +128,8 @@
 		share := m.shares[name]
 		a.bucket.restrict(now, share, max(share*shareBurst.Seconds(), minShareCapacity))
 	case detached:
-		rate := fallbackFairPart*a.limit.Rate/float64(m.daemons) + (1-fallbackFairPart)*min(a.usual, a.limit.Rate)
-		a.bucket.restrict(now, rate, max(a.limit.Burst/float64(m.daemons), 1))
+		rate := fallbackFairPart*a.limit.Rate/float64(m.daemons) + fallbackUsualPart*min(a.usual, a.limit.Rate)
+		a.bucket.restrict(now, rate, max(rate*fallbackBurst.Seconds(), 1))
 	}
 	if before == open {
 		a.bucket.tokens, a.bucket.threshold = 0, m.rand.Float64()
