--- a/internal/cli/dev_demo.go
+++ b/internal/cli/dev_demo.go
@@ -14,8 +14,8 @@
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
-// demo sends a request, applies a changed manifest, and sends the request
-// again.
+// demo sends a request, applies a changed manifest, sends the request again, and shows
+// a split route and an organisation.
 func (d *devMesh) demo(ctx context.Context) error {
 	entry, route := d.mesh.Nodes[len(d.mesh.Nodes)-1], &d.manifest.Routes[0]
 	if err := d.printRequest(ctx, "A request to daemon "+entry.Name, entry, route); err != nil {
@@ -37,7 +37,10 @@
 	if err := d.printRequest(ctx, "The same request after the change", entry, &next.Routes[0]); err != nil {
 		return err
 	}
-	return d.showSplit(ctx, entry)
+	if err := d.showSplit(ctx, entry); err != nil {
+		return err
+	}
+	return d.showOrganisations(ctx, entry)
 }
 
 // The route that the demo adds: a separate host with a weighted split between
@@ -94,18 +97,25 @@
 	return nil
 }
 
-// changedManifest returns the next version of m, with the first route moved to
-// another service and the demo route added.
-func changedManifest(m *manifest.Manifest) (*manifest.Manifest, error) {
+// copyManifest returns a deep copy of m.
+func copyManifest(m *manifest.Manifest) (*manifest.Manifest, error) {
 	raw, err := yaml.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode manifest")
 	}
 	next, err := manifest.Parse(raw)
+	return next, errors.Wrap(err, "copy manifest")
+}
+
+// changedManifest returns the next version of m, with the first route moved to
+// another service and the demo route added.
+func changedManifest(m *manifest.Manifest) (*manifest.Manifest, error) {
+	next, err := copyManifest(m)
 	if err != nil {
-		return nil, errors.Wrap(err, "copy manifest")
+		return nil, err
 	}
 	next.Version++
+	next.Organisations = nil
 	for _, s := range next.Services {
 		if s.Name != next.Routes[0].Service {
 			withSplit(next, [2]string{next.Routes[0].Service, s.Name})
--- a/internal/process/daemon/allowances.go
+++ b/internal/process/daemon/allowances.go
@@ -137,6 +137,7 @@
 		}
 		now := time.Now()
 		if !a.d.mesh.Directory().Snapshot.HasLimits() {
+			a.recordUnlimited(now)
 			continue
 		}
 		sent, err := report(ctx, now, now.Sub(last) >= allowanceHeartbeat)
@@ -149,6 +150,17 @@
 	}
 }
 
+// recordUnlimited records that the version in force has no limits. Before a version is confirmed,
+// nothing is known about limits.
+func (a *allowances) recordUnlimited(now time.Time) {
+	if !a.d.Ready() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.meter.Unlimited(now)
+}
+
 // reportUsage reports what this daemon admitted to its aggregator.
 func (a *allowances) reportUsage(ctx context.Context, now time.Time, force bool) (sent bool, err error) {
 	a.mu.Lock()
--- a/internal/request/allowance/meter.go
+++ b/internal/request/allowance/meter.go
@@ -167,6 +167,10 @@
 	return list
 }
 
+// Unlimited records that no organisation has a limit. The first requests under a new limit are then
+// not restricted by the fallback.
+func (m *Meter) Unlimited(now time.Time) { m.attachedAt = now }
+
 // Acknowledge applies the reply to the last report.
 func (m *Meter) Acknowledge(now time.Time, r Reply) {
 	if r.Attached {
--- a/internal/request/allowance/sim_test.go
+++ b/internal/request/allowance/sim_test.go
@@ -354,3 +354,18 @@
 		}
 	}
 }
+
+// TestFirstRequestsUnderNewLimit guards against refusals right after a limit was configured, before
+// the daemons have been in contact with the ledger.
+func TestFirstRequestsUnderNewLimit(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	m := NewMeter(1)
+	m.SetDaemons(100)
+	m.Unlimited(now)
+	name, limit := Name{Mesh: "m", Organisation: "o"}, Limit{Rate: 5, Burst: 5}
+	for range 5 {
+		_, admitted := m.Admit(now.Add(100*time.Millisecond), name, limit)
+		c.Check(admitted, qt.IsTrue)
+	}
+}
