--- a/internal/process/daemon/allowances.go
+++ b/internal/process/daemon/allowances.go
@@ -19,6 +19,8 @@
 	aggregatorInterval = 100 * time.Millisecond
 	// urgentInterval is the minimum time between two reports of which the second is urgent.
 	urgentInterval = 40 * time.Millisecond
+	// unlimitedInterval is the time between two checks whether there are limits.
+	unlimitedInterval = 500 * time.Millisecond
 	// allowanceHeartbeat is the time after which a report is sent even if there is no usage.
 	allowanceHeartbeat = 400 * time.Millisecond
 	// allowanceTimeout is long enough for a busy daemon to answer: a report to another one
@@ -124,22 +126,24 @@
 // repeat calls report once per interval, and earlier if it is urgent. report returns whether it sent anything; after
 // allowanceHeartbeat without a report, force is set.
 func (a *allowances) repeat(ctx context.Context, interval time.Duration, urgent <-chan struct{}, report func(ctx context.Context, now time.Time, force bool) (bool, error)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-urgent:
 			time.Sleep(urgentInterval - time.Since(last))
 		}
 		now := time.Now()
 		if !a.d.mesh.Directory().Snapshot.HasLimits() {
 			a.recordUnlimited(now)
+			timer.Reset(unlimitedInterval)
 			continue
 		}
+		timer.Reset(interval)
 		sent, err := report(ctx, now, now.Sub(last) >= allowanceHeartbeat)
 		if sent {
 			last = now
--- a/internal/request/allowance/meter.go
+++ b/internal/request/allowance/meter.go
@@ -15,11 +15,11 @@
 	// only if the organisation had used it up before.
 	fallbackFairPart  = 0.4
 	fallbackUsualPart = 0.8
+	// fallbackBurst is the time whose tokens such a daemon may save up.
+	fallbackBurst = time.Second
 	// urgentRequests is the number of requests of an unrestricted organisation after which a
 	// report is urgent. It bounds the requests that a surge brings in before it is restricted.
 	urgentRequests = 4
-	// fallbackBurst is the time whose tokens such a daemon may save up.
-	fallbackBurst = time.Second
 )
 
 // mode is how a Meter restricts an organisation.
@@ -51,7 +51,7 @@
 	rand     *rand.Rand
 	accounts map[Name]*account
 	// attachedAt is when the newest reply with Attached arrived, reportedAt when the newest
-	// report was created.
+	// report was created. urgent is set if the next one should not wait for its interval.
 	attachedAt, reportedAt time.Time
 	urgent                 bool
 	// shares are the restrictions of the newest reply, in requests per second.
@@ -99,8 +99,8 @@
 	return retryAfter, admitted
 }
 
-// Urgent reports whether an unrestricted organisation has sent so many requests since the last
-// report that the next one should not wait for its interval.
+// Urgent reports whether the next report should not wait for its interval, because an unrestricted
+// organisation has sent many requests since the last one.
 func (m *Meter) Urgent() bool { return m.urgent }
 
 // Refund reverses the admission of a request that did not run.
@@ -149,7 +149,7 @@
 // is thus repeated with the next one: counting usage twice is better than not at all.
 func (m *Meter) Report(now time.Time) []Usage {
 	var list []Usage
-	elapsed := now.Sub(m.reportedAt)
+	elapsed := max(now.Sub(m.reportedAt), time.Millisecond)
 	m.reportedAt, m.urgent = now, false
 	for name, a := range m.accounts {
 		a.reported.Admitted += a.pending.Admitted
