Membership: border nodes instead of gateways; select them at every change of the fleet

The package gateway is another thing. The selection was repeated only when the number of daemons had changed, so that a daemon that left while another joined stayed selected.

--- a/internal/process/membership/domains_test.go
+++ b/internal/process/membership/domains_test.go
@@ -56,9 +56,9 @@
 	return far
 }
 
-// TestDomainLosesItsGateways checks that a failure domain learns of changes elsewhere soon after
+// TestDomainLosesItsBorderNodes checks that a failure domain learns of changes elsewhere soon after
 // all its daemons with links to other domains have failed at once.
-func TestDomainLosesItsGateways(t *testing.T) {
+func TestDomainLosesItsBorderNodes(t *testing.T) {
 	c := qt.New(t)
 	s := domainFleet(100)
 	s.run(20 * time.Second)
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -52,14 +52,15 @@
 	// links holds the live links by node name.
 	links              map[string]view.Node
 	nextCandidateCheck time.Time
-	// gatewaysOf is the number of records from which the gateways were selected.
-	gatewaysOf       int
-	nextGatewayCheck time.Time
+	// fleetChanged is set if daemons were added or removed since the border nodes were selected.
+	// nextBorderSelection is the earliest time at which they are selected again.
+	fleetChanged        bool
+	nextBorderSelection time.Time
 }
 
 // New returns a Core that knows only itself.
 func New(cfg Config) *Core {
-	return &Core{self: cfg.View.Self, view: view.New(cfg.View), presence: presence.New(cfg.Presence), links: map[string]view.Node{}}
+	return &Core{self: cfg.View.Self, view: view.New(cfg.View), presence: presence.New(cfg.Presence), links: map[string]view.Node{}, fleetChanged: true}
 }
 
 // Presence returns the table of records. Callers must only read from it.
@@ -138,12 +139,7 @@
 		c.nextCandidateCheck = now.Add(candidateInterval)
 		c.addCandidates()
 	}
-	if n := c.presence.Len(); n != c.gatewaysOf && !now.Before(c.nextGatewayCheck) {
-		c.gatewaysOf, c.nextGatewayCheck = n, now.Add(gatewayInterval)
-		isGateway, all := c.selectGateways()
-		c.view.SetGateways(isGateway, all)
-		c.presence.SetGateways(isGateway)
-	}
+	c.updateBorderNodes(now)
 	actions := c.convertPresence(c.presence.Tick(now))
 	return append(actions, c.convertView(now, c.view.Tick(now))...)
 }
@@ -199,6 +195,7 @@
 				out = append(out, Action{Send: &Send{To: to, Presence: &a.Send.Message}})
 			}
 		case a.Change != nil:
+			c.fleetChanged = c.fleetChanged || a.Change.Old == nil || a.Change.New == nil
 			out = append(out, Action{Change: a.Change})
 		case a.Probe != nil:
 			out = append(out, Action{Probe: a.Probe})
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -36,8 +36,8 @@
 	links map[string]bool
 	// linkNames are the names of the links, sorted.
 	linkNames []string
-	// isGateway reports whether a daemon passes updates on to other failure domains.
-	isGateway func(name string) bool
+	// isBorderNode reports whether a daemon passes updates on to other failure domains.
+	isBorderNode func(name string) bool
 
 	// suspectedIDs are the IDs of the entries with suspected set.
 	suspectedIDs map[ID]bool
@@ -58,7 +58,7 @@
 	c := &Core{
 		cfg: cfg, id: IDOf(cfg.Self.Name), rand: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		table: newTable(), links: map[string]bool{}, suspectedIDs: map[ID]bool{},
-		updates: newUpdateQueue(), isGateway: func(string) bool { return true },
+		updates: newUpdateQueue(), isBorderNode: func(string) bool { return true },
 	}
 	c.self = Record{Node: cfg.Self, Incarnation: cfg.Incarnation, Seq: 1}
 	c.storeSelf()
@@ -324,14 +324,14 @@
 	return append(actions, c.sendDigest(c.linkNames[c.rand.IntN(len(c.linkNames))]))
 }
 
-// SetGateways sets which daemons exchange updates with other failure domains. Until the first call,
+// SetBorderNodes sets which daemons exchange updates with other failure domains. Until the first call,
 // all do.
-func (c *Core) SetGateways(isGateway func(name string) bool) { c.isGateway = isGateway }
+func (c *Core) SetBorderNodes(isBorderNode func(name string) bool) { c.isBorderNode = isBorderNode }
 
 // carriesUpdates reports whether updates that are not urgent are sent on a link. They are not on a
-// link to another failure domain without a gateway at either end, which is about to be ended.
+// link to another failure domain without a border node at either end, which is about to be ended.
 func (c *Core) carriesUpdates(name string) bool {
-	return c.links[name] || c.isGateway(c.cfg.Self.Name) || c.isGateway(name)
+	return c.links[name] || c.isBorderNode(c.cfg.Self.Name) || c.isBorderNode(name)
 }
 
 // linked reports whether there is a link to the named daemon.
--- a/internal/process/view/tick.go
+++ b/internal/process/view/tick.go
@@ -40,9 +40,9 @@
 	minNearLinks = 2
 )
 
-// prune ends a link to another failure domain if neither end is a gateway.
+// prune ends a link to another failure domain if neither end is a border node.
 func (c *Core) prune(now time.Time) []Action {
-	if now.Before(c.pruneNext) || c.isGateway(c.cfg.Self.Name) {
+	if now.Before(c.pruneNext) || c.isBorderNode(c.cfg.Self.Name) {
 		return nil
 	}
 	near := 0
@@ -50,7 +50,7 @@
 	for _, n := range c.nodes {
 		switch {
 		case c.cfg.Self.ScopeOf(n) != SameDomain:
-			if !c.isGateway(n.Name) {
+			if !c.isBorderNode(n.Name) {
 				surplus = &n
 			}
 		case !c.links[n.Name].failing:
--- a/internal/process/view/view.go
+++ b/internal/process/view/view.go
@@ -1,8 +1,9 @@
 // Package view selects the other daemons that this one keeps links to: a small
 // symmetric partial view of the fleet with a limited number of links and of candidates
 // for more, after Leitão, Pereira and Rodrigues, "HyParView: a membership protocol for
-// reliable gossip-based broadcast" (2007). The links are spread over failure domains,
-// so that a region that is cut off stays connected internally. Instead of HyParView's
+// reliable gossip-based broadcast" (2007). Most links are within the failure domain, so that
+// a domain that is cut off stays connected internally; only some nodes of each domain, the
+// border nodes, keep links to others. Instead of HyParView's
 // shuffles, candidates come from referrals and from the presence table, which contains
 // every daemon anyway.
 //
@@ -41,8 +42,8 @@
 	nodes      []Node
 	candidates candidates
 	attempts   attempts
-	// isGateway reports whether a node keeps links to other failure domains.
-	isGateway func(name string) bool
+	// isBorderNode reports whether a node keeps links to other failure domains.
+	isBorderNode func(name string) bool
 	// pruneNext is the earliest time at which the next surplus link is ended.
 	pruneNext time.Time
 
@@ -73,21 +74,21 @@
 		cfg: cfg, rand: r, links: map[string]*link{}, fleetSize: 1,
 		candidates: candidates{self: cfg.Self, rand: r},
 	}
-	c.SetGateways(func(string) bool { return true }, true)
+	c.SetBorderNodes(func(string) bool { return true }, true)
 	return c
 }
 
-// SetGateways sets which nodes are gateways. A gateway keeps links to nodes of other failure
+// SetBorderNodes sets which nodes are border nodes. A border node keeps links to nodes of other failure
 // domains and regions; any other node keeps links within its own domain, so that most traffic
-// stays there. all is set if every node of this domain is a gateway. Until the first call, all
-// nodes are gateways.
-func (c *Core) SetGateways(isGateway func(name string) bool, all bool) {
-	c.isGateway = isGateway
+// stays there. all is set if every node of this domain is a border node. Until the first call, all
+// nodes are border nodes.
+func (c *Core) SetBorderNodes(isBorderNode func(name string) bool, all bool) {
+	c.isBorderNode = isBorderNode
 	sameDomain := (c.cfg.Active - 1) / 2
 	switch {
 	case all:
 		c.targets = [numScopes]int{SameDomain: sameDomain, SameRegion: c.cfg.Active - 1 - sameDomain, OtherRegion: 1}
-	case isGateway(c.cfg.Self.Name):
+	case isBorderNode(c.cfg.Self.Name):
 		c.targets = [numScopes]int{SameDomain: c.cfg.Active - 2, SameRegion: 1, OtherRegion: 1}
 	default:
 		c.targets = [numScopes]int{SameDomain: c.cfg.Active}
