--- a/internal/connection/gateway/organisation_test.go
+++ b/internal/connection/gateway/organisation_test.go
@@ -201,3 +201,22 @@
 	c.Check(refused.resp.Header.Get("Retry-After"), qt.Equals, "2")
 	c.Check(allowances.refunded.Load(), qt.Equals, int64(1))
 }
+
+// FuzzAPIKey checks that no form of the Authorization header yields a key that differs from what
+// follows the scheme, and that several headers yield none that an organisation can have.
+func FuzzAPIKey(f *testing.F) {
+	for _, value := range []string{"", "Bearer", "Bearer ", "Bearer k", "bearer  k ", "Basic k", "Bearer a b", "Bearer k,k"} {
+		f.Add(value, value)
+	}
+	f.Fuzz(func(t *testing.T, first, second string) {
+		c := qt.New(t)
+		key := APIKey(http.Header{headerAuthorization: {first}}, authorizationScheme)
+		c.Check(strings.TrimSpace(key), qt.Equals, key)
+		if key != "" {
+			c.Check(strings.HasSuffix(strings.TrimSpace(first), key), qt.IsTrue)
+		}
+		both := APIKey(http.Header{headerAuthorization: {first, second}}, authorizationScheme)
+		m := manifest.Manifest{Mesh: "m", Version: 1, Organisations: []manifest.Organisation{{Name: "o", Keys: []string{both}}}}
+		c.Check(m.Validate(), qt.IsNotNil)
+	})
+}
--- a/internal/version/snapshot/keyring.go
+++ b/internal/version/snapshot/keyring.go
@@ -101,11 +101,11 @@
 	return false
 }
 
-// OrganisationByKey returns the organisation of a mesh that holds an API key, or nil. The
-// lookup compares digests, so that its duration reveals nothing about the keys.
+// OrganisationByKey returns the organisation of a mesh that holds an API key, or nil; nobody holds
+// the empty key. The lookup compares digests, so that its duration reveals nothing about the keys.
 func (s *Snapshot) OrganisationByKey(mesh, apiKey string) *Organisation {
 	c := s.meshes[mesh]
-	if c == nil {
+	if c == nil || apiKey == "" {
 		return nil
 	}
 	return c.keyring.byDigest[manifest.DigestKey(apiKey)]
