--- a/internal/process/daemon/allowances.go
+++ b/internal/process/daemon/allowances.go
@@ -123,8 +123,8 @@
 	wait.Wait()
 }
 
-// repeat calls report once per interval, and earlier if it is urgent. report returns whether it sent anything; after
-// allowanceHeartbeat without a report, force is set.
+// repeat calls report once per interval, and earlier if it is urgent. report returns whether it
+// sent anything; after allowanceHeartbeat without a report, force is set.
 func (a *allowances) repeat(ctx context.Context, interval time.Duration, urgent <-chan struct{}, report func(ctx context.Context, now time.Time, force bool) (bool, error)) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
