--- a/internal/process/membership/borders.go
+++ b/internal/process/membership/borders.go
@@ -27,10 +27,10 @@
 	c.presence.SetBorderNodes(isBorderNode)
 }
 
-// selectBorderNodes returns a function that reports whether a daemon is a border node: one of those with
-// the lowest IDs of its failure domain. IDs are hashes, so that daemons with the same table select
-// the same border nodes, and a change of the fleet replaces few of them. all is set if every known
-// daemon of this failure domain is a border node.
+// selectBorderNodes returns a function that reports whether a daemon is a border node: one of
+// those with the lowest IDs of its failure domain. IDs are hashes, so that daemons with the same
+// table select the same border nodes, and a change of the fleet replaces few of them. all is set
+// if every known daemon of this failure domain is a border node.
 func (c *Core) selectBorderNodes() (isBorderNode func(name string) bool, all bool) {
 	type domain struct{ region, name string }
 	limits := map[domain]presence.ID{}
