Lineage, dev: one decaying count, one request and one change of the demo

The change had written the decaying count of package lineage a second time, and the demo's request and its next version of a manifest. Behaviour is unchanged.

--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -264,12 +264,9 @@
 // request sends a request for a route to the caller address of a daemon and
 // returns the response body.
 func (d *devMesh) request(ctx context.Context, n dev.Node, r *manifest.Route) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, method(r), "http://"+n.Caller+r.Path, nil)
+	req, err := d.newRequest(ctx, n, r)
 	if err != nil {
-		return "", errors.Wrap(err, "build request")
-	}
-	if host := d.manifest.HostsOf(r)[0]; host != "" {
-		req.Host = host
+		return "", err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -286,6 +283,18 @@
 	return string(body), nil
 }
 
+// newRequest returns a request for a route to the caller address of a daemon.
+func (d *devMesh) newRequest(ctx context.Context, n dev.Node, r *manifest.Route) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method(r), "http://"+n.Caller+r.Path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	if host := d.manifest.HostsOf(r)[0]; host != "" {
+		req.Host = host
+	}
+	return req, nil
+}
+
 func (d *devMesh) curl(n dev.Node, r *manifest.Route) string {
 	var options strings.Builder
 	if m := method(r); m != http.MethodGet {
--- a/internal/cli/dev_demo.go
+++ b/internal/cli/dev_demo.go
@@ -10,7 +10,6 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/daisygate/daisygate/internal/process/dev"
-	"github.com/daisygate/daisygate/internal/version/diff"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
 
@@ -21,17 +20,11 @@
 	if err := d.printRequest(ctx, "A request to daemon "+entry.Name, entry, route); err != nil {
 		return err
 	}
-	before := d.manifest
-	next, err := changedManifest(before)
+	next, err := changedManifest(d.manifest)
 	if err != nil {
 		return err
 	}
-	d.manifest = next
-	fmt.Fprintln(d.out, "\nA change:")
-	for _, c := range diff.Compare(before, next) {
-		fmt.Fprintln(d.out, "  "+c.String())
-	}
-	if err := d.apply(ctx); err != nil {
+	if err := d.applyNext(ctx, "A change", next); err != nil {
 		return err
 	}
 	if err := d.printRequest(ctx, "The same request after the change", entry, &next.Routes[0]); err != nil {
--- a/internal/cli/dev_organisations.go
+++ b/internal/cli/dev_organisations.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/daisygate/daisygate/internal/process/dev"
 	"github.com/daisygate/daisygate/internal/version/diff"
 	"github.com/daisygate/daisygate/internal/version/manifest"
@@ -67,7 +65,7 @@
 	return d.change(ctx, "The organisation is removed", func(m *manifest.Manifest) { m.Organisations = nil })
 }
 
-// change applies the next version of the manifest and prints what differs.
+// change edits a copy of the manifest and applies it as the next version.
 func (d *devMesh) change(ctx context.Context, title string, edit func(m *manifest.Manifest)) error {
 	next, err := copyManifest(d.manifest)
 	if err != nil {
@@ -75,6 +73,11 @@
 	}
 	next.Version++
 	edit(next)
+	return d.applyNext(ctx, title, next)
+}
+
+// applyNext prints what differs in the next version of the manifest, and applies it.
+func (d *devMesh) applyNext(ctx context.Context, title string, next *manifest.Manifest) error {
 	fmt.Fprintf(d.out, "\n%s:\n", title)
 	for _, c := range diff.Compare(d.manifest, next) {
 		fmt.Fprintln(d.out, "  "+c.String())
@@ -85,9 +88,9 @@
 
 // statusWithKey sends a request with an API key, if it is not empty, and returns the status.
 func (d *devMesh) statusWithKey(ctx context.Context, n dev.Node, r *manifest.Route, key string) (int, error) {
-	req, err := http.NewRequestWithContext(ctx, method(r), "http://"+n.Caller+r.Path, nil)
+	req, err := d.newRequest(ctx, n, r)
 	if err != nil {
-		return 0, errors.Wrap(err, "build request")
+		return 0, err
 	}
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
--- a/internal/request/lineage/calls.go
+++ b/internal/request/lineage/calls.go
@@ -1,46 +1,25 @@
 package lineage
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-const (
-	// callDecay is the time in which a run and its calls lose two thirds of their weight.
-	callDecay = 15 * time.Second
-	// maxCallees bounds the memory.
-	maxCallees = 1024
-)
+// maxCallees bounds the memory.
+const maxCallees = 1024
 
 // Calls estimates how many calls to each service the repeated runs on an instance still have
 // to make. The zero value has seen none. It is not safe for concurrent use.
 type Calls struct {
 	// runs counts the repeated runs that ended recently.
-	runs    decayed
+	runs    decayingCount
 	callees map[string]*callee
 }
 
 // callee holds the calls of repeated runs to one service.
 type callee struct {
-	calls decayed
+	calls decayingCount
 	// pending is the expected number of calls that the running repeated runs have not made yet.
 	pending float64
 }
 
-// decayed is a count with a decay of callDecay.
-type decayed struct {
-	n         float64
-	updatedAt time.Time
-}
-
-func (d *decayed) add(now time.Time, n float64) {
-	d.n, d.updatedAt = d.at(now)+n, now
-}
-
-func (d *decayed) at(now time.Time) float64 {
-	return d.n * math.Exp(-max(0, now.Sub(d.updatedAt).Seconds())/callDecay.Seconds())
-}
-
 // Begin records the start of a run that is a repeat with the given probability.
 func (c *Calls) Begin(now time.Time, repeat float64) {
 	for _, s := range c.callees {
@@ -78,5 +57,5 @@
 
 // perRun returns the mean number of calls that a repeated run makes to a service.
 func (c *Calls) perRun(now time.Time, s *callee) float64 {
-	return s.calls.at(now) / max(c.runs.at(now), 1)
+	return s.calls.valueAt(now) / max(c.runs.valueAt(now), 1)
 }
--- a/internal/request/lineage/lineage_test.go
+++ b/internal/request/lineage/lineage_test.go
@@ -44,7 +44,7 @@
 	c.Check(o.IsExternal(now, public, two), qt.IsTrue)
 	c.Check(o.IsExternal(now, public, map[string]int{"a": 7, "b": 3, "c": 1}), qt.IsFalse)
 	c.Check(o.IsExternal(now, public, map[string]int{"a": 7}), qt.IsFalse, qt.Commentf("it cannot be decided with a single service"))
-	later := now.Add(2 * originDecay)
+	later := now.Add(2 * countDecay)
 	for range 30 {
 		o.Note(later, public, "a")
 	}
--- a/internal/request/lineage/origins.go
+++ b/internal/request/lineage/origins.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// originDecay is the time in which a request loses two thirds of its weight in the
-	// counts of its route.
-	originDecay = 15 * time.Second
 	// minEvenness is the minimum ratio between the requests per instance of the least and
 	// the most frequent service for a route to count as called from everywhere.
 	minEvenness = 0.2
@@ -30,16 +27,6 @@
 	seen map[Route]map[string]decayingCount
 }
 
-// decayingCount is an exponentially decaying count, with its value n at updatedAt.
-type decayingCount struct {
-	n         float64
-	updatedAt time.Time
-}
-
-func (c decayingCount) valueAt(now time.Time) float64 {
-	return c.n * math.Exp(-max(0, now.Sub(c.updatedAt).Seconds())/originDecay.Seconds())
-}
-
 // Note records the service at whose instance a request on a route entered.
 func (o *Origins) Note(now time.Time, route Route, origin string) {
 	services := o.seen[route]
@@ -51,7 +38,8 @@
 		o.seen[route] = services
 	}
 	if c, known := services[origin]; known || len(services) < maxOrigins {
-		services[origin] = decayingCount{n: c.valueAt(now) + 1, updatedAt: now}
+		c.add(now, 1)
+		services[origin] = c
 	}
 }
 
