Allowances: first limits of a fleet start unused

The first requests of an organisation under a new limit were refused with 429 in TestScript/dev (3 of 12 beside each other).

Ruled out: the order of version and key (the 401 without a key precedes it); the restart of a ledger (no daemon had one).

Now the moment is recorded at which a confirmed version without limits is replaced, at the meter and at the ledger. A daemon that starts with a version that has limits is as cautious as before.

--- a/internal/process/daemon/allowances.go
+++ b/internal/process/daemon/allowances.go
@@ -139,7 +139,6 @@
 		}
 		now := time.Now()
 		if !a.d.mesh.Directory().Snapshot.HasLimits() {
-			a.recordUnlimited(now)
 			timer.Reset(unlimitedInterval)
 			continue
 		}
@@ -154,15 +153,16 @@
 	}
 }
 
-// recordUnlimited records that the version in force has no limits. Before a version is confirmed,
-// nothing is known about limits.
-func (a *allowances) recordUnlimited(now time.Time) {
-	if !a.d.Ready() {
+// observeVersion is called while the version in force is about to be replaced. Before a version is
+// confirmed, nothing is known about limits.
+func (a *allowances) observeVersion(now time.Time) {
+	if !a.d.Ready() || a.d.mesh.Directory().Snapshot.HasLimits() {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.meter.Unlimited(now)
+	a.ledger.Unlimited(now)
 }
 
 // reportUsage reports what this daemon admitted to its aggregator.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -206,7 +206,7 @@
 			ForgetAfter: forgetAfter, ProbeInterval: probeInterval, Seed: seed,
 		},
 		Probe:        peer.Reachable,
-		OnInstall:    d.traces.Install,
+		OnInstall:    d.observeInstall,
 		TickInterval: tickInterval, Leadership: d.leadershipState,
 	}, d.items, d.log.WithName("mesh"))
 	if err != nil {
@@ -259,6 +259,12 @@
 	return err
 }
 
+// observeInstall is called before the directory contains a version that was installed.
+func (d *Daemon) observeInstall(version uint64) {
+	d.traces.Install(version)
+	d.allowances.observeVersion(time.Now())
+}
+
 // otherSeeds returns all without this daemon's own address.
 func (d *Daemon) otherSeeds(all []string) []string {
 	return slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == d.self.Addr })
--- a/internal/request/allowance/ledger.go
+++ b/internal/request/allowance/ledger.go
@@ -37,6 +37,8 @@
 	// activeSince is when the first of an uninterrupted series of reports arrived, receivedAt
 	// when the last one did.
 	activeSince, receivedAt time.Time
+	// unlimitedAt is when no organisation was last known to have a limit.
+	unlimitedAt time.Time
 	// daemons is the number of daemons of the fleet.
 	daemons int
 	// limit returns the limit of an organisation, with a Rate of 0 if it has none.
@@ -54,6 +56,15 @@
 // role, several Ledgers together then give out no more than the limits.
 func (l *Ledger) SetDaemons(n int) { l.daemons = n }
 
+// Unlimited records that no organisation has a limit. Under the first limits after that, the Ledger has
+// no predecessor whose admissions it would have to assume.
+func (l *Ledger) Unlimited(now time.Time) { l.unlimitedAt = now }
+
+// takingOver reports whether a previous Ledger may have admitted requests that still count.
+func (l *Ledger) takingOver(now time.Time) bool {
+	return now.Sub(l.activeSince) < takeoverTime && l.activeSince.Sub(l.unlimitedAt) > memberTimeout
+}
+
 // coverage returns the part of the fleet that reports to this Ledger.
 func (l *Ledger) coverage() float64 {
 	if l.daemons == 0 {
@@ -97,7 +108,7 @@
 			return
 		}
 		e = &entry{limit: limit, coverage: 1, window: newWindow(now, l.window), demandAt: now}
-		if now.Sub(l.activeSince) < takeoverTime {
+		if l.takingOver(now) {
 			e.window.fill(limit.perWindow(l.window))
 			e.restricted = true
 		}
--- a/internal/request/allowance/sim_test.go
+++ b/internal/request/allowance/sim_test.go
@@ -369,3 +369,21 @@
 		c.Check(admitted, qt.IsTrue)
 	}
 }
+
+// TestNewLimitStartsUnused guards against refusals below the first limits of a fleet because its
+// ledger assumes that a previous one admitted requests under them.
+func TestNewLimitStartsUnused(t *testing.T) {
+	c := qt.New(t)
+	limits := organisations(20, 600)
+	s := newSim(1, 74, limits)
+	s.ledger.Unlimited(s.now)
+	for _, m := range s.meters {
+		m.Unlimited(s.now)
+	}
+	s.run(5*time.Second, scaled(limits, 0.9), s.anywhere)
+	wrong, ideal := s.wronglyRefused()
+	c.Check(float64(wrong) <= 0.001*float64(ideal), qt.IsTrue, qt.Commentf("%d of %d", wrong, ideal))
+	for name := range limits {
+		c.Check(s.worstWindow(name) <= 1, qt.IsTrue, qt.Commentf("%v: %.2f", name, s.worstWindow(name)))
+	}
+}
