Admission: fair shares of a full server among organisations

Among waiting requests of the same priority that of the organisation with the least recent use per weight goes first, and a full queue refuses the others. Weights follow the rates of the limits. Calls of servers carry no organisation and go first: their runs have begun.

--- a/internal/connection/gateway/organisation.go
+++ b/internal/connection/gateway/organisation.go
@@ -105,6 +105,16 @@
 	return x.organisation.Name
 }
 
+// setWeight sets the weight of the caller's organisation as of a version.
+func (req *backendRequest) setWeight(snap *snapshot.Snapshot) {
+	if req.organisation == "" {
+		return
+	}
+	if o := snap.Organisation(req.request.Mesh, req.organisation); o != nil {
+		req.weight = o.Weight
+	}
+}
+
 // optionalHeader returns the values of a header that is omitted if value is empty. As part
 // of the headers for a backend server, it also replaces what the caller sent.
 func optionalHeader(value string) []string {
--- a/internal/connection/gateway/organisation_test.go
+++ b/internal/connection/gateway/organisation_test.go
@@ -220,3 +220,18 @@
 		c.Check(m.Validate(), qt.IsNotNil)
 	})
 }
+
+// TestTicketOfOrganisation checks that the admission control at a backend server knows the organisation
+// of a request and its weight; an organisation that is not in the version in force has none.
+func TestTicketOfOrganisation(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1)
+	f.useOrganisations()
+	for name, weight := range map[string]float64{"parish": 1, "removed": 0, "": 0} {
+		req := backendRequest{request: &Request{Mesh: "m"}, organisation: name}
+		req.setWeight(f.snap)
+		ticket := req.ticket(time.Now())
+		c.Check(ticket.Organisation, qt.Equals, name)
+		c.Check(ticket.Weight, qt.Equals, weight)
+	}
+}
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -78,7 +78,10 @@
 }
 
 func (req *backendRequest) ticket(now time.Time) admit.Ticket {
-	t := admit.Ticket{Priority: req.priority, Deadline: req.deadline, Useful: req.usefulUntil, Kind: req.route, Alone: req.request.Isolated}
+	t := admit.Ticket{
+		Priority: req.priority, Organisation: req.organisation, Weight: req.weight,
+		Deadline: req.deadline, Useful: req.usefulUntil, Kind: req.route, Alone: req.request.Isolated,
+	}
 	if wait := now.Add(maxIsolationWait); t.Alone && wait.Before(t.Deadline) {
 		t.Deadline = wait
 	}
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -36,6 +36,9 @@
 	origin string
 	// organisation is the organisation of the caller, or "".
 	organisation string
+	// weight is the share of the server that the organisation is entitled to, relative to other
+	// organisations; 0 if it is unknown.
+	weight float64
 	// retryProbability is the probability that the request is a retry.
 	retryProbability float64
 	// boot identifies the start of the server for which the request was admitted, or is
@@ -69,6 +72,7 @@
 	if refused := g.admitRetry(req); refused != nil {
 		return nil, refused
 	}
+	req.setWeight(g.cfg.Directory().Snapshot)
 	if refused := g.admitSuspect(req); refused != nil {
 		return nil, refused
 	}
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -4,11 +4,11 @@
 // and does not rely on what the server reports.
 //
 // Waiting requests are ordered by effective priority, which improves by one for
-// every agingStep of waiting so that no priority starves, and then by deadline.
-// A full queue refuses a new request, unless the request has a better effective
-// priority than the last one in the queue, which is refused instead. A request
-// that cannot start before its deadline, given the measured service time, is
-// refused at once.
+// every agingStep of waiting so that no priority starves, then by the recent use of
+// the server by their organisations, and then by deadline. A full queue refuses a new
+// request, unless the last one in the queue has a worse effective priority or an
+// organisation with more recent use, and is refused instead. A request that cannot
+// start before its deadline, given the measured service time, is refused at once.
 //
 // The package does no I/O and reads no clock.
 package admit
@@ -39,6 +39,13 @@
 	Useful time.Time
 	// Kind groups tickets with similar service times; "" means no group.
 	Kind string
+	// Organisation is the organisation of the caller. Of two tickets with the same effective
+	// priority, that of the organisation with less recent use per Weight runs first, and one
+	// without an organisation, such as a call of another backend server, before both.
+	Organisation string
+	// Weight is the share of the server that the organisation is entitled to, relative to the
+	// others. Default 1.
+	Weight float64
 	// Alone requests that no other request runs on the server at the same time.
 	Alone bool
 
@@ -78,6 +85,7 @@
 	draining     bool
 	limit        limiter
 	kindTimes    serviceTimes
+	usages       usages
 	// failureRate is the smoothed fraction of requests that fail.
 	failureRate float64
 	// lastSlotChange is when a slot was last released, or taken on an idle server.
@@ -182,7 +190,7 @@
 		d.RetryAfter = max(late, minLateRetryAfter)
 		return d, true
 	}
-	if len(c.queue) >= c.queueLimit(t.Priority) && !c.hasLowerPriorityWaiting(now, t) {
+	if len(c.queue) >= c.queueLimit(t.Priority) && !c.hasLowerRankWaiting(now, t) {
 		return c.refuse(*t, result.Overloaded, QueueFull), true
 	}
 	return Decision{}, false
@@ -193,15 +201,15 @@
 const queueReserveDivisor = 4
 
 // queueLimit returns the queue length from which a new ticket of the priority is
-// refused, unless a ticket with a worse effective priority waits. Lower priorities
+// refused, unless a ticket of lower rank waits. Lower priorities
 // leave more of the queue free for higher ones. So a high-priority ticket rarely
 // displaces one that has already waited, and low-priority ones are refused at once.
 func (c *Core) queueLimit(priority int) int {
 	return c.cfg.QueueMax - c.cfg.QueueMax*priority/(queueReserveDivisor*manifest.LowestPriority)
 }
 
-func (c *Core) hasLowerPriorityWaiting(now time.Time, t *Ticket) bool {
-	return slices.ContainsFunc(c.queue, func(w Ticket) bool { return w.effectivePriority(now) > t.effectivePriority(now) })
+func (c *Core) hasLowerRankWaiting(now time.Time, t *Ticket) bool {
+	return slices.ContainsFunc(c.queue, func(w Ticket) bool { return c.compareRank(now, t, &w) < 0 })
 }
 
 func (c *Core) canStart(now time.Time, t *Ticket) bool {
@@ -230,6 +238,7 @@
 	}
 	c.running++
 	c.runningAlone = t.Alone
+	c.usages.record(now, t)
 	return Decision{ID: t.ID, Verdict: Start}
 }
 
--- a/internal/request/admit/order.go
+++ b/internal/request/admit/order.go
@@ -1,31 +1,43 @@
 package admit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // expectedWait estimates how long t would wait for a slot behind the tickets that
 // run before it.
 func (c *Core) expectedWait(now time.Time, t *Ticket) time.Duration {
 	ahead := 0
 	for i := range c.queue {
-		if !runsBefore(now, t, &c.queue[i]) {
+		if !c.runsBefore(now, t, &c.queue[i]) {
 			ahead++
 		}
 	}
 	return c.limit.serviceTime * time.Duration(ahead) / time.Duration(max(c.Limit(now), 1))
 }
 
-func runsBefore(now time.Time, a, b *Ticket) bool {
-	if pa, pb := a.effectivePriority(now), b.effectivePriority(now); pa != pb {
-		return pa < pb
+// runsBefore reports whether a runs before b if both wait.
+func (c *Core) runsBefore(now time.Time, a, b *Ticket) bool {
+	if rank := c.compareRank(now, a, b); rank != 0 {
+		return rank < 0
 	}
 	return a.Deadline.Before(b.Deadline)
 }
 
+// compareRank returns a negative number if a ranks before b, and 0 if only their deadlines decide.
+func (c *Core) compareRank(now time.Time, a, b *Ticket) int {
+	return cmp.Or(
+		cmp.Compare(a.effectivePriority(now), b.effectivePriority(now)),
+		cmp.Compare(c.usages.scaled[a.Organisation], c.usages.scaled[b.Organisation]),
+	)
+}
+
 // firstIndex and lastIndex return the ends of the queue, which must not be empty.
 func (c *Core) firstIndex(now time.Time) int {
 	best := 0
 	for i := range c.queue {
-		if runsBefore(now, &c.queue[i], &c.queue[best]) {
+		if c.runsBefore(now, &c.queue[i], &c.queue[best]) {
 			best = i
 		}
 	}
@@ -35,7 +47,7 @@
 func (c *Core) lastIndex(now time.Time) int {
 	worst := 0
 	for i := range c.queue {
-		if !runsBefore(now, &c.queue[i], &c.queue[worst]) {
+		if !c.runsBefore(now, &c.queue[i], &c.queue[worst]) {
 			worst = i
 		}
 	}
--- a/internal/version/snapshot/keyring.go
+++ b/internal/version/snapshot/keyring.go
@@ -12,6 +12,9 @@
 // Organisation is a compiled organisation.
 type Organisation struct {
 	manifest.Organisation
+	// Weight is the share of the servers that the organisation is entitled to while they are full,
+	// relative to the others of its mesh: its rate, or the mean rate if it has none.
+	Weight float64
 	// raw is the encoded resource that the organisation was compiled from.
 	raw []byte
 }
@@ -53,9 +56,31 @@
 			failed = errors.CombineErrors(failed, errors.Wrapf(err, "organisation %s", key.Name))
 		}
 	})
+	k.setWeights()
 	return k, failed
 }
 
+// setWeights sets the weights of all organisations, which are 1 if none has a rate.
+func (k *keyring) setWeights() {
+	sum, count := 0, 0
+	for _, o := range k.organisations {
+		if o.Rate > 0 {
+			sum += o.Rate
+			count++
+		}
+	}
+	for _, o := range k.organisations {
+		switch {
+		case o.Rate > 0:
+			o.Weight = float64(o.Rate)
+		case count > 0:
+			o.Weight = float64(sum) / float64(count)
+		default:
+			o.Weight = 1
+		}
+	}
+}
+
 // matches reports whether k was compiled from exactly the organisations of a mesh.
 func (k *keyring) matches(state *fleet.State, mesh string) bool {
 	count, same := 0, true
--- a/internal/version/snapshot/keyring_test.go
+++ b/internal/version/snapshot/keyring_test.go
@@ -73,3 +73,21 @@
 		})
 	}
 }
+
+// TestWeightsFollowRates checks that an organisation without a rate weighs as much as the mean of those
+// that have one, and that all weigh the same if none has.
+func TestWeightsFollowRates(t *testing.T) {
+	c := qt.New(t)
+	small, large, unlimited := organisation("small", "k1"), organisation("large", "k2"), organisation("unlimited", "k3")
+	s, err := Compile(organisationState(c, 1, small, large, unlimited))
+	c.Assert(err, qt.IsNil)
+	for _, name := range []string{"small", "large", "unlimited"} {
+		c.Check(s.Organisation("m", name).Weight, qt.Equals, 1.0)
+	}
+	small.Rate, large.Rate = 10, 50
+	s, err = Compile(organisationState(c, 1, small, large, unlimited))
+	c.Assert(err, qt.IsNil)
+	for name, want := range map[string]float64{"small": 10, "large": 50, "unlimited": 30} {
+		c.Check(s.Organisation("m", name).Weight, qt.Equals, want)
+	}
+}
