Peers: hang up after calls between daemons that are not linked

Cause of the connections of a source growing with the fleet (39, 147, 451 at 30, 100, 300 instances; 1,558 files at 1,004): each daemon that starts joins through the seeds, which call back to answer, and asks one source after the other for the committed version; the pool keeps each of these connections for 10 s, during which the whole fleet has started.

Ruled out: a shorter idle time for all connections, which is a constant of time while the number of daemons that start within it grows.

Joins, refusals, leaves and queries for the committed version now close the connection if no other call is using it. The queries of a daemon also double their interval, from 50 to 400 ms, since each may now open a connection while no source leads.

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -176,6 +176,25 @@
 	return err
 }
 
+// CallTransient is Call, but does not keep the connection open for further calls unless others are
+// using it. It is meant for daemons that are not linked: those of a large fleet would otherwise
+// keep as many connections to a daemon that they all call at their start.
+func (p *Pool) CallTransient(ctx context.Context, addr, method string, args, reply any) error {
+	err := p.Call(ctx, addr, method, args, reply)
+	p.hangUp(addr)
+	return err
+}
+
+// hangUp closes the connection to an address if it is idle.
+func (p *Pool) hangUp(addr string) {
+	p.mu.Lock()
+	c := p.clients[addr]
+	p.mu.Unlock()
+	if c != nil {
+		p.dropIdle(addr, c)
+	}
+}
+
 // isConnectionClosed reports whether err means that the connection was closed.
 func isConnectionClosed(err error) bool {
 	return errors.Is(err, rpc.ErrShutdown) || errors.Is(err, io.ErrUnexpectedEOF) ||
--- a/internal/connection/peer/pool_test.go
+++ b/internal/connection/peer/pool_test.go
@@ -126,3 +126,35 @@
 	}
 	c.Assert(reply, qt.Equals, -1)
 }
+
+// TestTransientCall checks that a transient call leaves no connection behind, and that it does not
+// close one that another call is using.
+func TestTransientCall(t *testing.T) {
+	c := qt.New(t)
+	echo := &Echo{release: make(chan struct{})}
+	control := rpc.NewServer()
+	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
+	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	pool := NewPool(&Traffic{})
+	defer pool.Close()
+
+	var out int
+	c.Assert(pool.CallTransient(c.Context(), addr, "Echo.Fast", 7, &out), qt.IsNil)
+	c.Check(out, qt.Equals, 7)
+	c.Check(pool.Len(), qt.Equals, 0)
+
+	slow := make(chan error)
+	go func() {
+		var out int
+		slow <- pool.Call(c.Context(), addr, "Echo.Slow", 1, &out)
+	}()
+	for pool.Len() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(pool.CallTransient(c.Context(), addr, "Echo.Fast", 8, &out), qt.IsNil)
+	c.Check(pool.Len(), qt.Equals, 1)
+	close(echo.release)
+	c.Check(<-slow, qt.IsNil)
+}
--- a/internal/process/daemon/committed.go
+++ b/internal/process/daemon/committed.go
@@ -19,9 +19,11 @@
 // Timing of the queries by which a starting daemon learns the committed version directly from
 // the sources.
 const (
-	// committedPollInterval is the time between two queries of a daemon. Consecutive queries go
-	// to different sources.
-	committedPollInterval = 50 * time.Millisecond
+	// committedPollInterval is the time between the first two queries of a daemon. It doubles with
+	// each query up to maxCommittedPollInterval, so that the queries of a large fleet leave the
+	// sources time to elect a leader. Consecutive queries go to different sources.
+	committedPollInterval    = 50 * time.Millisecond
+	maxCommittedPollInterval = 400 * time.Millisecond
 	// committedTimeout is the timeout of one query.
 	committedTimeout = 500 * time.Millisecond
 	// committedDeadline is when the queries end. By then the confirmation has arrived over the
@@ -44,8 +46,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, committedDeadline)
 	defer cancel()
-	ticker := time.NewTicker(committedPollInterval)
-	defer ticker.Stop()
+	interval := committedPollInterval
 	for turn := int(xxhash.Sum64String(d.settings.Node) >> 1); !d.mesh.Status().Confirmed; turn++ {
 		askedAt := bootclock.Now()
 		if version, err := d.queryCommittedInTurn(ctx, turn); err == nil {
@@ -55,8 +56,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(interval):
 		}
+		interval = min(2*interval, maxCommittedPollInterval)
 	}
 }
 
@@ -76,7 +78,7 @@
 	if node == d.settings.Node {
 		return d.leadership.committed(ctx)
 	}
-	return version, d.pool.Call(ctx, addr, sourceCommitted, Empty{}, &version)
+	return version, d.pool.CallTransient(ctx, addr, sourceCommitted, Empty{}, &version)
 }
 
 // Committed returns the committed version if this source is the leader and a majority has
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -100,7 +100,11 @@
 }
 
 func (d *Daemon) sendItems(ctx context.Context, addr string, items []mesh.Item) error {
-	err := d.pool.Call(ctx, addr, meshDeliver, mesh.Envelope{From: d.self.Name, Items: items}, &Empty{})
+	call := d.pool.Call
+	if !mesh.RequireLink(items) {
+		call = d.pool.CallTransient
+	}
+	err := call(ctx, addr, meshDeliver, mesh.Envelope{From: d.self.Name, Items: items}, &Empty{})
 	if err != nil {
 		d.log.V(1).Info("envelope not delivered", "to", addr, "error", err.Error())
 		d.mesh.Unreachable(addr)
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,12 @@
 	Items []Item
 }
 
+// RequireLink reports whether any item is sent only over links. The others are exchanged with daemons
+// that mostly do not become linked.
+func RequireLink(items []Item) bool {
+	return slices.ContainsFunc(items, func(i Item) bool { return i.View == nil || !i.View.Type.WithoutLink() })
+}
+
 // Sender delivers items asynchronously, without a delivery guarantee.
 type Sender interface {
 	Put(addr string, items ...Item)
--- a/internal/process/view/types.go
+++ b/internal/process/view/types.go
@@ -55,6 +55,9 @@
 	MsgLeave
 )
 
+// WithoutLink reports whether the sender of a message usually has no link to the receiver afterwards.
+func (t MessageType) WithoutLink() bool { return t == MsgJoin || t == MsgRefuse || t == MsgLeave }
+
 // Message is a message between the views of two daemons.
 type Message struct {
 	Type MessageType
