Metrics: control calls and their bytes by RPC method and failure domain

What grows faster than the fleet cannot be told from the sum of control bytes. Counted by the codec of the calling side, so that concurrent calls on one connection are told apart (TestMethodsAreCounted).

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -91,9 +91,8 @@
 	net.Conn
 	traffic *Traffic
 	limiter frameLimiter
-	// dialled counts the bytes in both directions of a connection that this daemon opened;
-	// nil for others.
-	dialled *atomic.Uint64
+	// dialled counts the traffic of a connection that this daemon opened; nil for others.
+	dialled *Counters
 }
 
 func newControlConn(conn net.Conn, traffic *Traffic) *controlConn {
@@ -102,10 +101,18 @@
 
 func (c *controlConn) count(n int) {
 	if c.dialled != nil {
-		c.dialled.Add(uint64(n))
+		c.dialled.Bytes.Add(uint64(n))
 	}
 }
 
+// methods returns the counters for the calls on a connection that this daemon opened.
+func (c *controlConn) methods() *MethodCounters {
+	if c.dialled == nil {
+		return &MethodCounters{}
+	}
+	return &c.dialled.Methods
+}
+
 // Read implements net.Conn.
 func (c *controlConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -129,9 +136,9 @@
 // Pool keeps one control connection for each address that was called, and closes idle
 // connections.
 type Pool struct {
-	// Counter returns the counter for the bytes of a new connection to an address. It may be
-	// nil and must not change after the first call.
-	Counter func(addr string) *atomic.Uint64
+	// Counters returns the counters for a new connection to an address. It may be nil and must
+	// not change after the first call.
+	Counters func(addr string) *Counters
 
 	traffic     *Traffic
 	idleTimeout time.Duration
@@ -139,6 +146,14 @@
 	clients     map[string]*client
 }
 
+// Counters counts the traffic of the connections to a group of daemons.
+type Counters struct {
+	// Bytes are those of all connections, in both directions.
+	Bytes atomic.Uint64
+	// Methods counts the traffic by RPC method.
+	Methods MethodCounters
+}
+
 // client is one control connection.
 type client struct {
 	*rpc.Client
@@ -263,7 +278,7 @@
 	if c := p.acquireExisting(addr); c != nil {
 		return c, conn.Close()
 	}
-	c = &client{Client: rpc.NewClient(conn), inFlight: 1}
+	c = &client{Client: rpc.NewClientWithCodec(newCountingCodec(conn, conn.methods())), inFlight: 1}
 	p.clients[addr] = c
 	return c, nil
 }
@@ -308,7 +323,7 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+func (p *Pool) dial(ctx context.Context, addr string) (*controlConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -328,8 +343,8 @@
 	}
 	_ = conn.SetDeadline(time.Time{})
 	control := newControlConn(conn, p.traffic)
-	if p.Counter != nil {
-		control.dialled = p.Counter(addr)
+	if p.Counters != nil {
+		control.dialled = p.Counters(addr)
 	}
 	return control, nil
 }
--- a/internal/connection/peer/pool_test.go
+++ b/internal/connection/peer/pool_test.go
@@ -158,3 +158,37 @@
 	close(echo.release)
 	c.Check(<-slow, qt.IsNil)
 }
+
+// TestMethodsAreCounted checks that the bytes counted by method are those on the connection, apart from
+// its opening, whatever is in flight.
+func TestMethodsAreCounted(t *testing.T) {
+	c := qt.New(t)
+	echo := &Echo{release: make(chan struct{})}
+	control := rpc.NewServer()
+	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
+	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
+	defer server.Close()
+	var counters Counters
+	pool := NewPool(&Traffic{})
+	pool.Counters = func(string) *Counters { return &counters }
+	defer pool.Close()
+
+	addr, out := server.Listener.Addr().String(), 0
+	slow := make(chan error)
+	go func() {
+		var out int
+		slow <- pool.Call(c.Context(), addr, "Echo.Slow", 1, &out)
+	}()
+	for range 5 {
+		c.Assert(pool.Call(c.Context(), addr, "Echo.Fast", 7, &out), qt.IsNil)
+	}
+	c.Check(pool.Call(c.Context(), addr, "Echo.Missing", 7, &out), qt.ErrorMatches, ".*can't find method.*")
+	close(echo.release)
+	c.Assert(<-slow, qt.IsNil)
+	traffic, bytes := counters.Methods.Snapshot(), uint64(0)
+	for method, calls := range map[string]uint64{"Echo.Fast": 5, "Echo.Slow": 1, "Echo.Missing": 1} {
+		c.Check(traffic[method].Calls, qt.Equals, calls, qt.Commentf("%s", method))
+		bytes += traffic[method].Bytes
+	}
+	c.Check(bytes, qt.Equals, counters.Bytes.Load())
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -73,8 +73,9 @@
 	log      logr.Logger
 	traffic  *peer.Traffic
 	pool     *peer.Pool
-	// controlBytes counts the bytes of control connections that this daemon opened.
-	controlBytes gateway.DomainBytes
+	// controlSame and controlOther count the traffic of the control connections that this daemon
+	// opened to daemons of its failure domain and of others.
+	controlSame, controlOther peer.Counters
 
 	items    *peer.Outbox[mesh.Item]
 	messages *peer.Outbox[replica.Message]
@@ -175,7 +176,7 @@
 		return err
 	}
 	d.pool = peer.NewPool(d.traffic)
-	d.pool.Counter = d.controlCounter
+	d.pool.Counters = d.controlCounters
 	d.self = view.Node{Name: d.settings.Node, Addr: d.Addr("peer"), Region: d.settings.Region, Domain: d.settings.Domain}
 	d.items = peer.NewOutbox(outboxLimit, d.sendItems)
 	d.messages = peer.NewOutbox(outboxLimit, d.sendMessages)
--- a/internal/process/daemon/observe.go
+++ b/internal/process/daemon/observe.go
@@ -6,12 +6,12 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/connection/peer"
 	"github.com/daisygate/daisygate/internal/process/source"
 	"github.com/daisygate/daisygate/internal/process/telemetry"
 	"github.com/daisygate/daisygate/internal/version/manifest"
@@ -116,7 +116,8 @@
 	}
 	state.Servers = len(state.Backends)
 	state.CallsSameDomain, state.CallsOtherDomain = d.gateway.PeerBytes()
-	state.ControlSameDomain, state.ControlOtherDomain = d.controlBytes.Same.Load(), d.controlBytes.Other.Load()
+	state.ControlSameDomain, state.ControlOtherDomain = d.controlSame.Bytes.Load(), d.controlOther.Bytes.Load()
+	state.MethodsSameDomain, state.MethodsOtherDomain = d.controlSame.Methods.Snapshot(), d.controlOther.Methods.Snapshot()
 	for name, l := range d.limits {
 		state.Listeners = append(state.Listeners, telemetry.ListenerState{Name: name, Open: l.Open(), Limit: l.Limit(), Refused: l.Refused()})
 	}
@@ -131,15 +132,15 @@
 	return state
 }
 
-// controlCounter returns the counter for a control connection to a daemon. A daemon that is not
+// controlCounters returns the counters for a control connection to a daemon. A daemon that is not
 // known yet counts as one of another failure domain.
-func (d *Daemon) controlCounter(addr string) *atomic.Uint64 {
+func (d *Daemon) controlCounters(addr string) *peer.Counters {
 	for _, r := range d.mesh.Directory().Records {
-		if r.Node.Addr == addr {
-			return d.controlBytes.Of(r.Node.Domain == d.settings.Domain)
+		if r.Node.Addr == addr && r.Node.Domain == d.settings.Domain {
+			return &d.controlSame
 		}
 	}
-	return d.controlBytes.Of(false)
+	return &d.controlOther
 }
 
 // serverLog returns the error log of an http.Server. It writes at verbosity 1, because anyone
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/connection/peer"
 )
 
 // State is the state of a daemon at the time of a scrape.
@@ -35,6 +38,9 @@
 	// over all daemons each byte counts once.
 	ControlSameDomain, ControlOtherDomain uint64
 	CallsSameDomain, CallsOtherDomain     uint64
+	// MethodsSameDomain and MethodsOtherDomain are the control calls on these connections, by RPC
+	// method.
+	MethodsSameDomain, MethodsOtherDomain map[string]peer.MethodTraffic
 	// Backends is the occupancy of the local backend servers.
 	Backends []gateway.Occupancy
 	// Budgets is the state of the retry budget of each service.
@@ -97,6 +103,8 @@
 	metrics.WriteCounterUint64(w, `daisygate_control_bytes_total{direction="received"}`, s.ControlReceived)
 	writePeerBytes(w, "control", s.ControlSameDomain, s.ControlOtherDomain)
 	writePeerBytes(w, "calls", s.CallsSameDomain, s.CallsOtherDomain)
+	writeMethods(w, "same", s.MethodsSameDomain)
+	writeMethods(w, "other", s.MethodsOtherDomain)
 	for _, b := range s.Backends {
 		writeBackend(w, b)
 	}
@@ -122,6 +130,14 @@
 	metrics.WriteCounterUint64(w, fmt.Sprintf("daisygate_peer_bytes_total{traffic=%q,domain=\"other\"}", traffic), other)
 }
 
+func writeMethods(w io.Writer, domain string, methods map[string]peer.MethodTraffic) {
+	for _, method := range slices.Sorted(maps.Keys(methods)) {
+		labels := fmt.Sprintf("{method=%q,domain=%q}", method, domain)
+		metrics.WriteCounterUint64(w, "daisygate_control_calls_total"+labels, methods[method].Calls)
+		metrics.WriteCounterUint64(w, "daisygate_control_call_bytes_total"+labels, methods[method].Bytes)
+	}
+}
+
 func writeBackend(w io.Writer, b gateway.Occupancy) {
 	labels := fmt.Sprintf("{server=%q}", b.Server)
 	metrics.WriteGaugeUint64(w, "daisygate_backend_slots_in_use"+labels, uint64(b.Running))
--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/daisygate/daisygate/internal/connection/gateway"
+	"github.com/daisygate/daisygate/internal/connection/peer"
 	"github.com/daisygate/daisygate/internal/process/settings"
 	"github.com/daisygate/daisygate/internal/request/canary"
 	"github.com/daisygate/daisygate/internal/result"
@@ -146,7 +147,7 @@
 	m := NewMetrics(func() State {
 		return State{
 			Backends: []gateway.Occupancy{{}}, Budgets: []gateway.ServiceBudget{{}}, Listeners: []ListenerState{{}}, Source: &SourceState{},
-			Once:     IdempotencyState{Table: &ClaimTableState{}},
+			Once:     IdempotencyState{Table: &ClaimTableState{}}, MethodsOtherDomain: map[string]peer.MethodTraffic{"Source.Deliver": {}},
 			Rollouts: []gateway.ServiceTally{{Tally: canary.Tally{Routes: map[string]*canary.Pair{"r": {}}}}},
 		}
 	})
