--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -147,7 +147,7 @@
 	m := NewMetrics(func() State {
 		return State{
 			Backends: []gateway.Occupancy{{}}, Budgets: []gateway.ServiceBudget{{}}, Listeners: []ListenerState{{}}, Source: &SourceState{},
-			Once:     IdempotencyState{Table: &ClaimTableState{}}, MethodsOtherDomain: map[string]peer.MethodTraffic{"Source.Deliver": {}},
+			Once: IdempotencyState{Table: &ClaimTableState{}}, MethodsOtherDomain: map[string]peer.MethodTraffic{"Source.Deliver": {}},
 			Rollouts: []gateway.ServiceTally{{Tally: canary.Tally{Routes: map[string]*canary.Pair{"r": {}}}}},
 		}
 	})
