Choice: a queue in another failure domain counts as a refusal

While all domains are full this moves no load, and the bytes cross. Ruled out: control, 9 MB of 54 between the domains, by method.

TestFullDomainsKeepTheirWork fails before.

--- a/internal/request/balance/expected.go
+++ b/internal/request/balance/expected.go
@@ -69,8 +69,9 @@
 	slowdown := occupancySlowdown * min(inProgress/limit, 1)
 	answerTime := service.Seconds() * (1 + queueing)
 	cost := answerTime + t.distancePenalty(c, service, in.Target)
-	if queueing > 0 && answerTime > admit.UsefulShare*in.Target.Seconds() {
-		// The admission control there is expected to refuse, which costs more than any hop.
+	if queueing > 0 && (answerTime > admit.UsefulShare*in.Target.Seconds() || t.distance(c) >= sameRegion) {
+		// The admission control there is expected to refuse, which costs more than any hop. In
+		// another failure domain, the request would displace one from there.
 		cost += in.Target.Seconds()
 	}
 	return cost + service.Seconds()*slowdown + t.transferTime(in, c) + t.failurePenalty(l, service, in.Target)
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -64,6 +64,21 @@
 	c.Check(countPicks(table, now, target)["far"], qt.Equals, 100)
 }
 
+// TestFullDomainsKeepTheirWork guards against requests that full failure domains send to each other: a
+// server of another domain that has a queue is not preferred to a nearer one that is expected to
+// refuse, one with a free slot is.
+func TestFullDomainsKeepTheirWork(t *testing.T) {
+	c := qt.New(t)
+	near, far := candidateAt("near", "d"), candidateAt("far", "e")
+	table := tableAt("caller", near, far)
+	const target = 400 * time.Millisecond
+	table.ReportLoad(now, near, Load{Limit: 4, Running: 4, Queued: 5, Service: 140 * time.Millisecond})
+	table.ReportLoad(now, far, Load{Limit: 4, Running: 4, Queued: 1, Service: 140 * time.Millisecond})
+	c.Check(countPicks(table, now, target)["near"], qt.Equals, 100)
+	table.ReportLoad(now, far, Load{Limit: 4, Running: 3, Service: 140 * time.Millisecond})
+	c.Check(countPicks(table, now, target)["far"], qt.Equals, 100)
+}
+
 // TestShortRequestsStay checks that a request of less than a millisecond is not sent
 // to another failure domain to save less time than the hop costs.
 func TestShortRequestsStay(t *testing.T) {
