Gateway: close the connection after answering a claim before the body was read

A request with an idempotency key and a body above 16 KiB that is refused or answered from the claims has its body unread; the connection was kept, and net/http panicked ("invalid concurrent Body.Read call") on the next read, which broke it off without a word. TestUnreadBodyEndsConnection fails before.

--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -164,17 +164,18 @@
 	}
 	verdict := x.g.cfg.Claims.Claim(x.r.Context(), x.request)
 	x.claimKnown = verdict.Refusal == nil || verdict.Refusal.Code != result.ClaimsUnavailable
-	switch {
-	case verdict.Refusal != nil:
+	if verdict.Refusal == nil && verdict.Response == nil {
+		x.claimed = true
+		return true
+	}
+	x.body.closeIfUnread(x.w.Header())
+	if verdict.Refusal != nil {
 		x.refuse(&refusal{Error: verdict.Refusal, retryAfter: verdict.RetryAfter})
 		return false
-	case verdict.Response != nil:
-		x.observation.result.Code = result.OK
-		verdict.Response.write(x.w)
-		return false
 	}
-	x.claimed = true
-	return true
+	x.observation.result.Code = result.OK
+	verdict.Response.write(x.w)
+	return false
 }
 
 func (s *StoredResponse) write(w http.ResponseWriter) {
--- a/internal/connection/gateway/once_test.go
+++ b/internal/connection/gateway/once_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +92,26 @@
 		})
 	}
 }
+
+// TestUnreadBodyEndsConnection checks that a connection is closed after a request that was answered from
+// the claims before its body was read: the rest of the body must not be taken for the next request.
+func TestUnreadBodyEndsConnection(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1)
+	f.gateways[0].cfg.Claims = &fakeClaims{code: result.KeyReused}
+	conn, err := net.Dial("tcp", f.callers[0].Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	smuggled := strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 1000)
+	writeRaw(conn, "POST / HTTP/1.1\nHost: x\nIdempotency-Key: k\nContent-Length: "+strconv.Itoa(len(smuggled))+"\n\n")
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.Header.Get(result.HeaderResult), qt.Equals, strconv.Itoa(int(result.KeyReused)))
+	c.Check(resp.Close, qt.IsTrue)
+	c.Assert(resp.Body.Close(), qt.IsNil)
+	_, _ = conn.Write([]byte(smuggled))
+	rest, _ := io.ReadAll(reader)
+	c.Check(strings.Contains(string(rest), "HTTP/1.1"), qt.IsFalse, qt.Commentf("%s", rest))
+}
