--- a/internal/connection/peer/pool_test.go
+++ b/internal/connection/peer/pool_test.go
@@ -23,6 +23,16 @@
 // Slow responds after release is closed.
 func (e *Echo) Slow(in int, out *int) error { <-e.release; *out = in; return nil }
 
+// startEcho serves an Echo and returns it with its address.
+func startEcho(c *qt.C) (echo *Echo, addr string) {
+	echo = &Echo{release: make(chan struct{})}
+	control := rpc.NewServer()
+	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
+	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
+	c.Cleanup(server.Close)
+	return echo, server.Listener.Addr().String()
+}
+
 // TestPool checks that a call which times out does not close the connection while other calls
 // succeed, and that an idle connection is closed.
 func TestPool(t *testing.T) {
@@ -99,14 +109,9 @@
 // call that timed out, while the caller reads or reuses the reply.
 func TestLateAnswerIsDropped(t *testing.T) {
 	c := qt.New(t)
-	echo := &Echo{release: make(chan struct{})}
-	control := rpc.NewServer()
-	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
-	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
-	defer server.Close()
+	echo, addr := startEcho(c)
 	pool := NewPool(&Traffic{})
 	defer pool.Close()
-	addr := server.Listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	reply := -1
 	slow := make(chan error)
@@ -131,12 +136,7 @@
 // close one that another call is using.
 func TestTransientCall(t *testing.T) {
 	c := qt.New(t)
-	echo := &Echo{release: make(chan struct{})}
-	control := rpc.NewServer()
-	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
-	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
-	defer server.Close()
-	addr := server.Listener.Addr().String()
+	echo, addr := startEcho(c)
 	pool := NewPool(&Traffic{})
 	defer pool.Close()
 
@@ -163,17 +163,13 @@
 // its opening, whatever is in flight.
 func TestMethodsAreCounted(t *testing.T) {
 	c := qt.New(t)
-	echo := &Echo{release: make(chan struct{})}
-	control := rpc.NewServer()
-	c.Assert(control.RegisterName("Echo", echo), qt.IsNil)
-	server := httptest.NewServer(Handler(control, http.NotFoundHandler(), &Traffic{}))
-	defer server.Close()
+	echo, addr := startEcho(c)
 	var counters Counters
 	pool := NewPool(&Traffic{})
 	pool.Counters = func(string) *Counters { return &counters }
 	defer pool.Close()
 
-	addr, out := server.Listener.Addr().String(), 0
+	var out int
 	slow := make(chan error)
 	go func() {
 		var out int
