Gateway, dev: unexport the byte counters, one fixture for the tests of dev

The counters of a failure domain have had no user outside package gateway since control calls are counted by method. Three tests built and submitted to the same mesh by hand. Behaviour and assertions unchanged.

--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -179,7 +179,7 @@
 // PeerBytes returns the bytes of calls exchanged with the daemons of the same failure domain
 // and of others since the start.
 func (g *Gateway) PeerBytes() (same, other uint64) {
-	return g.peerPools.bytes.Same.Load(), g.peerPools.bytes.Other.Load()
+	return g.peerPools.bytes.same.Load(), g.peerPools.bytes.other.Load()
 }
 
 // acquireShare counts a call against the share of a mesh and reports whether there was
@@ -211,18 +211,18 @@
 	// domain is the failure domain of this daemon. bytes counts the bytes of calls to and
 	// from the daemons of this domain and of others.
 	domain string
-	bytes  DomainBytes
+	bytes  domainBytes
 }
 
-// DomainBytes counts bytes exchanged with daemons of the same failure domain and of others.
-type DomainBytes struct{ Same, Other atomic.Uint64 }
+// domainBytes counts bytes exchanged with daemons of the same failure domain and of others.
+type domainBytes struct{ same, other atomic.Uint64 }
 
-// Of returns the counter for a peer that is in the same failure domain or not.
-func (b *DomainBytes) Of(same bool) *atomic.Uint64 {
+// of returns the counter for a peer that is in the same failure domain or not.
+func (b *domainBytes) of(same bool) *atomic.Uint64 {
 	if same {
-		return &b.Same
+		return &b.same
 	}
-	return &b.Other
+	return &b.other
 }
 
 const (
@@ -254,7 +254,7 @@
 	if len(p.pools)%peerSweepInterval == peerSweepInterval-1 {
 		p.sweep()
 	}
-	pool = upstream.NewPool(upstream.Config{Addr: addr, IdleMax: maxIdlePeerConns, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout, Bytes: p.bytes.Of(domain == p.domain)})
+	pool = upstream.NewPool(upstream.Config{Addr: addr, IdleMax: maxIdlePeerConns, IdleTimeout: peerIdleTimeout, DialTimeout: dialTimeout, Bytes: p.bytes.of(domain == p.domain)})
 	p.pools[addr] = pool
 	return pool
 }
--- a/internal/process/dev/connections_test.go
+++ b/internal/process/dev/connections_test.go
@@ -10,9 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
-	"github.com/goccy/go-yaml"
 
-	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/process/dev"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
@@ -42,18 +40,14 @@
 	const maxConnections = 7 + (sources - 1) + 2
 	// connectionsWithin is shorter than the time for which the pool keeps an idle connection.
 	const connectionsWithin = 2 * time.Second
-	mesh, err := dev.Start(dev.Config{Nodes: nodes, Log: logr.Discard()})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { c.Check(mesh.Stop(), qt.IsNil) })
-	r := &fixture{mesh: mesh, client: &operator.Client{Addr: mesh.Nodes[0].Operator, HTTP: &http.Client{Timeout: 10 * time.Second}}}
-	raw, err := yaml.Marshal(manifest.Manifest{Mesh: rolloutMesh, Version: 1, Services: []manifest.Service{{Name: rolloutService}}})
-	c.Assert(err, qt.IsNil)
-	r.eventually(c, func() bool { _, err := r.client.Submit(c.Context(), raw); return err == nil })
+	r := newFixture(c, dev.Config{Nodes: nodes, Log: logr.Discard()})
+	m := manifest.Manifest{Mesh: rolloutMesh, Version: 1, Services: []manifest.Service{{Name: rolloutService}}}
+	r.eventually(c, func() bool { return r.submit(c, m) == nil })
 	r.eventually(c, func() bool {
 		status, err := r.client.Fleet(c.Context(), true)
 		return err == nil && status.InForce.All && status.InForce.Total == nodes
 	})
-	for _, n := range mesh.Nodes[:sources] {
+	for _, n := range r.mesh.Nodes[:sources] {
 		count := peerConnectionsAt(c, n)
 		for end := time.Now().Add(connectionsWithin); count > maxConnections && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			count = peerConnectionsAt(c, n)
--- a/internal/process/dev/limit_test.go
+++ b/internal/process/dev/limit_test.go
@@ -8,9 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
-	"github.com/goccy/go-yaml"
 
-	"github.com/daisygate/daisygate/internal/connection/operator"
 	"github.com/daisygate/daisygate/internal/process/dev"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
@@ -19,17 +17,14 @@
 // configured a few milliseconds after the daemons put their first version in force.
 func TestLimitRightAfterFirstVersion(t *testing.T) {
 	c := qt.New(t)
-	mesh, err := dev.Start(dev.Config{Servers: []dev.Server{{Mesh: rolloutMesh, Service: rolloutService}}, Log: logr.Discard()})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { c.Check(mesh.Stop(), qt.IsNil) })
-	r := &fixture{mesh: mesh, client: &operator.Client{Addr: mesh.Nodes[0].Operator, HTTP: &http.Client{Timeout: 10 * time.Second}}}
+	r := newFixture(c, dev.Config{Servers: []dev.Server{{Mesh: rolloutMesh, Service: rolloutService}}, Log: logr.Discard()})
 	m := manifest.Manifest{Mesh: rolloutMesh, Version: 1, Services: []manifest.Service{{Name: rolloutService}}}
 	var route manifest.Route
 	route.SetDefaults()
 	route.Name, route.Path, route.Service, route.Timeout = "a", "/a/", rolloutService, time.Second
 	m.Routes = []manifest.Route{route}
 	r.eventually(c, func() bool { return r.submit(c, m) == nil })
-	for node := range mesh.Nodes {
+	for node := range r.mesh.Nodes {
 		r.eventually(c, func() bool { return r.call(node, "/a/") == http.StatusOK })
 	}
 
@@ -40,11 +35,11 @@
 		Name: "o", KeyDigests: []string{manifest.DigestKey(key).String()}, Priority: manifest.RoutePriority, Rate: limit, Burst: limit,
 	}}
 	c.Assert(r.submit(c, m), qt.IsNil)
-	for node := range mesh.Nodes {
+	for node := range r.mesh.Nodes {
 		r.eventually(c, func() bool { return r.call(node, "/a/") == http.StatusUnauthorized })
 	}
 	for i := range limit {
-		req, err := http.NewRequestWithContext(c.Context(), http.MethodGet, "http://"+mesh.Nodes[i%len(mesh.Nodes)].Caller+"/a/", nil)
+		req, err := http.NewRequestWithContext(c.Context(), http.MethodGet, "http://"+r.mesh.Nodes[i%len(r.mesh.Nodes)].Caller+"/a/", nil)
 		c.Assert(err, qt.IsNil)
 		req.Header.Set("Authorization", "Bearer "+key)
 		resp, err := http.DefaultClient.Do(req)
@@ -53,11 +48,3 @@
 		c.Check(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("request %d of %d", i+1, limit))
 	}
 }
-
-// submit submits a manifest.
-func (r *fixture) submit(c *qt.C, m manifest.Manifest) error {
-	raw, err := yaml.Marshal(m)
-	c.Assert(err, qt.IsNil)
-	_, err = r.client.Submit(c.Context(), raw)
-	return err
-}
--- a/internal/process/dev/rollout_test.go
+++ b/internal/process/dev/rollout_test.go
@@ -43,15 +43,28 @@
 	errorBodies sync.Map
 }
 
+// newFixture starts a mesh that runs until the test ends.
+func newFixture(c *qt.C, cfg dev.Config) *fixture {
+	mesh, err := dev.Start(cfg)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(mesh.Stop(), qt.IsNil) })
+	return &fixture{mesh: mesh, client: &operator.Client{Addr: mesh.Nodes[0].Operator, HTTP: &http.Client{Timeout: 10 * time.Second}}}
+}
+
+// submit submits a manifest.
+func (r *fixture) submit(c *qt.C, m manifest.Manifest) error {
+	raw, err := yaml.Marshal(m)
+	c.Assert(err, qt.IsNil)
+	_, err = r.client.Submit(c.Context(), raw)
+	return err
+}
+
 func startFixture(c *qt.C) *fixture {
 	servers := []dev.Server{}
 	for node := range 3 {
 		servers = append(servers, dev.Server{Node: node, Mesh: rolloutMesh, Service: rolloutService, Version: "v1"})
 	}
-	mesh, err := dev.Start(dev.Config{Servers: servers, Rollouts: true, Log: logr.Discard()})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { c.Check(mesh.Stop(), qt.IsNil) })
-	r := &fixture{mesh: mesh, client: &operator.Client{Addr: mesh.Nodes[0].Operator, HTTP: &http.Client{Timeout: 10 * time.Second}}}
+	r := newFixture(c, dev.Config{Servers: servers, Rollouts: true, Log: logr.Discard()})
 	m := manifest.Manifest{Mesh: rolloutMesh, Version: 1, Services: []manifest.Service{{Name: rolloutService}}}
 	for _, path := range []string{"/a/", "/b/"} {
 		var route manifest.Route
@@ -59,9 +72,7 @@
 		route.Name, route.Path, route.Service, route.Timeout = strings.Trim(path, "/"), path, rolloutService, time.Second
 		m.Routes = append(m.Routes, route)
 	}
-	raw, err := yaml.Marshal(m)
-	c.Assert(err, qt.IsNil)
-	r.eventually(c, func() bool { _, err := r.client.Submit(c.Context(), raw); return err == nil })
+	r.eventually(c, func() bool { return r.submit(c, m) == nil })
 	r.eventually(c, func() bool { return r.call(0, "/a/") == http.StatusOK })
 	// A roll-out to the version in use is rejected as invalid once that version is known.
 	r.eventually(c, func() bool {
