Gateway: decode, log and count the rate limit and the leave that a server states

No process read these response headers, so that neither logs nor metrics told whether a limit had been seen, where, and when it changed. The daemon beside the server now logs each change ("rate limit of a backend server changed") and the leave, and has the gauge daisygate_backend_rate_limit. Nothing acts on them yet.

Responses may arrive in another order than the server made them: a lower limit counts at once, a higher one or none only if its request was sent after the limit in force was last stated.

--- a/internal/connection/gateway/backend.go
+++ b/internal/connection/gateway/backend.go
@@ -32,6 +32,8 @@
 	// requests counts the requests sent to the server since this daemon started. retries
 	// counts those that had been sent to a server before, or were made by a run that had.
 	requests, retries atomic.Uint64
+	// leaving is set once the server has stated that it is about to stop.
+	leaving atomic.Bool
 }
 
 // countRequest counts a request that is sent to the server.
--- a/internal/connection/gateway/dialect.go
+++ b/internal/connection/gateway/dialect.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -59,6 +60,10 @@
 	// ID identifies the request that the response belongs to; "" if the server did not
 	// send it.
 	ID string
+	// RateLimit is the rate of requests that the server accepts from all daemons together.
+	RateLimit ratelimit.Statement
+	// Leaving is set if the server states that it is about to stop.
+	Leaving bool
 }
 
 // Refusal is a final response that does not come from a backend server.
@@ -94,7 +99,9 @@
 }
 
 // Answer implements Dialect.
-func (defaultDialect) Answer(int, http.Header) ResponseMetadata { return ResponseMetadata{} }
+func (defaultDialect) Answer(_ int, h http.Header) ResponseMetadata {
+	return ResponseMetadata{RateLimit: ratelimit.Parse(h[HeaderRateLimit]), Leaving: h.Get(HeaderLeaving) == "1"}
+}
 
 // Refuse implements Dialect.
 func (defaultDialect) Refuse(w http.ResponseWriter, r Refusal) {
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -163,6 +164,17 @@
 	g.core.Ended(failed)
 }
 
+// ObserveRateLimit applies the rate limit stated in a response that just arrived to a request
+// that was sent at sent. It returns the limit before and after it, 0 for none, and whether it
+// changed.
+func (g *gate) ObserveRateLimit(sent time.Time, s ratelimit.Statement) (before, after float64, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before = g.core.RateLimit()
+	changed = g.core.ObserveRateLimit(sent, time.Now(), s)
+	return before, g.core.RateLimit(), changed
+}
+
 // typicalTime returns the usual duration of requests of the given kind.
 func (g *gate) typicalTime(kind string) time.Duration {
 	g.mu.Lock()
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -25,6 +25,11 @@
 	// HeaderOrganisation is the organisation whose API key the caller sent. It is sent to
 	// backend servers.
 	HeaderOrganisation = headerPrefix + "Organisation"
+	// HeaderRateLimit is sent by backend servers: the number of requests per second, a decimal
+	// number, that the server accepts from all daemons together. HeaderLeaving is "1" in the
+	// responses of a server that is about to stop.
+	HeaderRateLimit = headerPrefix + "Rate-Limit"
+	HeaderLeaving   = headerPrefix + "Leaving"
 
 	headerStall    = headerPrefix + "Stall"
 	headerServer   = headerPrefix + "Server"
--- a/internal/connection/gateway/observe.go
+++ b/internal/connection/gateway/observe.go
@@ -120,6 +120,9 @@
 	// Requests counts the requests sent to the server since this daemon started; Retries
 	// counts those that had been sent to a server before.
 	Requests, Retries uint64
+	// RateLimit is the rate limit that the server states, in requests per second; 0 if it
+	// states none.
+	RateLimit float64
 }
 
 // Occupancy returns the occupancy of the backend servers of this instance, in no
@@ -203,6 +206,6 @@
 	defer g.mu.Unlock()
 	return Occupancy{
 		Server: server, Load: g.core.Load(time.Now()), Running: g.core.Running(),
-		Queued: g.core.Queued(), Slots: g.core.Slots(),
+		Queued: g.core.Queued(), Slots: g.core.Slots(), RateLimit: g.core.RateLimit(),
 	}
 }
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -158,7 +158,7 @@
 	}
 	took = req.serverTime
 	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run}
-	refused := g.checkResponse(ctx, req, resp)
+	refused := g.checkResponse(ctx, b, req, resp, start)
 	span.End(codeOf(refused))
 	if refused != nil {
 		return nil, refused
@@ -168,8 +168,8 @@
 
 // checkResponse evaluates the response metadata of a backend server and buffers a small
 // response. A response to another request was left on the connection by a server that
-// answered twice or too late.
-func (g *Gateway) checkResponse(ctx context.Context, req *backendRequest, resp *http.Response) *refusal {
+// answered twice or too late. sent is when the request was sent.
+func (g *Gateway) checkResponse(ctx context.Context, b *backend, req *backendRequest, resp *http.Response, sent time.Time) *refusal {
 	metadata := g.cfg.Dialect.Answer(resp.StatusCode, resp.Header)
 	switch {
 	case metadata.ID != "" && metadata.ID != req.id:
@@ -179,7 +179,9 @@
 		_ = resp.Body.Close()
 		g.cfg.OnMisdirected(req.addr, req.boot)
 		return newRefusal(result.WrongServer, "the server at "+req.addr+" is not boot "+req.boot)
-	case metadata.NotRun:
+	}
+	g.recordStatements(b, req, sent, &metadata)
+	if metadata.NotRun {
 		_ = resp.Body.Close()
 		return &refusal{Error: result.Errorf(result.ServerRefused, "status %d", resp.StatusCode)}
 	}
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -146,6 +146,7 @@
 	metrics.WriteGaugeFloat64(w, "daisygate_backend_load_per_slot"+labels, b.Load)
 	metrics.WriteCounterUint64(w, "daisygate_backend_requests_total"+labels, b.Requests)
 	metrics.WriteCounterUint64(w, "daisygate_backend_repeats_total"+labels, b.Retries)
+	metrics.WriteGaugeFloat64(w, "daisygate_backend_rate_limit"+labels, b.RateLimit)
 }
 
 func writeBudget(w io.Writer, b gateway.ServiceBudget) {
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -17,6 +17,7 @@
 	"slices"
 	"time"
 
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/manifest"
 )
@@ -86,6 +87,7 @@
 	limit        limiter
 	kindTimes    serviceTimes
 	usages       usages
+	rate         ratelimit.Limiter
 	// failureRate is the smoothed fraction of requests that fail.
 	failureRate float64
 	// lastSlotChange is when a slot was last released, or taken on an idle server.
