Admission: keep requests within the rate limit that the server states (LIMIT)

Cause: admission knew one measure of what a server takes, the slots that it announces; what it says about itself in its answers was passed on unread.

The daemon beside the server, which every request to it passes, now starts requests from a token bucket at the stated rate, half a second's worth of them at once at most. So the sum over all daemons is kept, those that were told and those that were not; repeats and calls count like any other arrival. Who does not fit in time is refused at once as not run, with the time at which the rate has room again, and goes on to the next server; who fits waits in the queue, which now also moves when the rate allows it and nothing else happens.

--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -30,6 +30,9 @@
 	core    *admit.Core
 	nextID  uint64
 	waiting map[uint64]chan admit.Decision
+	// advance fires when a waiting request may start because of the rate limit; nil until
+	// it is first needed.
+	advance *time.Timer
 }
 
 func newGate(cfg admit.Config) *gate {
@@ -76,6 +79,7 @@
 		}
 		g.deliver(d)
 	}
+	g.scheduleAdvance()
 	if decision.Verdict != admit.Wait {
 		return nil, decision
 	}
@@ -131,6 +135,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.core.Finish(time.Now(), kind, took)...)
+	g.scheduleAdvance()
 }
 
 // Load returns the server's load. A stalled server counts as full.
@@ -171,10 +176,33 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before = g.core.RateLimit()
-	changed = g.core.ObserveRateLimit(sent, time.Now(), s)
+	changed, decisions := g.core.ObserveRateLimit(sent, time.Now(), s)
+	g.deliver(decisions...)
+	g.scheduleAdvance()
 	return before, g.core.RateLimit(), changed
 }
 
+// scheduleAdvance sets the timer for the next request that waits for the rate limit. The
+// caller must hold g.mu.
+func (g *gate) scheduleAdvance() {
+	in, waiting := g.core.NextStart(time.Now())
+	switch {
+	case !waiting:
+	case g.advance == nil:
+		g.advance = time.AfterFunc(in, g.advanceWaiting)
+	default:
+		g.advance.Reset(in)
+	}
+}
+
+// advanceWaiting starts the waiting requests that the rate limit allows by now.
+func (g *gate) advanceWaiting() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.core.Advance(time.Now())...)
+	g.scheduleAdvance()
+}
+
 // typicalTime returns the usual duration of requests of the given kind.
 func (g *gate) typicalTime(kind string) time.Duration {
 	g.mu.Lock()
@@ -194,9 +222,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if draining {
-		g.deliver(g.core.Drain()...)
+		g.deliver(g.core.Drain(time.Now())...)
 		return
 	}
 	g.core.Resume()
 	g.deliver(g.core.Configure(time.Now(), cfg)...)
+	g.scheduleAdvance()
 }
--- a/internal/connection/gateway/gate_test.go
+++ b/internal/connection/gateway/gate_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -28,3 +30,22 @@
 	c.Assert(g.Acquire(disconnected, admit.Ticket{Deadline: later}).Code, qt.Equals, result.CallerLeft)
 	c.Assert(g.Running(), qt.Equals, 1)
 }
+
+// TestWaitingForTheRateLimit checks that requests which wait for the rate limit start at its
+// rate without another event, although all slots are free.
+func TestWaitingForTheRateLimit(t *testing.T) {
+	const perSecond, requests = 50, 10
+	c := qt.New(t)
+	g := newGate(admit.Config{Slots: 2 * requests, QueueMax: 2 * requests})
+	begin := time.Now()
+	g.ObserveRateLimit(begin, ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: perSecond})
+	var waiting sync.WaitGroup
+	for range requests {
+		waiting.Go(func() {
+			c.Check(g.Acquire(context.Background(), admit.Ticket{Deadline: begin.Add(time.Minute)}), qt.IsNil)
+		})
+	}
+	waiting.Wait()
+	c.Assert(g.Running(), qt.Equals, requests)
+	c.Assert(time.Since(begin) >= requests*time.Second/perSecond, qt.IsTrue, qt.Commentf("%s", time.Since(begin)))
+}
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -10,6 +10,9 @@
 // organisation with more recent use, and is refused instead. A request that cannot
 // start before its deadline, given the measured service time, is refused at once.
 //
+// If the server states a rate limit, tickets start at that rate at most. A waiting ticket
+// may then have to start without another event: see NextStart.
+//
 // The package does no I/O and reads no clock.
 package admit
 
@@ -163,7 +166,7 @@
 	decisions := c.startWaiting(now)
 	if len(c.queue) > c.cfg.QueueMax {
 		i := c.lastIndex(now)
-		decisions = append(decisions, c.refuse(c.queue[i], result.Overloaded, Outranked))
+		decisions = append(decisions, c.refuse(now, c.queue[i], result.Overloaded, Outranked))
 		c.queue = slices.Delete(c.queue, i, i+1)
 	}
 	return decisions
@@ -175,25 +178,29 @@
 	t.arrived = now
 	switch {
 	case c.draining:
-		return c.refuse(*t, result.Draining, Draining), true
+		return c.refuse(now, *t, result.Draining, Draining), true
 	case !t.Deadline.After(now):
-		return c.refuse(*t, result.DeadlineTooShort, Expired), true
+		return c.refuse(now, *t, result.DeadlineTooShort, Expired), true
 	case len(c.queue) == 0 && c.canStart(now, t):
 		return Decision{}, false
 	case c.Stalled(now):
-		return c.refuse(*t, result.Overloaded, Stalled), true
-	}
-	wait := c.expectedWait(now, t)
-	if wait > t.Deadline.Sub(now) {
-		return c.refuse(*t, result.DeadlineTooShort, BeyondDeadline), true
+		return c.refuse(now, *t, result.Overloaded, Stalled), true
 	}
-	if late := c.lateness(now, t, wait); late > 0 {
-		d := c.refuse(*t, result.Overloaded, Late)
+	slotWait, rateWait := c.expectedWait(now, t)
+	wait := max(slotWait, rateWait)
+	late := c.lateness(now, t, wait)
+	switch {
+	case rateWait > slotWait && (wait > t.Deadline.Sub(now) || late > 0):
+		return c.refuse(now, *t, result.Overloaded, RateLimited), true
+	case wait > t.Deadline.Sub(now):
+		return c.refuse(now, *t, result.DeadlineTooShort, BeyondDeadline), true
+	case late > 0:
+		d := c.refuse(now, *t, result.Overloaded, Late)
 		d.RetryAfter = max(late, minLateRetryAfter)
 		return d, true
 	}
 	if len(c.queue) >= c.queueLimit(t.Priority) && !c.hasLowerRankWaiting(now, t) {
-		return c.refuse(*t, result.Overloaded, QueueFull), true
+		return c.refuse(now, *t, result.Overloaded, QueueFull), true
 	}
 	return Decision{}, false
 }
@@ -218,7 +225,7 @@
 	if c.runningAlone || (t.Alone && c.running > 0) {
 		return false
 	}
-	return c.running < c.Limit(now)
+	return c.running < c.Limit(now) && c.rate.Wait(now, 1) == 0
 }
 
 // Parameters of Stalled.
@@ -240,14 +247,16 @@
 	}
 	c.running++
 	c.runningAlone = t.Alone
+	c.rate.Take(now)
 	c.usages.record(now, t)
 	return Decision{ID: t.ID, Verdict: Start}
 }
 
-func (c *Core) refuse(t Ticket, code result.Code, why Reason) Decision {
+func (c *Core) refuse(now time.Time, t Ticket, code result.Code, why Reason) Decision {
 	d := Decision{ID: t.ID, Verdict: Refuse, Code: code, Reason: why}
 	if code != result.Draining {
-		d.RetryAfter = c.limit.serviceTime * time.Duration(len(c.queue)+1) / time.Duration(max(c.cfg.Slots, 1))
+		untilSlot := c.limit.serviceTime * time.Duration(len(c.queue)+1) / time.Duration(max(c.cfg.Slots, 1))
+		d.RetryAfter = max(untilSlot, c.rate.Wait(now, len(c.queue)+1))
 	}
 	return d
 }
@@ -295,11 +304,11 @@
 }
 
 // Drain refuses all waiting and all future tickets.
-func (c *Core) Drain() []Decision {
+func (c *Core) Drain(now time.Time) []Decision {
 	c.draining = true
 	var decisions []Decision
 	for _, t := range c.queue {
-		decisions = append(decisions, c.refuse(t, result.Draining, Draining))
+		decisions = append(decisions, c.refuse(now, t, result.Draining, Draining))
 	}
 	c.queue = nil
 	return decisions
@@ -321,7 +330,7 @@
 		}
 		c.queue = slices.Delete(c.queue, i, i+1)
 		if expired {
-			decisions = append(decisions, c.refuse(t, result.DeadlineTooShort, Expired))
+			decisions = append(decisions, c.refuse(now, t, result.DeadlineTooShort, Expired))
 			continue
 		}
 		decisions = append(decisions, c.start(now, &t))
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 )
 
 // TestSessions replays the golden sessions of testdata. Times are milliseconds
@@ -58,8 +60,16 @@
 		}
 	case "cancel":
 		return fmt.Sprintln("was waiting:", s.core.Cancel(uint64(number("id"))))
+	case "limit":
+		statement := ratelimit.Statement{}
+		if d.HasArg("rate") {
+			statement = ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: float64(number("rate"))}
+		}
+		_, out = s.core.ObserveRateLimit(now, now, statement)
+	case "advance":
+		out = s.core.Advance(now)
 	case "drain":
-		out = s.core.Drain()
+		out = s.core.Drain(now)
 	default:
 		t.Fatalf("unknown command %s", d.Cmd)
 	}
@@ -76,5 +86,8 @@
 		}
 	}
 	fmt.Fprintf(&b, "running %d, queued %d, limit %d\n", s.core.Running(), s.core.Queued(), s.core.Limit(now))
+	if in, waiting := s.core.NextStart(now); waiting {
+		fmt.Fprintf(&b, "next start in %s\n", in)
+	}
 	return b.String()
 }
--- a/internal/request/admit/decision.go
+++ b/internal/request/admit/decision.go
@@ -48,6 +48,9 @@
 	Outranked
 	// Stalled: no slot was released for much longer than a request takes.
 	Stalled
+	// RateLimited: the server's rate limit allows the ticket to start only after its
+	// deadline, or so late that the answer is expected after its useful time.
+	RateLimited
 )
 
 // String returns the text for the log.
@@ -67,6 +70,8 @@
 		return "a request of a better class took the last place in the queue"
 	case Stalled:
 		return "the server gave no slot back for long"
+	case RateLimited:
+		return "the server's rate limit allows no further request in time"
 	}
 	return "unknown"
 }
--- a/internal/request/admit/order.go
+++ b/internal/request/admit/order.go
@@ -5,16 +5,17 @@
 	"time"
 )
 
-// expectedWait estimates how long t would wait for a slot behind the tickets that
-// run before it.
-func (c *Core) expectedWait(now time.Time, t *Ticket) time.Duration {
+// expectedWait estimates how long t would wait behind the tickets that run before it: for a
+// slot, and for the rate limit.
+func (c *Core) expectedWait(now time.Time, t *Ticket) (slot, rate time.Duration) {
 	ahead := 0
 	for i := range c.queue {
 		if !c.runsBefore(now, t, &c.queue[i]) {
 			ahead++
 		}
 	}
-	return c.limit.serviceTime * time.Duration(ahead) / time.Duration(max(c.Limit(now), 1))
+	slot = c.limit.serviceTime * time.Duration(ahead) / time.Duration(max(c.Limit(now), 1))
+	return slot, c.rate.Wait(now, ahead+1)
 }
 
 // runsBefore reports whether a runs before b if both wait.
--- a/internal/request/admit/rate.go
+++ b/internal/request/admit/rate.go
@@ -16,7 +16,24 @@
 }
 
 // ObserveRateLimit applies the rate limit stated in a response that arrived now to a request
-// that was sent at sent, and reports whether the limit changed.
-func (c *Core) ObserveRateLimit(sent, now time.Time, s ratelimit.Statement) (changed bool) {
-	return c.rate.Observe(sent, now, s)
+// that was sent at sent. It reports whether the limit changed, and returns the decisions that
+// follow from it.
+func (c *Core) ObserveRateLimit(sent, now time.Time, s ratelimit.Statement) (changed bool, decisions []Decision) {
+	if !c.rate.Observe(sent, now, s) {
+		return false, nil
+	}
+	return true, c.startWaiting(now)
 }
+
+// NextStart returns the time until a waiting ticket may start because of the rate limit, and
+// whether one waits for that. The caller must call Advance then.
+func (c *Core) NextStart(now time.Time) (in time.Duration, waiting bool) {
+	if len(c.queue) == 0 || c.running >= c.Limit(now) {
+		return 0, false
+	}
+	in = c.rate.Wait(now, 1)
+	return in, in > 0
+}
+
+// Advance starts the waiting tickets that the rate limit allows by now.
+func (c *Core) Advance(now time.Time) []Decision { return c.startWaiting(now) }
--- a/internal/request/flow/flow_test.go
+++ b/internal/request/flow/flow_test.go
@@ -211,7 +211,7 @@
 
 func (sim *simulation) drain(t *rapid.T) {
 	s := sim.drawServer(t)
-	sim.decide(s, s.admission.Drain())
+	sim.decide(s, s.admission.Drain(sim.now))
 	if rapid.Bool().Draw(t, "resume") {
 		s.admission.Resume()
 	}
--- a/internal/request/ratelimit/ratelimit_test.go
+++ b/internal/request/ratelimit/ratelimit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
 func TestParse(t *testing.T) {
@@ -69,3 +70,43 @@
 		})
 	}
 }
+
+// TestRateIsKept plays random requests against a limit that changes, freezes included. In no
+// window may more requests start than the highest limit in it allows, and the bursts.
+func TestRateIsKept(t *testing.T) {
+	const window = 4 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		var l Limiter
+		now := time.Unix(1000, 0)
+		perSecond := rapid.Float64Range(0, 50).Draw(t, "limit")
+		l.Observe(now, now, Statement{Kind: Limited, PerSecond: perSecond})
+		var starts []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 50).Draw(t, "event") {
+			case 0:
+				now = now.Add(3 * time.Second)
+			case 1:
+				l.Observe(now, now, Statement{Kind: Limited, PerSecond: perSecond / 2})
+				l.Observe(now.Add(1), now.Add(1), Statement{Kind: Limited, PerSecond: perSecond})
+			}
+			if l.Wait(now, 1) == 0 {
+				l.Take(now)
+				starts = append(starts, now)
+			}
+		}
+		limit, burst := parameters(perSecond)
+		allowed := float64(limit)*window.Seconds() + float64(burst) + 1e-6
+		for i, first := range starts {
+			n := 0
+			for _, at := range starts[i:] {
+				if at.Sub(first) < window {
+					n++
+				}
+			}
+			if float64(n) > allowed {
+				t.Fatalf("%d requests in %s, %.1f allowed", n, window, allowed)
+			}
+		}
+	})
+}
