Gateway: a restarted daemon learns a server's rate limit from those that know it

The daemon beside the server reports the limit and the boot with its answers, and what another daemon knows travels with each request. It counts until the server itself is heard, and for that boot only; the bucket begins empty. A daemon keeps what it knows of a server while that is no candidate, as its daemon may only be out of reach.

Weighed: the limit in the presence record (a change of it is news for the whole fleet, and a new process has its earlier record only after a link is up); a limit kept on disk (daemons beside servers have none).

--- a/internal/connection/gateway/forward.go
+++ b/internal/connection/gateway/forward.go
@@ -26,9 +26,13 @@
 		request: x.request, body: x.body, addr: to.Server.Addr, priority: x.organisation.PriorityOn(x.route),
 		organisation: x.organisationName(), depth: x.caller.Depth, deadline: x.deadline, nonRepeatable: !x.route.Repeatable,
 		id: x.caller.ID, origin: x.origin, usefulUntil: x.usefulUntil(), route: x.route.Name, retryProbability: parseRetryProbability(x.retryHeader(action.Repeat)),
+		known: x.call.statementOf(to),
 	}
 	resp, refused := x.g.serve(ctx, req)
 	x.serverTook = req.serverTime
+	if s, known := x.g.statementAt(to.Server.Addr); known {
+		x.call.recordStatement(to, s)
+	}
 	return resp, refused
 }
 
@@ -83,6 +87,10 @@
 	if x.fixedDeadline {
 		out.ExtraHeader[headerFixed] = []string{"1"}
 	}
+	known := x.call.statementOf(to)
+	if known.RateLimit > 0 {
+		out.ExtraHeader[headerKnownLimit] = []string{formatStatement(known)}
+	}
 	out.Expect, out.MaxIdleAge = x.body.streamed, peerIdleTimeout
 	x.g.link.outbound.recordSmallMessage(int64(len(out.SmallBody)))
 	span := x.g.cfg.Tracer.Send(ctx, HopForward, out.ExtraHeader)
@@ -93,6 +101,9 @@
 		return nil, classifyFailure(ctx, failure, result.DaemonRefused)
 	}
 	x.readLoad(to, resp.Header)
+	if text := resp.Header.Get(headerStatement); text != "" {
+		x.call.recordStatement(to, parseStatement(text))
+	}
 	x.serverTook, _ = parseDurationHeader(resp.Header, headerTook)
 	if code := resp.Header.Get(result.HeaderResult); code != "0" {
 		return nil, readRefusal(resp, code)
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -182,6 +182,23 @@
 	return before, g.core.RateLimit(), changed
 }
 
+// AdoptRateLimit applies a rate limit that another daemon knew, until a response of the server
+// states otherwise. It reports whether the limit changed.
+func (g *gate) AdoptRateLimit(perSecond float64) (changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed = g.core.AdoptRateLimit(time.Now(), perSecond)
+	g.scheduleAdvance()
+	return changed
+}
+
+// RateLimit returns the server's rate limit in requests per second; 0 if it has none.
+func (g *gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.RateLimit()
+}
+
 // scheduleAdvance sets the timer for the next request that waits for the rate limit. The
 // caller must hold g.mu.
 func (g *gate) scheduleAdvance() {
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -32,6 +32,7 @@
 	defer func() { req.releaseResponse() }()
 	g.setConnectionClose(w.Header())
 	g.writeLoad(w.Header(), req)
+	g.writeStatement(w.Header(), req)
 	g.writeServerTime(w.Header(), req)
 	body.closeIfUnread(w.Header())
 	if refused != nil {
@@ -61,8 +62,8 @@
 		deadline: time.Now().Add(timeout), nonRepeatable: r.Header.Get(headerFresh) != "",
 		organisation: r.Header.Get(HeaderOrganisation),
 		remote:       true, releaseResponse: func() {}, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
-		retryProbability: parseRetryProbability(r.Header.Get(headerRepeat)),
-		request:          &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Isolated: r.Header.Get(headerAlone) != ""},
+		retryProbability: parseRetryProbability(r.Header.Get(headerRepeat)), known: parseStatement(r.Header.Get(headerKnownLimit)),
+		request: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Isolated: r.Header.Get(headerAlone) != ""},
 	}
 	if !okTimeout || !okStall || !okPriority || !okDepth || req.addr == "" {
 		return nil, 0, 0, newRefusal(result.BadRequest, "the headers of a forwarded call are missing or invalid")
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisygate/daisygate/internal/connection/upstream"
 	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -44,6 +45,8 @@
 	// boot identifies the start of the server for which the request was admitted, or is
 	// "".
 	boot string
+	// known is what the server has stated to the daemon where the request originated.
+	known balance.Statement
 	// releaseResponse tells the link that the response starts to be sent or will not be
 	// sent. It may be called more than once.
 	releaseResponse func()
@@ -63,6 +66,7 @@
 
 func (g *Gateway) admitAndSend(ctx context.Context, req *backendRequest) (*http.Response, *refusal) {
 	b, server := g.backendAt(req.addr)
+	g.adoptStatement(b, &server, req)
 	if b == nil || g.shuttingDown.Load() || !req.matchesService(&server) {
 		return nil, newRefusal(result.Draining, "requests for "+req.addr+" are not accepted by this daemon")
 	}
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -74,6 +74,20 @@
 	c.service.core.Table.ReportLoad(time.Now(), to, l)
 }
 
+// recordStatement records what a server states about itself.
+func (c *lockedCall) recordStatement(to *directory.Candidate, s balance.Statement) {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	c.service.core.Table.RecordStatement(to, s)
+}
+
+// statementOf returns what a server last stated about itself.
+func (c *lockedCall) statementOf(to *directory.Candidate) balance.Statement {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	return c.service.core.Table.StatementOf(to)
+}
+
 func (c *lockedCall) answered() flow.Action {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
--- a/internal/request/admit/rate.go
+++ b/internal/request/admit/rate.go
@@ -7,12 +7,12 @@
 )
 
 // RateLimit returns the server's rate limit in requests per second; 0 if it has none.
-func (c *Core) RateLimit() float64 {
-	perSecond, limited := c.rate.Limit()
-	if !limited {
-		return 0
-	}
-	return perSecond
+func (c *Core) RateLimit() float64 { return c.rate.Limit() }
+
+// AdoptRateLimit applies a limit that another daemon knew, until a response of the server
+// states otherwise.
+func (c *Core) AdoptRateLimit(now time.Time, perSecond float64) (changed bool) {
+	return c.rate.Adopt(now, perSecond)
 }
 
 // ObserveRateLimit applies the rate limit stated in a response that arrived now to a request
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -116,6 +116,8 @@
 	meanOccupancy float64
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
+	// statements is keyed by address.
+	statements map[string]Statement
 	// ranks holds the position of each server in its software version's order, for
 	// arms with First equal to ranksFor; nil until needed.
 	ranks    map[string]int
@@ -129,7 +131,7 @@
 
 // NewTable returns an empty table.
 func NewTable(self Location, local Local) *Table {
-	return &Table{self: self, local: local, servers: map[string]*server{}}
+	return &Table{self: self, local: local, servers: map[string]*server{}, statements: map[string]Statement{}}
 }
 
 // Update sets the candidates and the slow start time. If the slice is the one the
--- /dev/null
+++ b/internal/request/balance/statement.go
@@ -0,0 +1,42 @@
+package balance
+
+import "github.com/daisygate/daisygate/internal/version/directory"
+
+// maxFormerStatements is the number of statements of servers that are no candidates any more
+// above which they are dropped.
+const maxFormerStatements = 1024
+
+// Statement is what a backend server states about itself in its responses, as reported by the
+// daemon on its instance.
+type Statement struct {
+	// Boot is the start of the server that the statement is from.
+	Boot string
+	// RateLimit is the number of requests per second that the server accepts from all daemons
+	// together; 0 means that there is no limit.
+	RateLimit float64
+}
+
+// RecordStatement records what the server of a candidate states. It is kept while the server is
+// not a candidate, because its daemon may only be out of reach for a while.
+func (t *Table) RecordStatement(c *directory.Candidate, s Statement) {
+	if s == (Statement{Boot: s.Boot}) {
+		delete(t.statements, c.Server.Addr)
+		return
+	}
+	if len(t.statements) >= len(t.candidates)+maxFormerStatements {
+		for addr := range t.statements {
+			if t.servers[addr] == nil {
+				delete(t.statements, addr)
+			}
+		}
+	}
+	t.statements[c.Server.Addr] = s
+}
+
+// StatementOf returns the last statement of a candidate's boot.
+func (t *Table) StatementOf(c *directory.Candidate) Statement {
+	if s := t.statements[c.Server.Addr]; s.Boot == c.Server.Boot {
+		return s
+	}
+	return Statement{Boot: c.Server.Boot}
+}
--- a/internal/request/ratelimit/ratelimit.go
+++ b/internal/request/ratelimit/ratelimit.go
@@ -15,8 +15,8 @@
 const (
 	// burstTime is the time at the limit's rate that unused requests are saved for.
 	burstTime = 500 * time.Millisecond
-	// minPerSecond is the least rate that is applied: without any request, no response would
-	// state a higher limit.
+	// minPerSecond is the least limit that is applied: without any request, no response would
+	// state a higher one.
 	minPerSecond = 0.5
 )
 
@@ -26,14 +26,27 @@
 	// bucket is nil if there is no limit. It begins empty, because the requests before the
 	// limit was known are not in it.
 	bucket *rate.Limiter
-	// perSecond is the limit as the server stated it.
+	// perSecond is the limit in force; 0 if there is none.
 	perSecond float64
-	// statedAt is when the last response that stated the limit in force arrived.
+	// statedAt is when the limit in force was last stated.
 	statedAt time.Time
+	// observed is set once a response of the server has been observed.
+	observed bool
 }
 
-// Limit returns the limit in requests per second, and whether there is one.
-func (l *Limiter) Limit() (perSecond float64, limited bool) { return l.perSecond, l.bucket != nil }
+// Limit returns the limit in force in requests per second, or 0 if there is none.
+func (l *Limiter) Limit() float64 { return l.perSecond }
+
+// Adopt applies the limit that another daemon, or an earlier process of this one, knew, and
+// reports whether the limit changed. It has no effect once a response of the server has been
+// observed.
+func (l *Limiter) Adopt(now time.Time, perSecond float64) (changed bool) {
+	if l.observed || perSecond <= 0 || l.bucket != nil && perSecond >= l.perSecond {
+		return false
+	}
+	l.statedAt = now
+	return l.set(now, perSecond)
+}
 
 // Observe applies the statement of a response that arrived now to a request that was sent at
 // sent, and reports whether the limit changed.
@@ -42,45 +55,45 @@
 // once. A higher one, or none, applies only if the request was sent after the limit in force was
 // last stated, so that the response is certainly newer.
 func (l *Limiter) Observe(sent, now time.Time, s Statement) (changed bool) {
-	limited := l.bucket != nil
-	switch {
-	case s.Kind == Unreadable:
+	if s.Kind == Unreadable {
 		return false
-	case s.Kind == Limited && (!limited || s.PerSecond <= l.perSecond):
-	case !limited || !sent.After(l.statedAt):
+	}
+	l.observed = true
+	perSecond, limited := 0.0, l.bucket != nil
+	if s.Kind == Limited {
+		perSecond = max(s.PerSecond, minPerSecond)
+	}
+	lowers := s.Kind == Limited && (!limited || perSecond <= l.perSecond)
+	if !lowers && (!limited || !sent.After(l.statedAt)) {
 		return false
 	}
 	l.statedAt = now
-	return l.set(now, s)
+	return l.set(now, perSecond)
 }
 
-// set puts the limit of a readable statement in force and reports whether it changed.
-func (l *Limiter) set(now time.Time, s Statement) (changed bool) {
-	if s.Kind == Unlimited {
-		changed = l.bucket != nil
-		l.bucket, l.perSecond = nil, 0
-		return changed
-	}
-	if l.bucket != nil && l.perSecond == s.PerSecond {
+// set puts a limit in force, 0 for none, and reports whether it changed.
+func (l *Limiter) set(now time.Time, perSecond float64) (changed bool) {
+	if perSecond == l.perSecond {
 		return false
 	}
-	l.perSecond = s.PerSecond
-	limit, burst := parameters(s.PerSecond)
-	if l.bucket == nil {
-		l.bucket = rate.NewLimiter(limit, burst)
+	l.perSecond = perSecond
+	burst := burstOf(perSecond)
+	switch {
+	case perSecond == 0:
+		l.bucket = nil
+	case l.bucket == nil:
+		l.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
 		l.bucket.AllowN(now, burst)
-		return true
+	default:
+		l.bucket.SetLimitAt(now, rate.Limit(perSecond))
+		l.bucket.SetBurstAt(now, burst)
 	}
-	l.bucket.SetLimitAt(now, limit)
-	l.bucket.SetBurstAt(now, burst)
 	return true
 }
 
-// parameters returns the rate and the size of the token bucket for a limit.
-func parameters(perSecond float64) (rate.Limit, int) {
-	perSecond = max(perSecond, minPerSecond)
-	burst := min(math.Ceil(perSecond*burstTime.Seconds()), math.MaxInt32)
-	return rate.Limit(perSecond), int(burst)
+// burstOf returns the number of requests that may start at once under a limit.
+func burstOf(perSecond float64) int {
+	return int(min(math.Ceil(perSecond*burstTime.Seconds()), math.MaxInt32))
 }
 
 // Wait returns the time until n requests may have started from now on; 0 if they may start now.
--- a/internal/request/ratelimit/ratelimit_test.go
+++ b/internal/request/ratelimit/ratelimit_test.go
@@ -45,17 +45,16 @@
 		name      string
 		responses []observation
 		want      float64
-		limited   bool
 	}{
-		{"none", []observation{{0, 1, none}}, 0, false},
-		{"a limit applies at once", []observation{{0, 1, none}, {0, 2, limit(5)}}, 5, true},
-		{"a lower limit applies at once", []observation{{0, 1, limit(5)}, {0, 2, limit(3)}}, 3, true},
-		{"a higher limit that may be older does not apply", []observation{{0, 2, limit(5)}, {1, 3, limit(9)}}, 5, true},
-		{"a higher limit that is newer applies", []observation{{0, 2, limit(5)}, {3, 4, limit(9)}}, 9, true},
-		{"no limit that may be older does not lift it", []observation{{0, 2, limit(5)}, {1, 3, none}}, 5, true},
-		{"no limit that is newer lifts it", []observation{{0, 2, limit(5)}, {3, 4, none}}, 0, false},
-		{"a restated limit is newer", []observation{{0, 2, limit(5)}, {0, 4, limit(5)}, {3, 5, none}}, 5, true},
-		{"an unreadable limit changes nothing", []observation{{0, 1, limit(5)}, {2, 3, Statement{Kind: Unreadable}}}, 5, true},
+		{"none", []observation{{0, 1, none}}, 0},
+		{"a limit applies at once", []observation{{0, 1, none}, {0, 2, limit(5)}}, 5},
+		{"a lower limit applies at once", []observation{{0, 1, limit(5)}, {0, 2, limit(3)}}, 3},
+		{"a higher limit that may be older does not apply", []observation{{0, 2, limit(5)}, {1, 3, limit(9)}}, 5},
+		{"a higher limit that is newer applies", []observation{{0, 2, limit(5)}, {3, 4, limit(9)}}, 9},
+		{"no limit that may be older does not lift it", []observation{{0, 2, limit(5)}, {1, 3, none}}, 5},
+		{"no limit that is newer lifts it", []observation{{0, 2, limit(5)}, {3, 4, none}}, 0},
+		{"a restated limit is newer", []observation{{0, 2, limit(5)}, {0, 4, limit(5)}, {3, 5, none}}, 5},
+		{"an unreadable limit changes nothing", []observation{{0, 1, limit(5)}, {2, 3, Statement{Kind: Unreadable}}}, 5},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -64,9 +63,7 @@
 			for _, r := range test.responses {
 				l.Observe(at(r.sent), at(r.arrived), r.statement)
 			}
-			perSecond, limited := l.Limit()
-			c.Check(limited, qt.Equals, test.limited)
-			c.Check(perSecond, qt.Equals, test.want)
+			c.Check(l.Limit(), qt.Equals, test.want)
 		})
 	}
 }
@@ -95,8 +92,8 @@
 				starts = append(starts, now)
 			}
 		}
-		limit, burst := parameters(perSecond)
-		allowed := float64(limit)*window.Seconds() + float64(burst) + 1e-6
+		limit := max(perSecond, minPerSecond)
+		allowed := limit*window.Seconds() + float64(burstOf(limit)) + 1e-6
 		for i, first := range starts {
 			n := 0
 			for _, at := range starts[i:] {
@@ -110,3 +107,18 @@
 		}
 	})
 }
+
+// TestAdoptedLimit checks that a limit which another daemon knew counts until the server itself
+// is heard.
+func TestAdoptedLimit(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var l Limiter
+	c.Assert(l.Adopt(now, 9), qt.IsTrue)
+	c.Assert(l.Adopt(now, 5), qt.IsTrue)
+	c.Assert(l.Adopt(now, 7), qt.IsFalse)
+	c.Assert(l.Limit(), qt.Equals, 5.0)
+	c.Assert(l.Observe(now.Add(1), now.Add(2), Statement{}), qt.IsTrue)
+	c.Assert(l.Adopt(now, 3), qt.IsFalse)
+	c.Assert(l.Limit(), qt.Equals, 0.0)
+}
