Balance: pass over servers whose rate limit allows no request now

A limited server looked idle to the other daemons: few requests run there, so that they sent theirs first there, to be refused. Each load report now carries the limit and the requests that it allows at once, and a pick adds the time until the limit allows one more, from the report, the time since and the requests sent there since.

TestRateLimitedServerIsPassedOver and TestAllServersRateLimited are new with the field.

--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -145,7 +145,7 @@
 	now := time.Now()
 	l := balance.Load{
 		Running: g.core.Running(), Queued: g.core.Queued(), Limit: g.core.Limit(now), Service: g.core.Service(), Idle: g.core.Idle(now),
-		FailureRate: g.core.FailureRate(),
+		FailureRate: g.core.FailureRate(), RateLimit: g.core.RateLimit(), Tokens: g.core.Tokens(now),
 	}
 	if g.core.Stalled(now) {
 		l.Queued = max(l.Queued, l.Limit)
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -43,7 +43,8 @@
 	// running requests, queued requests, limit, microseconds per response, bytes of large
 	// bodies being sent to its instance, share of its requests that fail, bytes of large
 	// responses waiting to leave its instance, and 1 if callers of all services use the
-	// route.
+	// route. If the server has a rate limit, that follows, and the requests that may start
+	// now because of it, less those that wait.
 	headerLoad = headerPrefix + "Load"
 	// headerTook is the server's processing time in microseconds. It is sent while a
 	// rollout is running.
--- a/internal/connection/gateway/load.go
+++ b/internal/connection/gateway/load.go
@@ -18,7 +18,11 @@
 		if req.origin != "" && g.retryTracker.fromAllServices(req.lineageRoute(), g.cfg.Directory()) {
 			fromAllServices = 1
 		}
-		h.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%.2f,%d,%d", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), g.link.inbound.queuedBytes(), l.FailureRate, g.link.outbound.queuedBytes(), fromAllServices))
+		text := fmt.Sprintf("%d,%d,%d,%d,%d,%.2f,%d,%d", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), g.link.inbound.queuedBytes(), l.FailureRate, g.link.outbound.queuedBytes(), fromAllServices)
+		if l.RateLimit > 0 {
+			text += fmt.Sprintf(",%.3f,%.2f", l.RateLimit, l.Tokens)
+		}
+		h.Set(headerLoad, text)
 	}
 }
 
@@ -31,7 +35,7 @@
 	var l balance.Load
 	var micros int64
 	var fromAllServices int
-	if n, _ := fmt.Sscanf(h.Get(headerLoad), "%d,%d,%d,%d,%d,%f,%d,%d", &l.Running, &l.Queued, &l.Limit, &micros, &l.Inflow, &l.FailureRate, &l.Outflow, &fromAllServices); n < minLoadFields {
+	if n, _ := fmt.Sscanf(h.Get(headerLoad), "%d,%d,%d,%d,%d,%f,%d,%d,%f,%f", &l.Running, &l.Queued, &l.Limit, &micros, &l.Inflow, &l.FailureRate, &l.Outflow, &fromAllServices, &l.RateLimit, &l.Tokens); n < minLoadFields {
 		return
 	}
 	if fromAllServices == 1 {
--- a/internal/request/admit/rate.go
+++ b/internal/request/admit/rate.go
@@ -9,6 +9,15 @@
 // RateLimit returns the server's rate limit in requests per second; 0 if it has none.
 func (c *Core) RateLimit() float64 { return c.rate.Limit() }
 
+// Tokens returns the number of tickets that the rate limit allows to start now, less those that
+// wait; 0 if there is no limit.
+func (c *Core) Tokens(now time.Time) float64 {
+	if c.rate.Limit() == 0 {
+		return 0
+	}
+	return c.rate.Tokens(now) - float64(len(c.queue))
+}
+
 // AdoptRateLimit applies a limit that another daemon knew, until a response of the server
 // states otherwise.
 func (c *Core) AdoptRateLimit(now time.Time, perSecond float64) (changed bool) {
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -75,6 +75,10 @@
 	// Inflow is the bytes of large bodies in transit to the server's instance;
 	// Outflow is the bytes of large answers that still have to leave it.
 	Inflow, Outflow int64
+	// RateLimit is the number of requests per second that the server accepts; 0 means that
+	// there is no limit. Tokens is the number of requests that may start now because of it,
+	// less those that wait; it may be negative.
+	RateLimit, Tokens float64
 }
 
 // Local provides the load of servers on this daemon's own instance, which their
--- a/internal/request/balance/expected.go
+++ b/internal/request/balance/expected.go
@@ -7,6 +7,7 @@
 
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/version/directory"
 )
 
@@ -67,9 +68,10 @@
 	service := t.expectedServiceTime(l)
 	queueing := max(0, inProgress+1-limit) / limit
 	slowdown := occupancySlowdown * min(inProgress/limit, 1)
-	answerTime := service.Seconds() * (1 + queueing)
+	rateWait := l.rateWait()
+	answerTime := max(service.Seconds()*(1+queueing), service.Seconds()+rateWait)
 	cost := answerTime + t.distancePenalty(c, service, in.Target)
-	if queueing > 0 && (answerTime > admit.UsefulShare*in.Target.Seconds() || t.distance(c) >= sameRegion) {
+	if (queueing > 0 || rateWait > 0) && (answerTime > admit.UsefulShare*in.Target.Seconds() || t.distance(c) >= sameRegion) {
 		// The admission control there is expected to refuse, which costs more than any hop. In
 		// another failure domain, the request would displace one from there.
 		cost += in.Target.Seconds()
@@ -77,6 +79,20 @@
 	return cost + service.Seconds()*slowdown + t.transferTime(in, c) + t.failurePenalty(l, service, in.Target)
 }
 
+// tokensAfter returns the tokens that are there after a time in which no request starts.
+func (l Load) tokensAfter(elapsed time.Duration) float64 {
+	burst := max(float64(ratelimit.Burst(l.RateLimit)), l.Tokens)
+	return min(l.Tokens+max(0, elapsed.Seconds())*l.RateLimit, burst)
+}
+
+// rateWait returns the time, in seconds, until the server's rate limit allows one more request.
+func (l Load) rateWait() float64 {
+	if l.RateLimit == 0 {
+		return 0
+	}
+	return max(0, 1-l.Tokens) / l.RateLimit
+}
+
 // failurePenalty returns the cost, in seconds, of a server whose failure rate exceeds
 // the mean of all servers. A failure rate common to all, for instance because the
 // service calls another one that is full, says nothing about a single server.
--- a/internal/request/balance/expected_test.go
+++ b/internal/request/balance/expected_test.go
@@ -174,3 +174,33 @@
 	table.ReportLoad(now, far, Load{Limit: 4, Service: 200 * time.Millisecond})
 	c.Check(countPicks(table, now, target)["far"], qt.Equals, 100)
 }
+
+// TestRateLimitedServerIsPassedOver checks that a server whose rate limit allows no request now
+// is passed over while another one has room, and is used again as soon as the limit allows it.
+func TestRateLimitedServerIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	near, far := candidateAt("near", "d"), candidateAt("far", "e")
+	table := tableAt("caller", near, far)
+	const target = 200 * time.Millisecond
+	table.ReportLoad(now, far, Load{Limit: 4, Service: 20 * time.Millisecond})
+	table.ReportLoad(now, near, Load{Limit: 4, Service: 20 * time.Millisecond, RateLimit: 2, Tokens: 1})
+	c.Check(countPicks(table, now, target)["near"], qt.Equals, 100)
+	table.Sent(now, near, 0, 0)
+	table.Ended(now, near, Answered)
+	c.Check(countPicks(table, now, target)["far"], qt.Equals, 100)
+	c.Check(countPicks(table, now.Add(500*time.Millisecond), target)["near"], qt.Equals, 100)
+	table.ReportLoad(now, near, Load{Limit: 4, Service: 20 * time.Millisecond, RateLimit: 2, Tokens: -3})
+	c.Check(countPicks(table, now.Add(time.Second), target)["far"], qt.Equals, 100)
+	c.Check(countPicks(table, now.Add(2*time.Second), target)["near"], qt.Equals, 100)
+}
+
+// TestAllServersRateLimited checks that of several servers with a rate limit the one that allows
+// a request first is used.
+func TestAllServersRateLimited(t *testing.T) {
+	c := qt.New(t)
+	one, other := candidateAt("one", "d"), candidateAt("other", "d")
+	table := tableAt("caller", one, other)
+	table.ReportLoad(now, one, Load{Limit: 4, Service: 20 * time.Millisecond, RateLimit: 2, Tokens: -1})
+	table.ReportLoad(now, other, Load{Limit: 4, Service: 20 * time.Millisecond, RateLimit: 10, Tokens: -1})
+	c.Check(countPicks(table, now, 200*time.Millisecond)["other"], qt.Equals, 100)
+}
--- a/internal/request/balance/server.go
+++ b/internal/request/balance/server.go
@@ -34,6 +34,9 @@
 	load          Load
 	loadAt        time.Time
 	sentSinceLoad int
+	// tokensSinceLoad counts the attempts this daemon started there since, which use the
+	// server's rate limit even if they have ended.
+	tokensSinceLoad int
 	// inflow is the bytes of large bodies in transit to the server at inflowAt: those
 	// reported and those sent since. It decreases at the rate of the link.
 	inflow   float64
@@ -53,6 +56,8 @@
 func (s *server) estimate(now time.Time, slots int, meanOccupancy float64) (Load, float64) {
 	l := s.load
 	l.Idle += max(0, now.Sub(s.loadAt))
+	l.Tokens -= float64(s.tokensSinceLoad)
+	l.Tokens = l.tokensAfter(now.Sub(s.loadAt))
 	if l.Limit == 0 {
 		l.Limit = max(slots, 1)
 	}
@@ -73,7 +78,7 @@
 // ReportLoad records the load that the daemon on a server's instance reported with an answer.
 func (t *Table) ReportLoad(now time.Time, c *directory.Candidate, l Load) {
 	if s := t.servers[c.Server.Addr]; s != nil {
-		s.load, s.loadAt, s.sentSinceLoad = l, now, 0
+		s.load, s.loadAt, s.sentSinceLoad, s.tokensSinceLoad = l, now, 0, 0
 		s.inflow, s.inflowAt = float64(l.Inflow), now
 		s.outflow, s.outflowAt = float64(l.Outflow), now
 		t.updateMeans(l)
@@ -119,6 +124,7 @@
 	if s := t.servers[c.Server.Addr]; s != nil {
 		s.outstanding++
 		s.sentSinceLoad++
+		s.tokensSinceLoad++
 		if bytes > 0 {
 			s.inflow, s.inflowAt = remainingBytes(s.inflow, now.Sub(s.inflowAt), t.LinkBytes)+float64(bytes), now
 		}
--- a/internal/request/ratelimit/ratelimit.go
+++ b/internal/request/ratelimit/ratelimit.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	l.perSecond = perSecond
-	burst := burstOf(perSecond)
+	burst := Burst(perSecond)
 	switch {
 	case perSecond == 0:
 		l.bucket = nil
@@ -91,8 +91,8 @@
 	return true
 }
 
-// burstOf returns the number of requests that may start at once under a limit.
-func burstOf(perSecond float64) int {
+// Burst returns the number of requests that may start at once under a limit.
+func Burst(perSecond float64) int {
 	return int(min(math.Ceil(perSecond*burstTime.Seconds()), math.MaxInt32))
 }
 
@@ -108,6 +108,14 @@
 	return time.Duration(math.Ceil(missing / float64(l.bucket.Limit()) * float64(time.Second)))
 }
 
+// Tokens returns the number of requests that may start now; 0 if there is no limit.
+func (l *Limiter) Tokens(now time.Time) float64 {
+	if l.bucket == nil {
+		return 0
+	}
+	return l.bucket.TokensAt(now)
+}
+
 // Take counts a request that starts now. The caller must have checked that Wait returns 0.
 func (l *Limiter) Take(now time.Time) {
 	if l.bucket != nil {
--- a/internal/request/ratelimit/ratelimit_test.go
+++ b/internal/request/ratelimit/ratelimit_test.go
@@ -93,7 +93,7 @@
 			}
 		}
 		limit := max(perSecond, minPerSecond)
-		allowed := limit*window.Seconds() + float64(burstOf(limit)) + 1e-6
+		allowed := limit*window.Seconds() + float64(Burst(limit)) + 1e-6
 		for i, first := range starts {
 			n := 0
 			for _, at := range starts[i:] {
