Gateway: no new requests for a server that states that it is leaving (DRAIN)

Cause: only reports ended a server's work; what its answers say was not read. The same class as the rate limit: what a server says about itself in band is on nobody's account.

The daemon beside the server treats the statement like a report that it drains: its queue and what comes are refused as not run, the fleet hears of it at once, and no later report of that boot takes it back. A next start at the address is a new boot; without a boot ID, a failed dial ends it.

--- a/internal/connection/announce/lease.go
+++ b/internal/connection/announce/lease.go
@@ -30,12 +30,15 @@
 	// renewedOnStandby is set on a standby lease that was announced while another boot was
 	// active at the address.
 	renewedOnStandby bool
+	// leaving is set once the server has stated in a response that it is about to stop. Later
+	// announcements of the boot do not change that.
+	leaving bool
 }
 
-// acceptsRequests reports whether the server announced that it accepts requests and can be
-// reached.
+// acceptsRequests reports whether the server announced that it accepts requests, has not stated
+// otherwise since, and can be reached.
 func (l *lease) acceptsRequests() bool {
-	return l.announced.State.AcceptsRequests() && l.dialFailures < maxDialFailures
+	return l.announced.State.AcceptsRequests() && !l.leaving && l.dialFailures < maxDialFailures
 }
 
 // matches reports whether the announcement was sent by the same boot.
@@ -80,6 +83,9 @@
 func (l *lease) advertised() presence.Server {
 	s := l.announced
 	s.Cold = l.cold
+	if l.leaving {
+		s.State = presence.Draining
+	}
 	if s.State.AcceptsRequests() && !l.acceptsRequests() {
 		s.State = presence.Joining
 	}
--- a/internal/connection/announce/registry.go
+++ b/internal/connection/announce/registry.go
@@ -139,11 +139,28 @@
 	l.dialFailures++
 	if reached {
 		l.dialFailures = 0
+	} else if l.announced.Boot == "" {
+		// The server has stopped. Without a boot ID nothing else tells its next start apart.
+		l.leaving = false
 	}
 	l.updateAcceptingSince(now)
 	return l.advertised() != before
 }
 
+// RecordLeaving records that a boot has stated in a response that it is about to stop, and
+// reports whether that changed the published state of the server at the address.
+func (r *Registry) RecordLeaving(now time.Time, address, boot string) bool {
+	e := r.endpoints[address]
+	if e == nil || e.active.announced.Boot != boot {
+		return false
+	}
+	l := e.active
+	before := l.advertised()
+	l.leaving = true
+	l.updateAcceptingSince(now)
+	return l.advertised() != before
+}
+
 // RecordMisdirected records that a boot other than the given one responded at the address, and
 // reports whether that changed the published state of the server there.
 func (r *Registry) RecordMisdirected(now time.Time, address, boot string) bool {
--- a/internal/connection/announce/registry_test.go
+++ b/internal/connection/announce/registry_test.go
@@ -142,3 +142,40 @@
 		c.Check(r.Servers()[0].Cold, qt.IsFalse)
 	}
 }
+
+// TestLeavingStatementOutlastsAnnouncements checks that a server which stated that it is leaving
+// accepts no requests whatever it announces later, and that its next start does.
+func TestLeavingStatementOutlastsAnnouncements(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1000, 0)
+	announced := Announcement{Mesh: "m", Service: "s", Address: "10.0.0.1:80", Slots: 1, Connections: 1, State: "serving", LeaseSeconds: 5, Boot: "one", Sequence: 1}
+	r := NewRegistry()
+	put := func(boot string) presence.ServerState {
+		announced.Boot = boot
+		announced.Sequence++
+		_, refused := r.Put(at, announced)
+		c.Assert(refused == nil, qt.IsTrue)
+		return r.Servers()[0].State
+	}
+	c.Assert(put("one"), qt.Equals, presence.Serving)
+	c.Assert(r.RecordLeaving(at, announced.Address, "other"), qt.IsFalse)
+	c.Assert(r.RecordLeaving(at, announced.Address, "one"), qt.IsTrue)
+	c.Assert(put("one"), qt.Equals, presence.Draining)
+	c.Assert(put("two"), qt.Equals, presence.Serving)
+}
+
+// TestLeavingWithoutBootID checks that a server which sends no boot ID accepts requests again
+// after it could not be reached: it has been restarted.
+func TestLeavingWithoutBootID(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1000, 0)
+	announced := Announcement{Mesh: "m", Service: "s", Address: "10.0.0.1:80", Slots: 1, Connections: 1, State: "serving", LeaseSeconds: 5}
+	r := NewRegistry()
+	_, refused := r.Put(at, announced)
+	c.Assert(refused == nil, qt.IsTrue)
+	r.RecordLeaving(at, announced.Address, "")
+	c.Assert(r.Servers()[0].State, qt.Equals, presence.Draining)
+	r.RecordDial(at, announced.Address, false)
+	r.RecordDial(at, announced.Address, true)
+	c.Assert(r.Servers()[0].State, qt.Equals, presence.Serving)
+}
--- a/internal/connection/announce/server.go
+++ b/internal/connection/announce/server.go
@@ -103,6 +103,12 @@
 	s.update(func() bool { return s.registry.RecordDial(time.Now(), address, false) })
 }
 
+// RecordLeaving records that a boot of the server at an address has stated in a response that it
+// is about to stop.
+func (s *Server) RecordLeaving(address, boot string) {
+	s.update(func() bool { return s.registry.RecordLeaving(time.Now(), address, boot) })
+}
+
 // RecordMisdirected records that a boot other than the given one responded at the address of
 // a server.
 func (s *Server) RecordMisdirected(address, boot string) {
--- a/internal/connection/gateway/forward.go
+++ b/internal/connection/gateway/forward.go
@@ -30,7 +30,7 @@
 	}
 	resp, refused := x.g.serve(ctx, req)
 	x.serverTook = req.serverTime
-	if s, known := x.g.statementAt(to.Server.Addr); known {
+	if s, known := x.g.statementFor(req); known {
 		x.call.recordStatement(to, s)
 	}
 	return resp, refused
@@ -89,7 +89,7 @@
 	}
 	known := x.call.statementOf(to)
 	if known.RateLimit > 0 {
-		out.ExtraHeader[headerKnownLimit] = []string{formatStatement(known)}
+		out.ExtraHeader[headerStatement] = []string{formatStatement(known)}
 	}
 	out.Expect, out.MaxIdleAge = x.body.streamed, peerIdleTimeout
 	x.g.link.outbound.recordSmallMessage(int64(len(out.SmallBody)))
@@ -101,8 +101,8 @@
 		return nil, classifyFailure(ctx, failure, result.DaemonRefused)
 	}
 	x.readLoad(to, resp.Header)
-	if text := resp.Header.Get(headerStatement); text != "" {
-		x.call.recordStatement(to, parseStatement(text))
+	if s, ok := parseStatement(resp.Header); ok {
+		x.call.recordStatement(to, s)
 	}
 	x.serverTook, _ = parseDurationHeader(resp.Header, headerTook)
 	if code := resp.Header.Get(result.HeaderResult); code != "0" {
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -75,6 +75,10 @@
 	// OnMisdirected is called with an address at which a different boot (start of a server)
 	// answered than the expected one; boot is "" if none was expected.
 	OnMisdirected func(addr, boot string)
+	// OnLeaving is called with the address and the boot (start of a server) of a backend server
+	// that has stated that it is about to stop. When it returns, SetServers has been called
+	// with the server draining.
+	OnLeaving func(addr, boot string)
 	// KeysCurrent reports whether the API keys in force are certain to be recent enough to
 	// accept requests with one; nil means that they always are.
 	KeysCurrent func() bool
@@ -144,6 +148,9 @@
 	if cfg.OnMisdirected == nil {
 		cfg.OnMisdirected = func(string, string) {}
 	}
+	if cfg.OnLeaving == nil {
+		cfg.OnLeaving = func(string, string) {}
+	}
 	if cfg.Retry == nil {
 		cfg.Retry = retry.Defaults
 	}
--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -59,12 +59,10 @@
 	// a server before, or was made by a run that was a retry.
 	headerRepeat = headerPrefix + "Repeat"
 	headerFixed  = headerPrefix + "Fixed"
-	// headerKnownLimit is sent with a forwarded request: the rate limit that the server has
-	// stated to the sending daemon, and its boot.
-	headerKnownLimit = headerPrefix + "Known-Limit"
-	// headerStatement is sent with a response to a forwarded request if the server has stated
-	// something about itself, or if headerKnownLimit is outdated: the rate limit in requests
-	// per second, 0 for none, and the server's boot.
+	// headerStatement holds what a backend server has stated about itself: the rate limit in
+	// requests per second, 0 for none, whether the server is leaving, and its boot. It is sent
+	// with a forwarded request if the sending daemon knows a rate limit, and with its response
+	// if the server has stated something or that limit is outdated.
 	headerStatement = headerPrefix + "Statement"
 )
 
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -62,12 +62,13 @@
 		deadline: time.Now().Add(timeout), nonRepeatable: r.Header.Get(headerFresh) != "",
 		organisation: r.Header.Get(HeaderOrganisation),
 		remote:       true, releaseResponse: func() {}, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
-		retryProbability: parseRetryProbability(r.Header.Get(headerRepeat)), known: parseStatement(r.Header.Get(headerKnownLimit)),
-		request: &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Isolated: r.Header.Get(headerAlone) != ""},
+		retryProbability: parseRetryProbability(r.Header.Get(headerRepeat)),
+		request:          &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Isolated: r.Header.Get(headerAlone) != ""},
 	}
 	if !okTimeout || !okStall || !okPriority || !okDepth || req.addr == "" {
 		return nil, 0, 0, newRefusal(result.BadRequest, "the headers of a forwarded call are missing or invalid")
 	}
+	req.known, _ = parseStatement(r.Header)
 	if micros, err := strconv.ParseInt(r.Header.Get(headerUseful), 10, 64); err == nil {
 		req.usefulUntil = time.Now().Add(time.Duration(micros) * time.Microsecond)
 	}
--- a/internal/connection/gateway/statement.go
+++ b/internal/connection/gateway/statement.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"math"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,7 +26,9 @@
 	g.recordRateLimit(b, req, sent, m)
 	if m.Leaving && b.leaving.CompareAndSwap(false, true) {
 		g.log.Info(logLeaving, "server", req.addr, "boot", req.boot)
+		g.cfg.OnLeaving(req.addr, req.boot)
 	}
+	req.stated = b.statement(req.boot)
 }
 
 // recordRateLimit applies the rate limit that the response states. A response without a limit
@@ -55,38 +57,58 @@
 	}
 }
 
-// statementAt returns what the server at an address of this instance states, and whether there
-// is one.
-func (g *Gateway) statementAt(addr string) (balance.Statement, bool) {
+// statement returns what a boot of the server states.
+func (b *backend) statement(boot string) balance.Statement {
+	return balance.Statement{Boot: boot, RateLimit: b.gate.RateLimit(), Leaving: b.leaving.Load()}
+}
+
+// statementFor returns what the server that handled the request states, or else the server at
+// its address, and whether there is one.
+func (g *Gateway) statementFor(req *backendRequest) (balance.Statement, bool) {
+	if req.stated != (balance.Statement{}) {
+		return req.stated, true
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.backends[addr]
+	b := g.backends[req.addr]
 	if b == nil || b.removed {
 		return balance.Statement{}, false
 	}
-	return balance.Statement{Boot: b.server.Boot, RateLimit: b.gate.RateLimit()}, true
+	return b.statement(b.server.Boot), true
 }
 
 // writeStatement adds what the server states to the response to a forwarded request.
 func (g *Gateway) writeStatement(h http.Header, req *backendRequest) {
-	s, known := g.statementAt(req.addr)
-	if known && (s.RateLimit > 0 || req.known.RateLimit > 0 && req.known.Boot == s.Boot) {
+	s, known := g.statementFor(req)
+	if !known {
+		return
+	}
+	outdated := req.known.RateLimit > 0 && req.known.Boot == s.Boot
+	if s.RateLimit > 0 || s.Leaving || outdated {
 		h.Set(headerStatement, formatStatement(s))
 	}
 }
 
-// formatStatement encodes a statement for another daemon: the rate limit, a space and the boot.
+// statementFields is the number of fields of a formatted statement. The last one, the boot, may
+// contain spaces.
+const statementFields = 3
+
+// formatStatement encodes a statement for another daemon: the rate limit, whether the server is
+// leaving, and the boot.
 func formatStatement(s balance.Statement) string {
-	return strconv.FormatFloat(s.RateLimit, 'g', -1, 64) + " " + s.Boot
+	return fmt.Sprintf("%g %t %s", s.RateLimit, s.Leaving, s.Boot)
 }
 
-// parseStatement parses the result of formatStatement. It returns no limit if the text cannot be
-// read.
-func parseStatement(text string) balance.Statement {
-	limit, boot, _ := strings.Cut(text, " ")
-	perSecond, err := strconv.ParseFloat(limit, 64)
-	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
-		return balance.Statement{}
+// parseStatement parses headerStatement and reports whether there is one that can be read.
+func parseStatement(h http.Header) (balance.Statement, bool) {
+	fields := strings.SplitN(h.Get(headerStatement), " ", statementFields)
+	if len(fields) < statementFields {
+		return balance.Statement{}, false
+	}
+	limit := ratelimit.Parse(fields[:1])
+	leaving, err := strconv.ParseBool(fields[1])
+	if limit.Kind != ratelimit.Limited || err != nil {
+		return balance.Statement{}, false
 	}
-	return balance.Statement{Boot: boot, RateLimit: perSecond}
+	return balance.Statement{Boot: fields[2], RateLimit: limit.PerSecond, Leaving: leaving}, true
 }
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -290,7 +290,7 @@
 }
 
 func (p *picker) usable(c *directory.Candidate) bool {
-	if !p.table.inArm(&p.in.Arm, c) {
+	if !p.table.inArm(&p.in.Arm, c) || p.table.leaving(c) {
 		return false
 	}
 	for _, tried := range p.in.Tried {
--- a/internal/request/balance/pin.go
+++ b/internal/request/balance/pin.go
@@ -17,7 +17,7 @@
 	var best *directory.Candidate
 	var most uint64
 	for _, c := range t.candidates {
-		if !t.inArm(&in.Arm, c) {
+		if !t.inArm(&in.Arm, c) || t.leaving(c) {
 			continue
 		}
 		if slices.ContainsFunc(in.Tried, func(o *directory.Candidate) bool { return o.Server.Addr == c.Server.Addr }) {
--- a/internal/request/balance/statement.go
+++ b/internal/request/balance/statement.go
@@ -14,11 +14,18 @@
 	// RateLimit is the number of requests per second that the server accepts from all daemons
 	// together; 0 means that there is no limit.
 	RateLimit float64
+	// Leaving is set once the server has stated that it is about to stop.
+	Leaving bool
 }
 
 // RecordStatement records what the server of a candidate states. It is kept while the server is
-// not a candidate, because its daemon may only be out of reach for a while.
+// not a candidate, because its daemon may only be out of reach for a while. A boot that is
+// leaving does not stop leaving: a later statement without it comes from a daemon that does not
+// know it.
 func (t *Table) RecordStatement(c *directory.Candidate, s Statement) {
+	if before := t.statements[c.Server.Addr]; before.Boot == s.Boot {
+		s.Leaving = s.Leaving || before.Leaving
+	}
 	if s == (Statement{Boot: s.Boot}) {
 		delete(t.statements, c.Server.Addr)
 		return
@@ -33,6 +40,12 @@
 	t.statements[c.Server.Addr] = s
 }
 
+// leaving reports whether a candidate's boot has stated that it is about to stop. Without a boot
+// ID it might be a later start of the server; then only its state in the directory counts.
+func (t *Table) leaving(c *directory.Candidate) bool {
+	return c.Server.Boot != "" && t.StatementOf(c).Leaving
+}
+
 // StatementOf returns the last statement of a candidate's boot.
 func (t *Table) StatementOf(c *directory.Candidate) Statement {
 	if s := t.statements[c.Server.Addr]; s.Boot == c.Server.Boot {
--- /dev/null
+++ b/internal/request/balance/statement_test.go
@@ -0,0 +1,46 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/version/directory"
+)
+
+// TestLeavingServerIsNotPicked checks that a boot that has stated that it is leaving is not
+// picked, not even as the last one, also after it was no candidate for a while, and that the
+// next boot at its address is.
+func TestLeavingServerIsNotPicked(t *testing.T) {
+	c := qt.New(t)
+	server := candidateAt("n", "d")
+	server.Server.Boot = "one"
+	table := tableAt("n", server)
+	table.RecordStatement(server, Statement{Boot: "one", Leaving: true})
+	c.Assert(table.Pick(Input{Now: now}), qt.IsNil)
+	c.Assert(table.Pick(Input{Now: now, Pin: 1}), qt.IsNil)
+	table.Update(nil, 0)
+	table.Update([]*directory.Candidate{server}, 0)
+	table.RecordStatement(server, Statement{Boot: "one", RateLimit: 3})
+	c.Assert(table.Pick(Input{Now: now}), qt.IsNil)
+	next := candidateAt("n", "d")
+	next.Server.Boot = "two"
+	table.Update([]*directory.Candidate{next}, 0)
+	c.Assert(table.Pick(Input{Now: now}), qt.Equals, next)
+	c.Assert(table.StatementOf(next), qt.Equals, Statement{Boot: "two"})
+}
+
+// TestStatementsAreBounded checks that the statements of servers that are gone are dropped, and
+// those of candidates kept.
+func TestStatementsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	kept := candidateAt("kept", "d")
+	table := tableAt("n", kept)
+	table.RecordStatement(kept, Statement{RateLimit: 1})
+	for i := range 3 * maxFormerStatements {
+		table.RecordStatement(candidateAt(fmt.Sprint("gone", i), "d"), Statement{RateLimit: 1})
+	}
+	c.Assert(len(table.statements) <= 1+maxFormerStatements, qt.IsTrue, qt.Commentf("%d statements", len(table.statements)))
+	c.Assert(table.StatementOf(kept).RateLimit, qt.Equals, 1.0)
+}
