Statements: a server that starts again under its name is not leaving

What a server stated was kept by its boot ID alone. A server may start again under the ID that it had, and would never have got requests again from daemons to which its earlier start had said that it leaves. The start time belongs to the key; where a restarted daemon knows a boot from its health check only, without the start time, the ID decides.

TestLeavingServerIsNotPicked and TestLeavingStatementOutlastsAnnouncements play it.

--- a/internal/connection/announce/lease.go
+++ b/internal/connection/announce/lease.go
@@ -46,6 +46,12 @@
 	return l.announced.Boot == a.Boot && l.announced.Started == a.Started
 }
 
+// foundAs reports whether the boot that sent the announcement was registered without its start
+// time, after a health check.
+func (l *lease) foundAs(a *Announcement) bool {
+	return l.announced.Boot != "" && l.announced.Boot == a.Boot && l.announced.Started == 0
+}
+
 // startedAfter reports whether the boot is known to have started after the one that sent the
 // announcement.
 func (l *lease) startedAfter(a *Announcement) bool {
--- a/internal/connection/announce/registry.go
+++ b/internal/connection/announce/registry.go
@@ -104,7 +104,7 @@
 		return Outdated
 	}
 	if l == nil {
-		l = &lease{}
+		l = &lease{leaving: e.active != nil && e.active.leaving && e.active.foundAs(a)}
 		if e.yieldsTo(a, server.State) {
 			e.activate(l)
 		}
@@ -149,9 +149,9 @@
 
 // RecordLeaving records that a boot has stated in a response that it is about to stop, and
 // reports whether that changed the published state of the server at the address.
-func (r *Registry) RecordLeaving(now time.Time, address, boot string) bool {
+func (r *Registry) RecordLeaving(now time.Time, address, boot string, started int64) bool {
 	e := r.endpoints[address]
-	if e == nil || e.active.announced.Boot != boot {
+	if e == nil || e.active.announced.Boot != boot || e.active.announced.Started != started {
 		return false
 	}
 	l := e.active
--- a/internal/connection/announce/registry_test.go
+++ b/internal/connection/announce/registry_test.go
@@ -150,18 +150,21 @@
 	at := time.Unix(1000, 0)
 	announced := Announcement{Mesh: "m", Service: "s", Address: "10.0.0.1:80", Slots: 1, Connections: 1, State: "serving", LeaseSeconds: 5, Boot: "one", Sequence: 1}
 	r := NewRegistry()
-	put := func(boot string) presence.ServerState {
-		announced.Boot = boot
+	put := func(boot string, started int64) presence.ServerState {
+		announced.Boot, announced.Started = boot, started
 		announced.Sequence++
 		_, refused := r.Put(at, announced)
 		c.Assert(refused == nil, qt.IsTrue)
 		return r.Servers()[0].State
 	}
-	c.Assert(put("one"), qt.Equals, presence.Serving)
-	c.Assert(r.RecordLeaving(at, announced.Address, "other"), qt.IsFalse)
-	c.Assert(r.RecordLeaving(at, announced.Address, "one"), qt.IsTrue)
-	c.Assert(put("one"), qt.Equals, presence.Draining)
-	c.Assert(put("two"), qt.Equals, presence.Serving)
+	c.Assert(put("one", 0), qt.Equals, presence.Serving)
+	c.Assert(r.RecordLeaving(at, announced.Address, "other", 0), qt.IsFalse)
+	c.Assert(r.RecordLeaving(at, announced.Address, "one", 0), qt.IsTrue)
+	c.Assert(put("one", 0), qt.Equals, presence.Draining)
+	c.Assert(put("one", 1), qt.Equals, presence.Draining)
+	c.Assert(r.RecordLeaving(at, announced.Address, "one", 0), qt.IsFalse)
+	c.Assert(put("one", 2), qt.Equals, presence.Serving)
+	c.Assert(put("two", 2), qt.Equals, presence.Serving)
 }
 
 // TestLeavingWithoutBootID checks that a server which sends no boot ID accepts requests again
@@ -173,7 +176,7 @@
 	r := NewRegistry()
 	_, refused := r.Put(at, announced)
 	c.Assert(refused == nil, qt.IsTrue)
-	r.RecordLeaving(at, announced.Address, "")
+	r.RecordLeaving(at, announced.Address, "", 0)
 	c.Assert(r.Servers()[0].State, qt.Equals, presence.Draining)
 	r.RecordDial(at, announced.Address, false)
 	r.RecordDial(at, announced.Address, true)
--- a/internal/connection/announce/server.go
+++ b/internal/connection/announce/server.go
@@ -105,8 +105,8 @@
 
 // RecordLeaving records that a boot of the server at an address has stated in a response that it
 // is about to stop.
-func (s *Server) RecordLeaving(address, boot string) {
-	s.update(func() bool { return s.registry.RecordLeaving(time.Now(), address, boot) })
+func (s *Server) RecordLeaving(address, boot string, started int64) {
+	s.update(func() bool { return s.registry.RecordLeaving(time.Now(), address, boot, started) })
 }
 
 // RecordMisdirected records that a boot other than the given one responded at the address of
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -75,10 +75,10 @@
 	// OnMisdirected is called with an address at which a different boot (start of a server)
 	// answered than the expected one; boot is "" if none was expected.
 	OnMisdirected func(addr, boot string)
-	// OnLeaving is called with the address and the boot (start of a server) of a backend server
-	// that has stated that it is about to stop. When it returns, SetServers has been called
-	// with the server draining.
-	OnLeaving func(addr, boot string)
+	// OnLeaving is called with the address, the boot and the start time of a backend server that
+	// has stated that it is about to stop. When it returns, SetServers has been called with the
+	// server draining.
+	OnLeaving func(addr, boot string, started int64)
 	// KeysCurrent reports whether the API keys in force are certain to be recent enough to
 	// accept requests with one; nil means that they always are.
 	KeysCurrent func() bool
@@ -149,7 +149,7 @@
 		cfg.OnMisdirected = func(string, string) {}
 	}
 	if cfg.OnLeaving == nil {
-		cfg.OnLeaving = func(string, string) {}
+		cfg.OnLeaving = func(string, string, int64) {}
 	}
 	if cfg.Retry == nil {
 		cfg.Retry = retry.Defaults
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -42,9 +42,10 @@
 	weight float64
 	// retryProbability is the probability that the request is a retry.
 	retryProbability float64
-	// boot identifies the start of the server for which the request was admitted, or is
-	// "".
-	boot string
+	// boot and started identify the start of the server for which the request was admitted;
+	// boot may be "" and started 0.
+	boot    string
+	started int64
 	// known is what the server has stated to the daemon where the request originated.
 	known balance.Statement
 	// stated is what the server states since its response to this request; the zero Statement
@@ -104,7 +105,7 @@
 		b.gate.Release("", 0)
 		return nil, refused
 	}
-	req.boot = server.Boot
+	req.boot, req.started = server.Boot, server.Started
 	resp, refused := g.sendToBackend(ctx, b, req)
 	b.gate.RecordResult(resp, refused)
 	return resp, refused
--- a/internal/connection/gateway/statement.go
+++ b/internal/connection/gateway/statement.go
@@ -26,9 +26,9 @@
 	g.recordRateLimit(b, req, sent, m)
 	if m.Leaving && b.leaving.CompareAndSwap(false, true) {
 		g.log.Info(logLeaving, "server", req.addr, "boot", req.boot)
-		g.cfg.OnLeaving(req.addr, req.boot)
+		g.cfg.OnLeaving(req.addr, req.boot, req.started)
 	}
-	req.stated = b.statement(req.boot)
+	req.stated = b.statement(req.boot, req.started)
 }
 
 // recordRateLimit applies the rate limit that the response states. A response without a limit
@@ -49,7 +49,7 @@
 // adoptStatement applies what the server has stated to the daemon where the request originated:
 // this daemon may have restarted since.
 func (g *Gateway) adoptStatement(b *backend, server *presence.Server, req *backendRequest) {
-	if b == nil || req.known.RateLimit == 0 || req.known.Boot != server.Boot {
+	if b == nil || req.known.RateLimit == 0 || !req.known.SameBoot(balance.Statement{Boot: server.Boot, Started: server.Started}) {
 		return
 	}
 	if b.gate.AdoptRateLimit(req.known.RateLimit) {
@@ -58,8 +58,8 @@
 }
 
 // statement returns what a boot of the server states.
-func (b *backend) statement(boot string) balance.Statement {
-	return balance.Statement{Boot: boot, RateLimit: b.gate.RateLimit(), Leaving: b.leaving.Load()}
+func (b *backend) statement(boot string, started int64) balance.Statement {
+	return balance.Statement{Boot: boot, Started: started, RateLimit: b.gate.RateLimit(), Leaving: b.leaving.Load()}
 }
 
 // statementFor returns what the server that handled the request states, or else the server at
@@ -74,7 +74,7 @@
 	if b == nil || b.removed {
 		return balance.Statement{}, false
 	}
-	return b.statement(b.server.Boot), true
+	return b.statement(b.server.Boot, b.server.Started), true
 }
 
 // writeStatement adds what the server states to the response to a forwarded request.
@@ -83,7 +83,7 @@
 	if !known {
 		return
 	}
-	outdated := req.known.RateLimit > 0 && req.known.Boot == s.Boot
+	outdated := req.known.RateLimit > 0 && req.known.SameBoot(s)
 	if s.RateLimit > 0 || s.Leaving || outdated {
 		h.Set(headerStatement, formatStatement(s))
 	}
@@ -91,12 +91,12 @@
 
 // statementFields is the number of fields of a formatted statement. The last one, the boot, may
 // contain spaces.
-const statementFields = 3
+const statementFields = 4
 
 // formatStatement encodes a statement for another daemon: the rate limit, whether the server is
-// leaving, and the boot.
+// leaving, and when and as what it started.
 func formatStatement(s balance.Statement) string {
-	return fmt.Sprintf("%g %t %s", s.RateLimit, s.Leaving, s.Boot)
+	return fmt.Sprintf("%g %t %d %s", s.RateLimit, s.Leaving, s.Started, s.Boot)
 }
 
 // parseStatement parses headerStatement and reports whether there is one that can be read.
@@ -106,9 +106,10 @@
 		return balance.Statement{}, false
 	}
 	limit := ratelimit.Parse(fields[:1])
-	leaving, err := strconv.ParseBool(fields[1])
-	if limit.Kind != ratelimit.Limited || err != nil {
+	leaving, errLeaving := strconv.ParseBool(fields[1])
+	started, errStarted := strconv.ParseInt(fields[2], 10, 64)
+	if limit.Kind != ratelimit.Limited || errLeaving != nil || errStarted != nil {
 		return balance.Statement{}, false
 	}
-	return balance.Statement{Boot: fields[2], RateLimit: limit.PerSecond, Leaving: leaving}, true
+	return balance.Statement{Boot: fields[3], Started: started, RateLimit: limit.PerSecond, Leaving: leaving}, true
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -224,7 +224,7 @@
 		CloseAbandoned: !d.settings.Servers.Linger, FixedSlots: !d.settings.Servers.Adapt, MaxBufferedResponse: d.settings.Servers.HoldBytes, Origin: d.origin, Retry: d.retryLimits,
 		OnConnectionRefused: func(addr string) { d.servers.RecordDialFailure(addr) },
 		OnMisdirected:       d.handleBootMismatch,
-		OnLeaving:           func(addr, boot string) { d.servers.RecordLeaving(addr, boot) },
+		OnLeaving:           func(addr, boot string, started int64) { d.servers.RecordLeaving(addr, boot, started) },
 		Allowances:          d.allowances,
 		Rollout:             d.rolloutConfig(),
 		LinkBytes:           float64(d.settings.Limits.LinkBytes),
--- a/internal/request/balance/statement.go
+++ b/internal/request/balance/statement.go
@@ -9,8 +9,10 @@
 // Statement is what a backend server states about itself in its responses, as reported by the
 // daemon on its instance.
 type Statement struct {
-	// Boot is the start of the server that the statement is from.
-	Boot string
+	// Boot and Started identify the start of the server that the statement is from, as in
+	// presence.Server. Started is 0 while only a health check has told the boot.
+	Boot    string
+	Started int64
 	// RateLimit is the number of requests per second that the server accepts from all daemons
 	// together; 0 means that there is no limit.
 	RateLimit float64
@@ -23,10 +25,11 @@
 // leaving does not stop leaving: a later statement without it comes from a daemon that does not
 // know it.
 func (t *Table) RecordStatement(c *directory.Candidate, s Statement) {
-	if before := t.statements[c.Server.Addr]; before.Boot == s.Boot {
+	if before := t.statements[c.Server.Addr]; before.SameBoot(s) {
 		s.Leaving = s.Leaving || before.Leaving
+		s.Started = max(s.Started, before.Started)
 	}
-	if s == (Statement{Boot: s.Boot}) {
+	if s == (Statement{Boot: s.Boot, Started: s.Started}) {
 		delete(t.statements, c.Server.Addr)
 		return
 	}
@@ -48,8 +51,14 @@
 
 // StatementOf returns the last statement of a candidate's boot.
 func (t *Table) StatementOf(c *directory.Candidate) Statement {
-	if s := t.statements[c.Server.Addr]; s.Boot == c.Server.Boot {
+	none := Statement{Boot: c.Server.Boot, Started: c.Server.Started}
+	if s := t.statements[c.Server.Addr]; s.SameBoot(none) {
 		return s
 	}
-	return Statement{Boot: c.Server.Boot}
+	return none
+}
+
+// SameBoot reports whether two statements are from the same start of a server.
+func (s Statement) SameBoot(o Statement) bool {
+	return s.Boot == o.Boot && (s.Started == o.Started || s.Started == 0 || o.Started == 0)
 }
--- a/internal/request/balance/statement_test.go
+++ b/internal/request/balance/statement_test.go
@@ -24,11 +24,18 @@
 	table.Update([]*directory.Candidate{server}, 0)
 	table.RecordStatement(server, Statement{Boot: "one", RateLimit: 3})
 	c.Assert(table.Pick(Input{Now: now}), qt.IsNil)
-	next := candidateAt("n", "d")
-	next.Server.Boot = "two"
-	table.Update([]*directory.Candidate{next}, 0)
-	c.Assert(table.Pick(Input{Now: now}), qt.Equals, next)
-	c.Assert(table.StatementOf(next), qt.Equals, Statement{Boot: "two"})
+	found := candidateAt("n", "d")
+	found.Server.Boot, found.Server.Started = "one", 5
+	table.Update([]*directory.Candidate{found}, 0)
+	table.RecordStatement(found, Statement{Boot: "one", Started: 5})
+	c.Assert(table.Pick(Input{Now: now}), qt.IsNil)
+	for _, boot := range []Statement{{Boot: "one", Started: 7}, {Boot: "two"}} {
+		next := candidateAt("n", "d")
+		next.Server.Boot, next.Server.Started = boot.Boot, boot.Started
+		table.Update([]*directory.Candidate{next}, 0)
+		c.Assert(table.Pick(Input{Now: now}), qt.Equals, next)
+		c.Assert(table.StatementOf(next), qt.Equals, boot)
+	}
 }
 
 // TestStatementsAreBounded checks that the statements of servers that are gone are dropped, and
