Gateway: the first report after a health check is no other start of the server

A daemon that was restarted finds its server by a health check, which tells the boot but not when it started. The report that followed was taken for another start at the address: what ran there no longer counted against the slots, and its rate limit was forgotten.

--- a/internal/connection/gateway/backend.go
+++ b/internal/connection/gateway/backend.go
@@ -63,7 +63,7 @@
 
 func (g *Gateway) setServer(s presence.Server) {
 	b := g.backends[s.Addr]
-	if b != nil && (b.server.Boot != s.Boot || b.server.Started != s.Started) {
+	if b != nil && b.isOtherBoot(s) {
 		// A restarted server shares no state with its predecessor.
 		b.gate.Configure(admit.Config{}, true)
 		b.pool.Close()
@@ -81,6 +81,13 @@
 	g.applyLimits(b)
 }
 
+// isOtherBoot reports whether s is another start of the server. A health check tells the boot but
+// not its start time, which then comes with the server's next announcement.
+func (b *backend) isOtherBoot(s presence.Server) bool {
+	found := b.server.Boot != "" && b.server.Started == 0
+	return b.server.Boot != s.Boot || b.server.Started != s.Started && !found
+}
+
 func (g *Gateway) newBackendPool(addr string) *upstream.Pool {
 	return upstream.NewPool(upstream.Config{
 		Addr: addr, IdleMax: 1 << 16, IdleTimeout: backendIdleTimeout, DialTimeout: dialTimeout, Linger: !g.cfg.CloseAbandoned,
--- a/internal/connection/gateway/backend_test.go
+++ b/internal/connection/gateway/backend_test.go
@@ -4,6 +4,7 @@
 	"sync"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
@@ -27,3 +28,22 @@
 	}
 	wait.Wait()
 }
+
+// TestReportAfterHealthCheckForgetsLimit guards against a daemon that takes the first report of
+// a server, which it knows from a health check, for another start of it, and forgets its rate
+// limit and what runs there.
+func TestReportAfterHealthCheckForgetsLimit(t *testing.T) {
+	c := qt.New(t)
+	g := New(Config{Directory: func() *directory.Directory { return &directory.Directory{} }}, logr.Discard())
+	server := presence.Server{Addr: "127.0.0.1:1", Slots: 1, Connections: 1, State: presence.Serving, Boot: "one"}
+	g.SetServers([]presence.Server{server})
+	g.AdoptRateLimit(server.Addr, server.Boot, 3)
+	limit := func() float64 { load, _ := g.LocalLoad(server.Addr); return load.RateLimit }
+	c.Assert(limit(), qt.Equals, 3.0)
+	server.Started = 5
+	g.SetServers([]presence.Server{server})
+	c.Assert(limit(), qt.Equals, 3.0)
+	server.Started = 6
+	g.SetServers([]presence.Server{server})
+	c.Assert(limit(), qt.Equals, 0.0)
+}
--- a/internal/connection/gateway/statement.go
+++ b/internal/connection/gateway/statement.go
@@ -16,7 +16,7 @@
 const (
 	logRateLimit           = "rate limit of a backend server changed"
 	logRateLimitUnreadable = "rate limit of a backend server is not a number of requests per second"
-	logRateLimitAdopted    = "rate limit of a backend server learned from another daemon"
+	logRateLimitAdopted    = "rate limit of a backend server learned from another daemon or a health check"
 	logLeaving             = "backend server states that it is leaving"
 )
 
@@ -49,11 +49,22 @@
 // adoptStatement applies what the server has stated to the daemon where the request originated:
 // this daemon may have restarted since.
 func (g *Gateway) adoptStatement(b *backend, server *presence.Server, req *backendRequest) {
-	if b == nil || req.known.RateLimit == 0 || !req.known.SameBoot(balance.Statement{Boot: server.Boot, Started: server.Started}) {
-		return
+	if b != nil && req.known.SameBoot(balance.Statement{Boot: server.Boot, Started: server.Started}) {
+		g.adoptRateLimit(b, req.addr, req.known)
+	}
+}
+
+// AdoptRateLimit applies a rate limit, in requests per second, that a boot of the server at an
+// address of this instance has stated other than in a response to a request of the gateway.
+func (g *Gateway) AdoptRateLimit(addr, boot string, perSecond float64) {
+	if b, server := g.backendAt(addr); b != nil && server.Boot == boot {
+		g.adoptRateLimit(b, addr, balance.Statement{Boot: boot, RateLimit: perSecond})
 	}
-	if b.gate.AdoptRateLimit(req.known.RateLimit) {
-		g.log.Info(logRateLimitAdopted, "server", req.addr, "boot", server.Boot, "per_second", req.known.RateLimit)
+}
+
+func (g *Gateway) adoptRateLimit(b *backend, addr string, s balance.Statement) {
+	if b.gate.AdoptRateLimit(s.RateLimit) {
+		g.log.Info(logRateLimitAdopted, "server", addr, "boot", s.Boot, "per_second", s.RateLimit)
 	}
 }
 
