--- a/internal/connection/gateway/backend_test.go
+++ b/internal/connection/gateway/backend_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/version/directory"
 )
 
@@ -37,7 +38,8 @@
 	g := New(Config{Directory: func() *directory.Directory { return &directory.Directory{} }}, logr.Discard())
 	server := presence.Server{Addr: "127.0.0.1:1", Slots: 1, Connections: 1, State: presence.Serving, Boot: "one"}
 	g.SetServers([]presence.Server{server})
-	g.AdoptRateLimit(server.Addr, server.Boot, 3)
+	g.AdoptRateLimit(server.Addr, "other", ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 1})
+	g.AdoptRateLimit(server.Addr, server.Boot, ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: 3})
 	limit := func() float64 { load, _ := g.LocalLoad(server.Addr); return load.RateLimit }
 	c.Assert(limit(), qt.Equals, 3.0)
 	server.Started = 5
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -182,12 +182,12 @@
 	return before, g.core.RateLimit(), changed
 }
 
-// AdoptRateLimit applies a rate limit that another daemon knew, until a response of the server
-// states otherwise. It reports whether the limit changed.
-func (g *gate) AdoptRateLimit(perSecond float64) (changed bool) {
+// AdoptRateLimit applies a rate limit that the server has stated elsewhere, until a response to
+// this daemon states otherwise, and reports whether the limit changed.
+func (g *gate) AdoptRateLimit(s ratelimit.Statement) (changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed = g.core.AdoptRateLimit(time.Now(), perSecond)
+	changed = g.core.AdoptRateLimit(time.Now(), s)
 	g.scheduleAdvance()
 	return changed
 }
--- a/internal/connection/gateway/statement.go
+++ b/internal/connection/gateway/statement.go
@@ -49,22 +49,23 @@
 // adoptStatement applies what the server has stated to the daemon where the request originated:
 // this daemon may have restarted since.
 func (g *Gateway) adoptStatement(b *backend, server *presence.Server, req *backendRequest) {
-	if b != nil && req.known.SameBoot(balance.Statement{Boot: server.Boot, Started: server.Started}) {
-		g.adoptRateLimit(b, req.addr, req.known)
+	if b == nil || req.known.RateLimit == 0 || !req.known.SameBoot(balance.Statement{Boot: server.Boot, Started: server.Started}) {
+		return
 	}
+	g.adoptRateLimit(b, server, ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: req.known.RateLimit})
 }
 
-// AdoptRateLimit applies a rate limit, in requests per second, that a boot of the server at an
-// address of this instance has stated other than in a response to a request of the gateway.
-func (g *Gateway) AdoptRateLimit(addr, boot string, perSecond float64) {
+// AdoptRateLimit applies a rate limit that a boot of the server at an address of this instance
+// has stated other than in a response to a request of the gateway.
+func (g *Gateway) AdoptRateLimit(addr, boot string, s ratelimit.Statement) {
 	if b, server := g.backendAt(addr); b != nil && server.Boot == boot {
-		g.adoptRateLimit(b, addr, balance.Statement{Boot: boot, RateLimit: perSecond})
+		g.adoptRateLimit(b, &server, s)
 	}
 }
 
-func (g *Gateway) adoptRateLimit(b *backend, addr string, s balance.Statement) {
-	if b.gate.AdoptRateLimit(s.RateLimit) {
-		g.log.Info(logRateLimitAdopted, "server", addr, "boot", s.Boot, "per_second", s.RateLimit)
+func (g *Gateway) adoptRateLimit(b *backend, server *presence.Server, s ratelimit.Statement) {
+	if b.gate.AdoptRateLimit(s) {
+		g.log.Info(logRateLimitAdopted, "server", server.Addr, "boot", server.Boot, "per_second", s.PerSecond)
 	}
 }
 
--- a/internal/process/daemon/local_server.go
+++ b/internal/process/daemon/local_server.go
@@ -113,5 +113,6 @@
 		d.log.Error(refused, "local backend server not added after its health check", "server", server.Addr)
 		return
 	}
+	d.gateway.AdoptRateLimit(server.Addr, h.Boot, h.RateLimit)
 	d.log.Info("local backend server found by health check", "server", server.Addr, "boot", h.Boot, "slots", h.Slots)
 }
--- a/internal/process/daemon/platform.go
+++ b/internal/process/daemon/platform.go
@@ -7,6 +7,7 @@
 	"github.com/daisygate/daisygate/internal/connection/announce"
 	"github.com/daisygate/daisygate/internal/connection/gateway"
 	"github.com/daisygate/daisygate/internal/process/source"
+	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -39,6 +40,8 @@
 type Health struct {
 	Boot  string
 	Slots int
+	// RateLimit is the rate of requests that the server accepts from all daemons together.
+	RateLimit ratelimit.Statement
 }
 
 // Control contains the operations for the operators and backend servers of a platform.
--- a/internal/request/admit/rate.go
+++ b/internal/request/admit/rate.go
@@ -18,10 +18,10 @@
 	return c.rate.Tokens(now) - float64(len(c.queue))
 }
 
-// AdoptRateLimit applies a limit that another daemon knew, until a response of the server
-// states otherwise.
-func (c *Core) AdoptRateLimit(now time.Time, perSecond float64) (changed bool) {
-	return c.rate.Adopt(now, perSecond)
+// AdoptRateLimit applies a limit that the server has stated elsewhere, until a response to this
+// daemon states otherwise, and reports whether the limit changed.
+func (c *Core) AdoptRateLimit(now time.Time, s ratelimit.Statement) (changed bool) {
+	return c.rate.Adopt(now, s)
 }
 
 // ObserveRateLimit applies the rate limit stated in a response that arrived now to a request
--- a/internal/request/ratelimit/ratelimit.go
+++ b/internal/request/ratelimit/ratelimit.go
@@ -37,11 +37,12 @@
 // Limit returns the limit in force in requests per second, or 0 if there is none.
 func (l *Limiter) Limit() float64 { return l.perSecond }
 
-// Adopt applies the limit that another daemon, or an earlier process of this one, knew, and
+// Adopt applies a limit that the server has stated elsewhere, such as to another daemon, and
 // reports whether the limit changed. It has no effect once a response of the server has been
-// observed.
-func (l *Limiter) Adopt(now time.Time, perSecond float64) (changed bool) {
-	if l.observed || perSecond <= 0 || l.bucket != nil && perSecond >= l.perSecond {
+// observed here.
+func (l *Limiter) Adopt(now time.Time, s Statement) (changed bool) {
+	perSecond := max(s.PerSecond, minPerSecond)
+	if l.observed || s.Kind != Limited || l.bucket != nil && perSecond >= l.perSecond {
 		return false
 	}
 	l.statedAt = now
--- a/internal/request/ratelimit/ratelimit_test.go
+++ b/internal/request/ratelimit/ratelimit_test.go
@@ -113,12 +113,14 @@
 func TestAdoptedLimit(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
+	limit := func(perSecond float64) Statement { return Statement{Kind: Limited, PerSecond: perSecond} }
 	var l Limiter
-	c.Assert(l.Adopt(now, 9), qt.IsTrue)
-	c.Assert(l.Adopt(now, 5), qt.IsTrue)
-	c.Assert(l.Adopt(now, 7), qt.IsFalse)
+	c.Assert(l.Adopt(now, Statement{}), qt.IsFalse)
+	c.Assert(l.Adopt(now, limit(9)), qt.IsTrue)
+	c.Assert(l.Adopt(now, limit(5)), qt.IsTrue)
+	c.Assert(l.Adopt(now, limit(7)), qt.IsFalse)
 	c.Assert(l.Limit(), qt.Equals, 5.0)
 	c.Assert(l.Observe(now.Add(1), now.Add(2), Statement{}), qt.IsTrue)
-	c.Assert(l.Adopt(now, 3), qt.IsFalse)
+	c.Assert(l.Adopt(now, limit(3)), qt.IsFalse)
 	c.Assert(l.Limit(), qt.Equals, 0.0)
 }
