Soak: servers that state rate limits and leaves, and checks of both

Servers state limits of 0 to 40 a second, one or all of a service, which change and end, beside the faults of before; half of the servers that leave say so in their answers only. Checked from what callers and servers saw: arrivals in 4 s from daemons that had passed the statement on, and requests sent 2 s after a daemon had passed on that a server leaves.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -38,7 +38,11 @@
 	daemon, outbound string
 	client           *http.Client
 	// refusing is set while the server refuses a share of its requests.
-	refusing          atomic.Bool
+	refusing atomic.Bool
+	// limit is the rate limit that the server states; nil for none. leaving is set while it
+	// states that it is leaving.
+	limit             atomic.Pointer[limitStatement]
+	leaving           atomic.Bool
 	proxy             *proxy
 	mu                sync.Mutex
 	boot              string
@@ -71,7 +75,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.boots++
-	b.boot, b.draining = fmt.Sprintf("%s-%d", strings.ReplaceAll(b.addr, ":", "-"), b.boots), false
+	b.boot, b.draining = bootID(b.addr, b.boots), false
+	b.leaving.Store(false)
+	b.limit.Store(nil)
 	boot := b.boot
 	b.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serve(boot, w, r) })}
 	server, to := b.server, l.Addr().String()
@@ -80,6 +86,13 @@
 	return nil
 }
 
+// bootID returns the ID of a start of the server at an address.
+func bootID(addr string, number int) string {
+	return fmt.Sprintf("%s%d", bootPrefix(addr), number)
+}
+
+func bootPrefix(addr string) string { return strings.ReplaceAll(addr, ":", "-") + "-" }
+
 // crash closes the server and resets all connections without draining.
 func (b *backend) crash() {
 	b.mu.Lock()
@@ -92,8 +105,8 @@
 }
 
 func (b *backend) serve(boot string, w http.ResponseWriter, r *http.Request) {
+	b.writeStatements(w.Header(), boot)
 	if r.URL.Path == healthPath {
-		w.Header().Set(headerServes, boot)
 		w.Header().Set(headerLoad, fmt.Sprintf("%d,0,%d", b.running.Load(), slots))
 		b.mu.Lock()
 		draining := b.draining
@@ -109,7 +122,7 @@
 	if err != nil {
 		return
 	}
-	repeat := b.history.recordArrival(id, b.service)
+	repeat := b.history.recordArrival(id, b.service, boot)
 	if want := r.Header.Get(headerInstance); want != "" && want != boot {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -188,9 +201,16 @@
 	return b.callDaemon(ctx, callReport+boot, body)
 }
 
-// leave drains the server as the platform does: it reports the draining state, waits,
-// deregisters and stops. The caller starts it again under a new boot ID.
-func (b *backend) leave(ctx context.Context) {
+// leave drains the server as the platform does: it states in its responses that it is leaving,
+// reports the draining state, waits, deregisters and stops. With stated, it only states it, as
+// if its reports were lost. The caller starts it again under a new boot ID.
+func (b *backend) leave(ctx context.Context, stated bool) {
+	b.leaving.Store(true)
+	if stated {
+		time.Sleep(2 * drainGrace)
+		b.crash()
+		return
+	}
 	b.mu.Lock()
 	b.draining = true
 	boot := b.boot
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -92,7 +92,12 @@
 	if err != nil {
 		return s
 	}
-	s.Status = resp.StatusCode
+	s.Status, s.StatedBy = resp.StatusCode, resp.Header.Get(headerServes)
+	for _, name := range []string{headerLimit, headerLeaving} {
+		if resp.Header.Get(name) != "" {
+			s.Stated = append(s.Stated, name)
+		}
+	}
 	sig := resp.Header.Get(headerSignature)
 	s.Signed = sig != ""
 	s.Valid = s.Signed && sig == signature(id, resp.StatusCode, raw)
--- a/soak/check.go
+++ b/soak/check.go
@@ -37,6 +37,7 @@
 	for _, service := range []string{serviceA, serviceB} {
 		c.checkRepeats(service)
 	}
+	c.checkStatements()
 	c.checkRecovery()
 	for _, f := range h.Faults {
 		if f.Kind == unexpectedExit {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -65,6 +65,8 @@
 		"LOST at one source":   func(h *History) { h.Reads[2].Source = "s" },
 		"LOST request":         func(h *History) { loseRequest(h) },
 		"DRAIN":                func(h *History) { h.Drains = []AckedDrain{{Boot: "s-1", At: at(8)}} },
+		"DRAIN stated":         func(h *History) { addStated(h, headerLeaving, 1) },
+		"LIMIT":                func(h *History) { addStated(h, headerLimit, 25) },
 		"BUDGET":               func(h *History) { repeatExecutions(h) },
 		"RECOVER":              func(h *History) { h.Sent[1].Status = 504; h.Sent[1].Signed = false },
 		"EXIT ended by itself": func(h *History) { h.Faults = []Fault{{Kind: unexpectedExit, Target: "d", At: at(3)}} },
@@ -102,6 +104,31 @@
 	}
 }
 
+// addStated adds a response in which a boot states something, and requests that arrive there
+// later through the daemon that passed it on. The boot states a limit of 3 requests per second.
+func addStated(h *History, header string, requests int) {
+	h.Limits = []LimitChange{{Boot: "s-1", At: at(1), Limited: true, PerSecond: 3}}
+	h.Sent[0].Stated, h.Sent[0].StatedBy = []string{header}, "s-1"
+	for i := range requests {
+		id := "stated" + strconv.Itoa(i)
+		h.Sent = append(h.Sent, SentRequest{ID: id, Daemon: "d", Method: "GET", Path: pathSafe + id, Kind: "safe", At: at(14), Ended: at(14.1), Status: 200, Valid: true, Signed: true})
+		h.Arrivals = append(h.Arrivals, Arrival{ID: id, Service: serviceA, Boot: "s-1", At: at(14)})
+	}
+}
+
+// TestStatementsAreRespected checks that what the limit allows is no violation, nor what comes
+// from a daemon that was restarted since it was told.
+func TestStatementsAreRespected(t *testing.T) {
+	c := qt.New(t)
+	h := validHistory()
+	addStated(h, headerLimit, 23)
+	c.Check(check(h).Violations, qt.HasLen, 0)
+	h = validHistory()
+	addStated(h, headerLeaving, 1)
+	h.Faults = []Fault{{Kind: "killed", Target: "d", At: at(12), Until: at(13)}}
+	c.Check(check(h).Violations, qt.HasLen, 0)
+}
+
 // addRepeats adds requests whose arrivals all count as repeats.
 func addRepeats(h *History, service string) {
 	path := pathSafe
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -59,7 +59,8 @@
 	case 10:
 		cl.runFault("server crash", b.addr, duration, false, b.crash, func() { cl.must(b.start()) })
 	case 11:
-		cl.runFault("server leaves", b.addr, 0, true, func() { b.leave(context.Background()); cl.must(b.start()) }, nil)
+		stated := cl.random.IntN(2) == 0
+		cl.runFault("server leaves", b.addr, 0, true, func() { b.leave(context.Background(), stated); cl.must(b.start()) }, nil)
 	}
 }
 
@@ -129,9 +130,11 @@
 	}, func() { cl.must(cl.startProcess(p)) })
 }
 
+// impairments are the kinds of the faults that impair the connection to a server, by mode.
+var impairments = [...]string{modeDelay: "delayed", modeSilence: "silenced", modeOneWay: "cut one way"}
+
 func (cl *cluster) disruptNetwork(duration time.Duration, b *backend, m mode) {
-	names := map[mode]string{modeDelay: "delayed", modeSilence: "silenced", modeOneWay: "cut one way"}
-	cl.runFault(names[m], b.addr, duration, false,
+	cl.runFault(impairments[m], b.addr, duration, false,
 		func() { b.proxy.mode.Store(int32(m)) }, func() { b.proxy.mode.Store(int32(modePass)); b.proxy.resetAll() })
 }
 
--- a/soak/history.go
+++ b/soak/history.go
@@ -16,12 +16,15 @@
 	Valid, Signed bool
 	// NotConnected is set if no connection was made.
 	NotConnected bool
+	// Stated holds the headers in which the boot StatedBy states something about itself.
+	Stated   []string
+	StatedBy string
 }
 
 // Arrival is one request that arrived at a backend server, executed or refused.
 type Arrival struct {
-	ID, Service string
-	At          time.Time
+	ID, Service, Boot string
+	At                time.Time
 	// Repeat is set if the request arrived at a server before, or is a call made by a
 	// repeated execution.
 	Repeat bool
@@ -80,6 +83,7 @@
 	Reads      []ConfigRead
 	Faults     []Fault
 	Drains     []AckedDrain
+	Limits     []LimitChange
 	Services   map[string]string // service of the local backend server, by daemon
 	Sources    []string
 	// seen holds the IDs of requests that arrived at a server, repeatCalls the IDs of calls
@@ -88,7 +92,7 @@
 }
 
 // recordArrival records an arrival and reports whether it counts as a repeat.
-func (h *History) recordArrival(id, service string) bool {
+func (h *History) recordArrival(id, service, boot string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.seen == nil {
@@ -96,7 +100,7 @@
 	}
 	repeat := h.seen[id] || h.repeatCalls[id]
 	h.seen[id] = true
-	h.Arrivals = append(h.Arrivals, Arrival{ID: id, Service: service, At: time.Now(), Repeat: repeat})
+	h.Arrivals = append(h.Arrivals, Arrival{ID: id, Service: service, Boot: boot, At: time.Now(), Repeat: repeat})
 	return repeat
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -101,6 +101,7 @@
 	defer stopDisturbance()
 	cl.startForeignReports(disturbance)
 	cl.startRefusals(disturbance)
+	cl.startLimits(disturbance)
 	cl.injectFaults(ctx, o.Duration)
 	stopDisturbance()
 	cl.awaitFaultEnds()
--- a/soak/wire.go
+++ b/soak/wire.go
@@ -11,6 +11,8 @@
 	headerBase      = "If-Match"
 	headerServes    = "Instance-Id"
 	headerLoad      = "Server-Load"
+	headerLimit     = "Server-Limit"
+	headerLeaving   = "Server-Leaving"
 	controlPath     = "/daisygate/rpc?call="
 	callReplace     = "configuration.replace"
 	callRead        = "configuration.read"
