Soak: a request for another boot is none for a leaving server

The rule leaves out requests that get 421, so the check does now; what arrives for the leaving boot itself counts as before.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -122,8 +122,10 @@
 	if err != nil {
 		return
 	}
-	repeat := b.history.recordArrival(id, b.service, boot)
-	if want := r.Header.Get(headerInstance); want != "" && want != boot {
+	want := r.Header.Get(headerInstance)
+	misdirected := want != "" && want != boot
+	repeat := b.history.recordArrival(Arrival{ID: id, Service: b.service, Boot: boot, Misdirected: misdirected})
+	if misdirected {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/soak/check_limits.go
+++ b/soak/check_limits.go
@@ -52,7 +52,8 @@
 }
 
 // checkStatements checks that servers get no more requests than the rate limits that they state
-// allow, and none once they have stated that they are leaving, from daemons that were told.
+// allow, and none once they have stated that they are leaving, from daemons that were told. A
+// request for another boot, which the leaving server answers with 421, is none for it.
 func (c *checker) checkStatements() {
 	told := c.told()
 	arrivals := map[string][]time.Time{}
@@ -64,7 +65,7 @@
 		if at := told[s.Daemon][statement{a.Boot, headerLimit}]; c.knows(s.Daemon, at, a.At) && a.At.After(at.Add(toldDelay)) {
 			arrivals[a.Boot] = append(arrivals[a.Boot], a.At)
 		}
-		if at := told[s.Daemon][statement{a.Boot, headerLeaving}]; c.knows(s.Daemon, at, a.At) && s.At.After(at.Add(drainGrace)) {
+		if at := told[s.Daemon][statement{a.Boot, headerLeaving}]; !a.Misdirected && c.knows(s.Daemon, at, a.At) && s.At.After(at.Add(drainGrace)) {
 			c.violation("DRAIN", a.At, "%s arrived at %s, %s after %s had passed on that it is leaving", a.ID, a.Boot, s.At.Sub(at), s.Daemon)
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// TestStatementsAreRespected checks that what the limit allows is no violation, nor what comes
-// from a daemon that was restarted since it was told.
+// TestStatementsAreRespected checks that what the limit allows is no violation, nor a request for
+// another boot, nor what comes from a daemon that was restarted since it was told.
 func TestStatementsAreRespected(t *testing.T) {
 	c := qt.New(t)
 	h := validHistory()
@@ -125,6 +125,10 @@
 	c.Check(check(h).Violations, qt.HasLen, 0)
 	h = validHistory()
 	addStated(h, headerLeaving, 1)
+	h.Arrivals[0].Misdirected = true
+	c.Check(check(h).Violations, qt.HasLen, 0)
+	h = validHistory()
+	addStated(h, headerLeaving, 1)
 	h.Faults = []Fault{{Kind: "killed", Target: "d", At: at(12), Until: at(13)}}
 	c.Check(check(h).Violations, qt.HasLen, 0)
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -28,6 +28,8 @@
 	// Repeat is set if the request arrived at a server before, or is a call made by a
 	// repeated execution.
 	Repeat bool
+	// Misdirected is set if the request was for another boot and was answered with 421.
+	Misdirected bool
 }
 
 // Exec is one request executed by a backend server.
@@ -91,17 +93,17 @@
 	seen, repeatCalls map[string]bool
 }
 
-// recordArrival records an arrival and reports whether it counts as a repeat.
-func (h *History) recordArrival(id, service, boot string) bool {
+// recordArrival records an arrival now and reports whether it counts as a repeat.
+func (h *History) recordArrival(a Arrival) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.seen == nil {
 		h.seen, h.repeatCalls = map[string]bool{}, map[string]bool{}
 	}
-	repeat := h.seen[id] || h.repeatCalls[id]
-	h.seen[id] = true
-	h.Arrivals = append(h.Arrivals, Arrival{ID: id, Service: service, Boot: boot, At: time.Now(), Repeat: repeat})
-	return repeat
+	a.At, a.Repeat = time.Now(), h.seen[a.ID] || h.repeatCalls[a.ID]
+	h.seen[a.ID] = true
+	h.Arrivals = append(h.Arrivals, a)
+	return a.Repeat
 }
 
 // markRepeatCall records that a request is a call made by a repeated execution.
