Gateway: no data race when a server returns while requests for it are sent

Found by the race detector in TestCallsOfRepeatedRunsExceedBudget, six at a time on two cores: a lease lapsed and the server was announced again while requests that had been admitted were sent. Its connection pool was replaced under the gateway's lock and read without it; a request could use the closed pool. The pool is read and replaced atomically.

TestServerReturnsWhileRequestsRun fails on the commit before under the race detector.

--- a/internal/connection/gateway/backend.go
+++ b/internal/connection/gateway/backend.go
@@ -25,7 +25,8 @@
 	// server is the latest announcement, guarded by Gateway.mu.
 	server presence.Server
 	gate   *gate
-	pool   *upstream.Pool
+	// pool is replaced when the server returns after it was removed.
+	pool atomic.Pointer[upstream.Pool]
 	// removed is set when the server is no longer announced. The entry remains while
 	// requests run, so that their slots still count if the server returns.
 	removed bool
@@ -66,16 +67,16 @@
 	if b != nil && b.isOtherBoot(s) {
 		// A restarted server shares no state with its predecessor.
 		b.gate.Configure(admit.Config{}, true)
-		b.pool.Close()
+		b.pool.Load().Close()
 		b = nil
 	}
 	if b == nil || b.removed {
-		pool := g.newBackendPool(s.Addr)
 		if b == nil {
 			b = &backend{gate: newGate(g.admissionConfig(s))}
 			g.backends[s.Addr] = b
 		}
-		b.pool, b.removed = pool, false
+		b.removed = false
+		b.pool.Store(g.newBackendPool(s.Addr))
 	}
 	b.server = s
 	g.applyLimits(b)
@@ -98,7 +99,7 @@
 	if !b.removed {
 		b.removed = true
 		b.gate.Configure(admit.Config{}, true)
-		b.pool.Close()
+		b.pool.Load().Close()
 	}
 	if b.gate.Running() == 0 {
 		delete(g.backends, addr)
@@ -107,7 +108,7 @@
 
 // applyLimits applies the limits of the announcement and of the manifest.
 func (g *Gateway) applyLimits(b *backend) {
-	b.pool.SetMax(g.maxConnections(b.server))
+	b.pool.Load().SetMax(g.maxConnections(b.server))
 	b.gate.Configure(g.admissionConfig(b.server), b.server.State == presence.Draining)
 }
 
--- a/internal/connection/gateway/backend_test.go
+++ b/internal/connection/gateway/backend_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"net"
+	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -49,3 +52,34 @@
 	g.SetServers([]presence.Server{server})
 	c.Assert(limit(), qt.Equals, 0.0)
 }
+
+// TestServerReturnsWhileRequestsRun guards against a data race between sending a request to a
+// server and the return of the server after its announcement has lapsed.
+func TestServerReturnsWhileRequestsRun(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1)
+	addr, _ := rawServer(c, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		time.Sleep(time.Millisecond)
+		return writeRaw(conn, okAnswer+"ok")
+	})
+	f.addServers(64, map[int]string{0: addr})
+	var wait sync.WaitGroup
+	for range 8 {
+		wait.Go(func() {
+			for range 50 {
+				f.do(0, "GET", "/again", nil)
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { wait.Wait(); close(done) }()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			f.gateways[0].SetServers(nil)
+			f.gateways[0].SetServers(f.records[0].Servers)
+		}
+	}
+}
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -179,7 +179,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.backends {
-		b.pool.Close()
+		b.pool.Load().Close()
 	}
 }
 
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -151,7 +151,7 @@
 		b.gate.Release(req.route, took)
 	}
 	start := time.Now()
-	resp, failure := b.pool.RoundTrip(ctx, out)
+	resp, failure := b.pool.Load().RoundTrip(ctx, out)
 	req.serverTime = time.Since(start)
 	if failure != nil {
 		refused := classifyFailure(ctx, failure, result.BackendRefused)
