Roll-outs: answers of requests sent before the order count for the version before

Traced further: the doubt is against the best time of the version before, whose edge of slow answers came from its first 40 answers. Those were the shortest requests of all: a daemon counted only requests that it sent after the order came into force, so that in the first tenths of a second only short ones had answered. The edge stood at quarter octave 37 or 38 with 40 answers and at 41 with 500, which counts as disturbed.

Answers of earlier requests count for the version before now, but not for the exposure budget, which counts requests since the order. The simulation counted as the gateway does now, but its service took the first request with the order; it is in use before the order now, and the case of before is kept as the disturbance "just started".

--- a/internal/connection/gateway/fleet_test.go
+++ b/internal/connection/gateway/fleet_test.go
@@ -35,6 +35,7 @@
 	callers  []*httptest.Server
 	records  []presence.Record
 	dir      atomic.Pointer[directory.Directory]
+	state    *fleet.State
 	snap     *snapshot.Snapshot
 }
 
@@ -50,6 +51,7 @@
 		Routes: []manifest.Route{route("/", 20*time.Second, false), route("/short", shortTimeout, false), first, again},
 	})
 	c.Assert(err, qt.IsNil)
+	f.state = state
 	f.snap, err = snapshot.Compile(state)
 	c.Assert(err, qt.IsNil)
 	f.dir.Store(directory.Build(f.snap, nil))
@@ -84,6 +86,15 @@
 	}
 }
 
+// orderRollout puts a rollout of service s in force on all gateways.
+func (f *testFleet) orderRollout(r *fleet.Rollout) {
+	state, err := f.state.SetRollout("m", "s", r)
+	f.c.Assert(err, qt.IsNil)
+	f.snap, err = snapshot.Compile(state)
+	f.c.Assert(err, qt.IsNil)
+	f.dir.Store(directory.Build(f.snap, f.records))
+}
+
 // serverScript handles the requests of a raw backend server. It receives the number of
 // the request since the start and the request, and writes to the connection.
 type serverScript func(n int64, r *http.Request, conn net.Conn) (keep bool)
--- a/internal/connection/gateway/rollout.go
+++ b/internal/connection/gateway/rollout.go
@@ -112,15 +112,18 @@
 
 // recordResult records the result of an attempt that reached a server.
 func (x *exchange) recordResult(to *directory.Candidate, failed bool, took time.Duration) {
-	if runningRollout(x.dir.Snapshot, x.target.Key) == nil {
+	running := runningRollout(x.g.cfg.Directory().Snapshot, x.target.Key)
+	if running == nil {
 		return
 	}
+	atStart := runningRollout(x.dir.Snapshot, x.target.Key)
+	earlier := atStart == nil || atStart.Number != running.Number
 	s := x.call.service
 	s.mu.Lock()
 	var bad uint64
-	if s.account != nil {
+	if s.account != nil && s.account.IsFor(running) {
 		before := s.account.TargetFailures()
-		s.account.Answered(canary.Answer{Route: x.route.Name, Version: to.Server.Version, Server: to.Server.Addr, Failed: failed, Took: took})
+		s.account.Answered(canary.Answer{Route: x.route.Name, Version: to.Server.Version, Server: to.Server.Addr, Failed: failed, Took: took, Earlier: earlier})
 		bad = s.account.TargetFailures() - before
 	}
 	s.mu.Unlock()
--- a/internal/process/rollout/rollout_test.go
+++ b/internal/process/rollout/rollout_test.go
@@ -40,6 +40,7 @@
 	"leader lost early":   {leaderLost: []time.Duration{2 * time.Second}},
 	"leader lost late":    {leaderLost: []time.Duration{7 * time.Second}},
 	"grey before the end": {greyShare: 0.15, greyRate: 0.46, greyAt: 6500 * time.Millisecond},
+	"just started":        {justStarted: true},
 	"daemons cut off":     {isolatedShare: 0.05, isolatedAt: 5 * time.Second},
 }
 
--- a/internal/process/rollout/sim_test.go
+++ b/internal/process/rollout/sim_test.go
@@ -49,6 +49,9 @@
 	// isolatedShare is the share of daemons that are isolated from isolatedAt on.
 	isolatedShare float64
 	isolatedAt    time.Duration
+	// justStarted is set if the first request comes with the order. Otherwise the service has
+	// been in use before.
+	justStarted bool
 }
 
 // scenario is one simulated roll-out.
@@ -198,7 +201,11 @@
 		}
 	}
 	s.after(0, s.tick)
-	s.after(0, s.arrive)
+	begin := -sc.timeout
+	if sc.disturbance.justStarted {
+		begin = 0
+	}
+	s.after(begin, s.arrive)
 	for _, at := range sc.disturbance.leaderLost {
 		s.after(at, func() { s.hasLeader = false })
 		s.after(at+time.Second, func() { s.core, s.standby, s.hasLeader = s.standby, rollout.New(budget), true; s.core.StepDown() })
@@ -295,7 +302,7 @@
 
 func (s *sim) serve(n *node, sv *server, route string) {
 	sv.running++
-	if s.now < s.within {
+	if s.now >= 0 && s.now < s.within {
 		s.result.allRequests++
 	}
 	took := float64(s.work) * math.Exp(s.r.NormFloat64()*0.5-0.125) / sv.speed
@@ -324,13 +331,14 @@
 		failed = true
 		s.countBad(time.Duration(took))
 	}
+	earlier := n.account == nil
 	d := min(time.Duration(took), s.timeout)
 	failed = failed || d == s.timeout
 	s.after(d, func() {
 		sv.running--
 		if n.account != nil {
 			before := n.account.TargetFailures()
-			n.account.Answered(canary.Answer{Route: route, Version: sv.version, Server: sv.addr, Failed: failed, Took: d})
+			n.account.Answered(canary.Answer{Route: route, Version: sv.version, Server: sv.addr, Failed: failed, Took: d, Earlier: earlier})
 			if n.account.TargetFailures() > before {
 				s.after(125*time.Millisecond, func() { s.send(n) })
 			}
--- a/internal/request/canary/account.go
+++ b/internal/request/canary/account.go
@@ -159,11 +159,19 @@
 	Failed          bool
 	// Took is the time that the server took.
 	Took time.Duration
+	// Earlier is set if the request was sent before the roll-out came into force.
+	Earlier bool
 }
 
-// Answered records the outcome of a request.
+// Answered records the outcome of a request. That of an earlier request counts for the base
+// version, whose first answers would otherwise be those of its shortest requests alone.
 func (a *Account) Answered(n Answer) {
-	a.tally.Reached++
+	if n.Earlier && n.Version == a.rollout.Target {
+		return
+	}
+	if !n.Earlier {
+		a.tally.Reached++
+	}
 	pair := a.tally.Routes[n.Route]
 	if pair == nil {
 		pair = &Pair{}
