Roll-outs: an answer whose time is unknown is no fast answer

The daemon beside a server tells the time that the server took once it knows of the roll-out. Where the daemon of the caller knows of it first, the first answers came with no time and were counted as answers within no time, which lowers what counts as slow for the version before. They count as requests that reached a server, and failures as failures, but not in the comparison of times.

TestUnknownTimeCountsAsFast failed before (3 answers with a time, 2 have one).

--- a/internal/request/canary/account.go
+++ b/internal/request/canary/account.go
@@ -157,7 +157,7 @@
 	// Version is the software version of the server, Server its address.
 	Version, Server string
 	Failed          bool
-	// Took is the time that the server took.
+	// Took is the time that the server took; 0 if unknown.
 	Took time.Duration
 	// Earlier is set if the request was sent before the roll-out came into force.
 	Earlier bool
@@ -172,6 +172,9 @@
 	if !n.Earlier {
 		a.tally.Reached++
 	}
+	if n.Took == 0 && !n.Failed {
+		return
+	}
 	pair := a.tally.Routes[n.Route]
 	if pair == nil {
 		pair = &Pair{}
--- a/internal/request/canary/account_test.go
+++ b/internal/request/canary/account_test.go
@@ -122,3 +122,17 @@
 		})
 	}
 }
+
+// TestUnknownTimeCountsAsFast guards against answers whose time is unknown, because the daemon
+// beside the server has not heard of the roll-out yet, that count as answers within no time.
+func TestUnknownTimeCountsAsFast(t *testing.T) {
+	c := qt.New(t)
+	a := canary.NewAccount(rolloutIn(fleet.Canary), canary.Budget{Share: 0.1, Slack: 50}, 0)
+	a.Answered(canary.Answer{Route: "a", Version: "v1", Server: "o"})
+	a.Answered(canary.Answer{Route: "a", Version: "v1", Server: "o", Failed: true})
+	a.Answered(canary.Answer{Route: "a", Version: "v1", Server: "o", Took: time.Second})
+	tally := a.Tally()
+	c.Check(tally.Reached, qt.Equals, uint64(3))
+	c.Check(tally.Routes["a"].Base.Answers, qt.Equals, uint64(2))
+	c.Check(tally.Routes["a"].Base.Failed, qt.Equals, uint64(1))
+}
