Admission: requests that a lowered rate limit leaves no room for are refused at once

Requests that waited when a server stated or lowered its limit stayed in the queue until their deadlines, though it was known that they could not start in time; callers held them that long for nothing.

--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -187,7 +187,8 @@
 func (g *gate) AdoptRateLimit(s ratelimit.Statement) (changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed = g.core.AdoptRateLimit(time.Now(), s)
+	changed, decisions := g.core.AdoptRateLimit(time.Now(), s)
+	g.deliver(decisions...)
 	g.scheduleAdvance()
 	return changed
 }
--- a/internal/request/admit/order.go
+++ b/internal/request/admit/order.go
@@ -19,11 +19,11 @@
 }
 
 // runsBefore reports whether a runs before b if both wait.
-func (c *Core) runsBefore(now time.Time, a, b *Ticket) bool {
-	if rank := c.compareRank(now, a, b); rank != 0 {
-		return rank < 0
-	}
-	return a.Deadline.Before(b.Deadline)
+func (c *Core) runsBefore(now time.Time, a, b *Ticket) bool { return c.compareOrder(now, a, b) < 0 }
+
+// compareOrder returns a negative number if a runs before b if both wait.
+func (c *Core) compareOrder(now time.Time, a, b *Ticket) int {
+	return cmp.Or(c.compareRank(now, a, b), a.Deadline.Compare(b.Deadline))
 }
 
 // compareRank returns a negative number if a ranks before b, and 0 if only their deadlines decide.
--- a/internal/request/admit/rate.go
+++ b/internal/request/admit/rate.go
@@ -1,9 +1,11 @@
 package admit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/request/ratelimit"
+	"github.com/daisygate/daisygate/internal/result"
 )
 
 // RateLimit returns the server's rate limit in requests per second; 0 if it has none.
@@ -19,9 +21,13 @@
 }
 
 // AdoptRateLimit applies a limit that the server has stated elsewhere, until a response to this
-// daemon states otherwise, and reports whether the limit changed.
-func (c *Core) AdoptRateLimit(now time.Time, s ratelimit.Statement) (changed bool) {
-	return c.rate.Adopt(now, s)
+// daemon states otherwise. It reports whether the limit changed, and returns the decisions that
+// follow from it.
+func (c *Core) AdoptRateLimit(now time.Time, s ratelimit.Statement) (changed bool, decisions []Decision) {
+	if !c.rate.Adopt(now, s) {
+		return false, nil
+	}
+	return true, c.refuseUnservable(now)
 }
 
 // ObserveRateLimit applies the rate limit stated in a response that arrived now to a request
@@ -31,7 +37,27 @@
 	if !c.rate.Observe(sent, now, s) {
 		return false, nil
 	}
-	return true, c.startWaiting(now)
+	return true, append(c.refuseUnservable(now), c.startWaiting(now)...)
+}
+
+// refuseUnservable refuses the waiting tickets that the rate limit does not allow to start in
+// time.
+func (c *Core) refuseUnservable(now time.Time) []Decision {
+	order := slices.Clone(c.queue)
+	slices.SortFunc(order, func(a, b Ticket) int { return c.compareOrder(now, &a, &b) })
+	var decisions []Decision
+	ahead := 0
+	for i := range order {
+		t := &order[i]
+		wait := c.rate.Wait(now, ahead+1)
+		if wait == 0 || wait <= t.Deadline.Sub(now) && c.lateness(now, t, wait) <= 0 {
+			ahead++
+			continue
+		}
+		c.Cancel(t.ID)
+		decisions = append(decisions, c.refuse(now, *t, result.Overloaded, RateLimited))
+	}
+	return decisions
 }
 
 // NextStart returns the time until a waiting ticket may start because of the rate limit, and
