--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -47,10 +47,10 @@
 	boot    string
 	started int64
 	// known is what the server has stated to the daemon where the request originated.
-	known balance.Statement
+	known balance.ServerStatement
 	// stated is what the server states since its response to this request; the zero Statement
 	// without a response.
-	stated balance.Statement
+	stated balance.ServerStatement
 	// releaseResponse tells the link that the response starts to be sent or will not be
 	// sent. It may be called more than once.
 	releaseResponse func()
--- a/internal/connection/gateway/service.go
+++ b/internal/connection/gateway/service.go
@@ -75,14 +75,14 @@
 }
 
 // recordStatement records what a server states about itself.
-func (c *lockedCall) recordStatement(to *directory.Candidate, s balance.Statement) {
+func (c *lockedCall) recordStatement(to *directory.Candidate, s balance.ServerStatement) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	c.service.core.Table.RecordStatement(to, s)
 }
 
 // statementOf returns what a server last stated about itself.
-func (c *lockedCall) statementOf(to *directory.Candidate) balance.Statement {
+func (c *lockedCall) statementOf(to *directory.Candidate) balance.ServerStatement {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	return c.service.core.Table.StatementOf(to)
--- a/internal/connection/gateway/statement.go
+++ b/internal/connection/gateway/statement.go
@@ -49,7 +49,7 @@
 // adoptStatement applies what the server has stated to the daemon where the request originated:
 // this daemon may have restarted since.
 func (g *Gateway) adoptStatement(b *backend, server *presence.Server, req *backendRequest) {
-	if b == nil || req.known.RateLimit == 0 || !req.known.SameBoot(balance.Statement{Boot: server.Boot, Started: server.Started}) {
+	if b == nil || req.known.RateLimit == 0 || !req.known.SameBoot(balance.ServerStatement{Boot: server.Boot, Started: server.Started}) {
 		return
 	}
 	g.adoptRateLimit(b, server, ratelimit.Statement{Kind: ratelimit.Limited, PerSecond: req.known.RateLimit})
@@ -70,21 +70,21 @@
 }
 
 // statement returns what a boot of the server states.
-func (b *backend) statement(boot string, started int64) balance.Statement {
-	return balance.Statement{Boot: boot, Started: started, RateLimit: b.gate.RateLimit(), Leaving: b.leaving.Load()}
+func (b *backend) statement(boot string, started int64) balance.ServerStatement {
+	return balance.ServerStatement{Boot: boot, Started: started, RateLimit: b.gate.RateLimit(), Leaving: b.leaving.Load()}
 }
 
 // statementFor returns what the server that handled the request states, or else the server at
 // its address, and whether there is one.
-func (g *Gateway) statementFor(req *backendRequest) (balance.Statement, bool) {
-	if req.stated != (balance.Statement{}) {
+func (g *Gateway) statementFor(req *backendRequest) (balance.ServerStatement, bool) {
+	if req.stated != (balance.ServerStatement{}) {
 		return req.stated, true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.backends[req.addr]
 	if b == nil || b.removed {
-		return balance.Statement{}, false
+		return balance.ServerStatement{}, false
 	}
 	return b.statement(b.server.Boot, b.server.Started), true
 }
@@ -107,21 +107,21 @@
 
 // formatStatement encodes a statement for another daemon: the rate limit, whether the server is
 // leaving, and when and as what it started.
-func formatStatement(s balance.Statement) string {
+func formatStatement(s balance.ServerStatement) string {
 	return fmt.Sprintf("%g %t %d %s", s.RateLimit, s.Leaving, s.Started, s.Boot)
 }
 
 // parseStatement parses headerStatement and reports whether there is one that can be read.
-func parseStatement(h http.Header) (balance.Statement, bool) {
+func parseStatement(h http.Header) (balance.ServerStatement, bool) {
 	fields := strings.SplitN(h.Get(headerStatement), " ", statementFields)
 	if len(fields) < statementFields {
-		return balance.Statement{}, false
+		return balance.ServerStatement{}, false
 	}
 	limit := ratelimit.Parse(fields[:1])
 	leaving, errLeaving := strconv.ParseBool(fields[1])
 	started, errStarted := strconv.ParseInt(fields[2], 10, 64)
 	if limit.Kind != ratelimit.Limited || errLeaving != nil || errStarted != nil {
-		return balance.Statement{}, false
+		return balance.ServerStatement{}, false
 	}
-	return balance.Statement{Boot: fields[3], Started: started, RateLimit: limit.PerSecond, Leaving: leaving}, true
+	return balance.ServerStatement{Boot: fields[3], Started: started, RateLimit: limit.PerSecond, Leaving: leaving}, true
 }
--- a/internal/connection/gateway/statement_test.go
+++ b/internal/connection/gateway/statement_test.go
@@ -30,7 +30,7 @@
 		target := route.Pick(0).Key
 		table := f.gateways[0].service(target).core.Table
 		candidate := f.dir.Load().Candidates(target)[0]
-		c.Check(table.StatementOf(candidate), qt.Equals, balance.Statement{Boot: "b 1", Started: 7, RateLimit: 0.5, Leaving: true})
+		c.Check(table.StatementOf(candidate), qt.Equals, balance.ServerStatement{Boot: "b 1", Started: 7, RateLimit: 0.5, Leaving: true})
 		refused := f.do(0, "GET", "/short", nil)
 		c.Check(refused.status, qt.Equals, http.StatusServiceUnavailable)
 		c.Check(runs.Load(), qt.Equals, int64(1))
@@ -45,7 +45,7 @@
 		_, ok := parseStatement(http.Header{headerStatement: {text}})
 		c.Check(ok, qt.IsFalse, qt.Commentf("%q", text))
 	}
-	s := balance.Statement{Boot: "b 1", Started: 7, RateLimit: 2.5}
+	s := balance.ServerStatement{Boot: "b 1", Started: 7, RateLimit: 2.5}
 	parsed, ok := parseStatement(http.Header{headerStatement: {formatStatement(s)}})
 	c.Check(ok, qt.IsTrue)
 	c.Check(parsed, qt.Equals, s)
--- a/internal/request/balance/balance.go
+++ b/internal/request/balance/balance.go
@@ -121,7 +121,7 @@
 	// servers has exactly one entry for each candidate.
 	servers map[string]*server
 	// statements is keyed by address.
-	statements map[string]Statement
+	statements map[string]ServerStatement
 	// ranks holds the position of each server in its software version's order, for
 	// arms with First equal to ranksFor; nil until needed.
 	ranks    map[string]int
@@ -135,7 +135,7 @@
 
 // NewTable returns an empty table.
 func NewTable(self Location, local Local) *Table {
-	return &Table{self: self, local: local, servers: map[string]*server{}, statements: map[string]Statement{}}
+	return &Table{self: self, local: local, servers: map[string]*server{}, statements: map[string]ServerStatement{}}
 }
 
 // Update sets the candidates and the slow start time. If the slice is the one the
--- a/internal/request/balance/statement.go
+++ b/internal/request/balance/statement.go
@@ -6,9 +6,9 @@
 // above which they are dropped.
 const maxFormerStatements = 1024
 
-// Statement is what a backend server states about itself in its responses, as reported by the
-// daemon on its instance.
-type Statement struct {
+// ServerStatement is what a backend server states about itself in its responses, as reported by
+// the daemon on its instance.
+type ServerStatement struct {
 	// Boot and Started identify the start of the server that the statement is from, as in
 	// presence.Server. Started is 0 while only a health check has told the boot.
 	Boot    string
@@ -24,12 +24,12 @@
 // not a candidate, because its daemon may only be out of reach for a while. A boot that is
 // leaving does not stop leaving: a later statement without it comes from a daemon that does not
 // know it.
-func (t *Table) RecordStatement(c *directory.Candidate, s Statement) {
+func (t *Table) RecordStatement(c *directory.Candidate, s ServerStatement) {
 	if before := t.statements[c.Server.Addr]; before.SameBoot(s) {
 		s.Leaving = s.Leaving || before.Leaving
 		s.Started = max(s.Started, before.Started)
 	}
-	if s == (Statement{Boot: s.Boot, Started: s.Started}) {
+	if s == (ServerStatement{Boot: s.Boot, Started: s.Started}) {
 		delete(t.statements, c.Server.Addr)
 		return
 	}
@@ -50,8 +50,8 @@
 }
 
 // StatementOf returns the last statement of a candidate's boot.
-func (t *Table) StatementOf(c *directory.Candidate) Statement {
-	none := Statement{Boot: c.Server.Boot, Started: c.Server.Started}
+func (t *Table) StatementOf(c *directory.Candidate) ServerStatement {
+	none := ServerStatement{Boot: c.Server.Boot, Started: c.Server.Started}
 	if s := t.statements[c.Server.Addr]; s.SameBoot(none) {
 		return s
 	}
@@ -59,6 +59,6 @@
 }
 
 // SameBoot reports whether two statements are from the same start of a server.
-func (s Statement) SameBoot(o Statement) bool {
+func (s ServerStatement) SameBoot(o ServerStatement) bool {
 	return s.Boot == o.Boot && (s.Started == o.Started || s.Started == 0 || o.Started == 0)
 }
