--- a/internal/connection/gateway/headers.go
+++ b/internal/connection/gateway/headers.go
@@ -60,9 +60,10 @@
 	headerRepeat = headerPrefix + "Repeat"
 	headerFixed  = headerPrefix + "Fixed"
 	// headerStatement holds what a backend server has stated about itself: the rate limit in
-	// requests per second, 0 for none, whether the server is leaving, and its boot. It is sent
-	// with a forwarded request if the sending daemon knows a rate limit, and with its response
-	// if the server has stated something or that limit is outdated.
+	// requests per second, 0 for none, whether the server is leaving, when it started in Unix
+	// milliseconds, 0 if unknown, and its boot. It is sent with a forwarded request if the
+	// sending daemon knows a rate limit, and with its response if the server has stated
+	// something or that limit is outdated.
 	headerStatement = headerPrefix + "Statement"
 )
 
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -48,7 +48,7 @@
 	started int64
 	// known is what the server has stated to the daemon where the request originated.
 	known balance.ServerStatement
-	// stated is what the server states since its response to this request; the zero Statement
+	// stated is what the server states since its response to this request; the zero value
 	// without a response.
 	stated balance.ServerStatement
 	// releaseResponse tells the link that the response starts to be sent or will not be
