Admission, gate: one test of lateness, one place that applies decisions

CheckRefusal and refuseUnservable had the same condition written twice. Each step of the gate delivered decisions and then set the timer, with a second reading of the clock on each request; apply does both with the time of the step. Behaviour unchanged.

--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -72,14 +72,15 @@
 	defer g.mu.Unlock()
 	g.nextID++
 	t.ID = g.nextID
+	now := time.Now()
+	decisions := g.core.Arrive(now, *t)
 	var decision admit.Decision
-	for _, d := range g.core.Arrive(time.Now(), *t) {
+	for _, d := range decisions {
 		if d.ID == t.ID {
 			decision = d
 		}
-		g.deliver(d)
 	}
-	g.scheduleAdvance()
+	g.apply(now, decisions)
 	if decision.Verdict != admit.Wait {
 		return nil, decision
 	}
@@ -120,13 +121,23 @@
 	return newRefusal(code, code.Meaning())
 }
 
-func (g *gate) deliver(decisions ...admit.Decision) {
+// apply delivers decisions to the requests that wait for them, and sets the timer for the next
+// one that waits for the rate limit. The caller must hold g.mu.
+func (g *gate) apply(now time.Time, decisions []admit.Decision) {
 	for _, d := range decisions {
 		if reply, ok := g.waiting[d.ID]; ok {
 			reply <- d
 			delete(g.waiting, d.ID)
 		}
 	}
+	in, waiting := g.core.NextStart(now)
+	switch {
+	case !waiting:
+	case g.advance == nil:
+		g.advance = time.AfterFunc(in, g.advanceWaiting)
+	default:
+		g.advance.Reset(in)
+	}
 }
 
 // Release frees the slot of a request of the given kind. took is the time until the
@@ -134,8 +145,8 @@
 func (g *gate) Release(kind string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.core.Finish(time.Now(), kind, took)...)
-	g.scheduleAdvance()
+	now := time.Now()
+	g.apply(now, g.core.Finish(now, kind, took))
 }
 
 // Load returns the server's load. A stalled server counts as full.
@@ -175,10 +186,10 @@
 func (g *gate) ObserveRateLimit(sent time.Time, s ratelimit.Statement) (before, after float64, changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	before = g.core.RateLimit()
-	changed, decisions := g.core.ObserveRateLimit(sent, time.Now(), s)
-	g.deliver(decisions...)
-	g.scheduleAdvance()
+	changed, decisions := g.core.ObserveRateLimit(sent, now, s)
+	g.apply(now, decisions)
 	return before, g.core.RateLimit(), changed
 }
 
@@ -187,9 +198,9 @@
 func (g *gate) AdoptRateLimit(s ratelimit.Statement) (changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed, decisions := g.core.AdoptRateLimit(time.Now(), s)
-	g.deliver(decisions...)
-	g.scheduleAdvance()
+	now := time.Now()
+	changed, decisions := g.core.AdoptRateLimit(now, s)
+	g.apply(now, decisions)
 	return changed
 }
 
@@ -200,25 +211,12 @@
 	return g.core.RateLimit()
 }
 
-// scheduleAdvance sets the timer for the next request that waits for the rate limit. The
-// caller must hold g.mu.
-func (g *gate) scheduleAdvance() {
-	in, waiting := g.core.NextStart(time.Now())
-	switch {
-	case !waiting:
-	case g.advance == nil:
-		g.advance = time.AfterFunc(in, g.advanceWaiting)
-	default:
-		g.advance.Reset(in)
-	}
-}
-
 // advanceWaiting starts the waiting requests that the rate limit allows by now.
 func (g *gate) advanceWaiting() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliver(g.core.Advance(time.Now())...)
-	g.scheduleAdvance()
+	now := time.Now()
+	g.apply(now, g.core.Advance(now))
 }
 
 // typicalTime returns the usual duration of requests of the given kind.
@@ -239,11 +237,11 @@
 func (g *gate) Configure(cfg admit.Config, draining bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	if draining {
-		g.deliver(g.core.Drain(time.Now())...)
+		g.apply(now, g.core.Drain(now))
 		return
 	}
 	g.core.Resume()
-	g.deliver(g.core.Configure(time.Now(), cfg)...)
-	g.scheduleAdvance()
+	g.apply(now, g.core.Configure(now, cfg))
 }
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -187,14 +187,13 @@
 		return c.refuse(now, *t, result.Overloaded, Stalled), true
 	}
 	slotWait, rateWait := c.expectedWait(now, t)
-	wait := max(slotWait, rateWait)
-	late := c.lateness(now, t, wait)
-	switch {
-	case rateWait > slotWait && (wait > t.Deadline.Sub(now) || late > 0):
+	if rateWait > slotWait && c.tooLate(now, t, rateWait) {
 		return c.refuse(now, *t, result.Overloaded, RateLimited), true
-	case wait > t.Deadline.Sub(now):
+	}
+	if slotWait > t.Deadline.Sub(now) {
 		return c.refuse(now, *t, result.DeadlineTooShort, BeyondDeadline), true
-	case late > 0:
+	}
+	if late := c.lateness(now, t, slotWait); late > 0 {
 		d := c.refuse(now, *t, result.Overloaded, Late)
 		d.RetryAfter = max(late, minLateRetryAfter)
 		return d, true
--- a/internal/request/admit/rate.go
+++ b/internal/request/admit/rate.go
@@ -50,7 +50,7 @@
 	for i := range order {
 		t := &order[i]
 		wait := c.rate.Wait(now, ahead+1)
-		if wait == 0 || wait <= t.Deadline.Sub(now) && c.lateness(now, t, wait) <= 0 {
+		if wait == 0 || !c.tooLate(now, t, wait) {
 			ahead++
 			continue
 		}
@@ -72,3 +72,9 @@
 
 // Advance starts the waiting tickets that the rate limit allows by now.
 func (c *Core) Advance(now time.Time) []Decision { return c.startWaiting(now) }
+
+// tooLate reports whether a ticket that starts after the given wait misses its deadline, or its
+// answer is expected after its useful time.
+func (c *Core) tooLate(now time.Time, t *Ticket, wait time.Duration) bool {
+	return wait > t.Deadline.Sub(now) || c.lateness(now, t, wait) > 0
+}
