Quarantine: header fields are no part of what identifies a request

What callers saw: a request that crashes servers took a whole service down, wave after wave; 17 and 15 servers ended where six may (three, and three retries).

Cause: the fingerprint covered all header fields but a list of known volatile ones. Request-Deadline was not on it, nor Caller-Service as callers state it, so that most sends were new requests to the fleet: each ran with everybody else and crashed one server more. No such list is complete.

Ruled out: reports that are forgotten, crashes that are not seen (see docs/incidents/crashing-request.md).

Change: a request is method, path, query, body, and who asks: the service of the instance where it began and the organisation. Both are known alike where it begins and beside the server.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -73,7 +73,10 @@
 		x.refuse(refused)
 		return
 	}
-	x.request = &Request{Mesh: x.route.Mesh, Service: x.target.Name, Repeatable: x.route.Repeatable, HTTP: x.r}
+	x.request = &Request{
+		Mesh: x.route.Mesh, Service: x.target.Name, Origin: x.origin, Organisation: x.organisationName(),
+		Repeatable: x.route.Repeatable, HTTP: x.r,
+	}
 	x.run()
 }
 
--- a/internal/connection/gateway/forward.go
+++ b/internal/connection/gateway/forward.go
@@ -24,8 +24,8 @@
 	}
 	req := &backendRequest{
 		request: x.request, body: x.body, addr: to.Server.Addr, priority: x.organisation.PriorityOn(x.route),
-		organisation: x.organisationName(), depth: x.caller.Depth, deadline: x.deadline, nonRepeatable: !x.route.Repeatable,
-		id: x.caller.ID, origin: x.origin, usefulUntil: x.usefulUntil(), route: x.route.Name, retryProbability: parseRetryProbability(x.retryHeader(action.Repeat)),
+		depth: x.caller.Depth, deadline: x.deadline, nonRepeatable: !x.route.Repeatable,
+		id: x.caller.ID, usefulUntil: x.usefulUntil(), route: x.route.Name, retryProbability: parseRetryProbability(x.retryHeader(action.Repeat)),
 		known: x.call.statementOf(to),
 	}
 	resp, refused := x.g.serve(ctx, req)
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -18,6 +18,9 @@
 type Request struct {
 	Mesh    string
 	Service string
+	// Origin is the service of the instance where the request originated, or "", and
+	// Organisation the one whose API key the caller sent, or "".
+	Origin, Organisation string
 	// Repeatable is set on the first daemon only.
 	Repeatable bool
 	HTTP       *http.Request
--- a/internal/connection/gateway/load.go
+++ b/internal/connection/gateway/load.go
@@ -15,7 +15,7 @@
 func (g *Gateway) writeLoad(h http.Header, req *backendRequest) {
 	if l, known := g.LocalLoad(req.addr); known {
 		fromAllServices := 0
-		if req.origin != "" && g.retryTracker.fromAllServices(req.lineageRoute(), g.cfg.Directory()) {
+		if req.request.Origin != "" && g.retryTracker.fromAllServices(req.lineageRoute(), g.cfg.Directory()) {
 			fromAllServices = 1
 		}
 		text := fmt.Sprintf("%d,%d,%d,%d,%d,%.2f,%d,%d", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), g.link.inbound.queuedBytes(), l.FailureRate, g.link.outbound.queuedBytes(), fromAllServices)
--- a/internal/connection/gateway/organisation.go
+++ b/internal/connection/gateway/organisation.go
@@ -107,10 +107,10 @@
 
 // setWeight sets the weight of the caller's organisation as of a version.
 func (req *backendRequest) setWeight(snap *snapshot.Snapshot) {
-	if req.organisation == "" {
+	if req.request.Organisation == "" {
 		return
 	}
-	if o := snap.Organisation(req.request.Mesh, req.organisation); o != nil {
+	if o := snap.Organisation(req.request.Mesh, req.request.Organisation); o != nil {
 		req.weight = o.Weight
 	}
 }
--- a/internal/connection/gateway/organisation_test.go
+++ b/internal/connection/gateway/organisation_test.go
@@ -228,7 +228,7 @@
 	f := newFleet(c, 1)
 	f.useOrganisations()
 	for name, weight := range map[string]float64{"parish": 1, "removed": 0, "": 0} {
-		req := backendRequest{request: &Request{Mesh: "m"}, organisation: name}
+		req := backendRequest{request: &Request{Mesh: "m", Organisation: name}}
 		req.setWeight(f.snap)
 		ticket := req.ticket(time.Now())
 		c.Check(ticket.Organisation, qt.Equals, name)
--- a/internal/connection/gateway/peer.go
+++ b/internal/connection/gateway/peer.go
@@ -60,10 +60,13 @@
 	req = &backendRequest{
 		addr: r.Header.Get(headerServer), priority: priority, depth: depth,
 		deadline: time.Now().Add(timeout), nonRepeatable: r.Header.Get(headerFresh) != "",
-		organisation: r.Header.Get(HeaderOrganisation),
-		remote:       true, releaseResponse: func() {}, origin: r.Header.Get(headerOrigin), route: r.Header.Get(headerRoute),
+		remote: true, releaseResponse: func() {}, route: r.Header.Get(headerRoute),
 		retryProbability: parseRetryProbability(r.Header.Get(headerRepeat)),
-		request:          &Request{Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService), Isolated: r.Header.Get(headerAlone) != ""},
+		request: &Request{
+			Mesh: r.Header.Get(headerMesh), Service: r.Header.Get(headerService),
+			Origin: r.Header.Get(headerOrigin), Organisation: r.Header.Get(HeaderOrganisation),
+			Isolated: r.Header.Get(headerAlone) != "",
+		},
 	}
 	if !okTimeout || !okStall || !okPriority || !okDepth || req.addr == "" {
 		return nil, 0, 0, newRefusal(result.BadRequest, "the headers of a forwarded call are missing or invalid")
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -79,7 +79,7 @@
 
 func (req *backendRequest) ticket(now time.Time) admit.Ticket {
 	t := admit.Ticket{
-		Priority: req.priority, Organisation: req.organisation, Weight: req.weight,
+		Priority: req.priority, Organisation: req.request.Organisation, Weight: req.weight,
 		Deadline: req.deadline, Useful: req.usefulUntil, Kind: req.route, Alone: req.request.Isolated,
 	}
 	if wait := now.Add(maxIsolationWait); t.Alone && wait.Before(t.Deadline) {
@@ -197,7 +197,7 @@
 func identityOf(r *Request) quarantine.Identity {
 	return quarantine.Identity{
 		Mesh: r.Mesh, Method: r.HTTP.Method, Path: r.HTTP.URL.Path, Query: r.HTTP.URL.RawQuery,
-		ContentLength: r.HTTP.ContentLength, Header: r.HTTP.Header, Body: r.Body,
+		Origin: r.Origin, Organisation: r.Organisation, ContentLength: r.HTTP.ContentLength, Body: r.Body,
 	}
 }
 
--- a/internal/connection/gateway/retry_tracker.go
+++ b/internal/connection/gateway/retry_tracker.go
@@ -56,8 +56,8 @@
 func (t *retryTracker) beginRun(req *backendRequest) (endRun func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if req.origin != "" {
-		t.origins.Note(time.Now(), req.lineageRoute(), req.origin)
+	if req.request.Origin != "" {
+		t.origins.Note(time.Now(), req.lineageRoute(), req.request.Origin)
 	}
 	if req.nonRepeatable {
 		return func() {}
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -33,10 +33,6 @@
 	usefulUntil time.Time
 	// id is the caller's ID for the request, or "".
 	id string
-	// origin is the service of the instance where the request originated, or "".
-	origin string
-	// organisation is the organisation of the caller, or "".
-	organisation string
 	// weight is the share of the server that the organisation is entitled to, relative to other
 	// organisations; 0 if it is unknown.
 	weight float64
@@ -133,8 +129,8 @@
 func (g *Gateway) sendToBackend(ctx context.Context, b *backend, req *backendRequest) (*http.Response, *refusal) {
 	out := req.body.outgoing(req.request.HTTP)
 	out.ExtraHeader = g.cfg.Dialect.Server(ServerMetadata{
-		Left: time.Until(req.deadline), Depth: req.depth + 1, Boot: req.boot, Origin: req.origin,
-		Organisation: req.organisation,
+		Left: time.Until(req.deadline), Depth: req.depth + 1, Boot: req.boot, Origin: req.request.Origin,
+		Organisation: req.request.Organisation,
 	})
 	out.MaxIdleAge = backendIdleTimeout
 	if req.nonRepeatable {
--- a/internal/request/quarantine/fingerprint.go
+++ b/internal/request/quarantine/fingerprint.go
@@ -18,8 +18,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -27,61 +25,30 @@
 // Fingerprint identifies a request across resends.
 type Fingerprint uint64
 
-// Identity holds the parts of a request that its Fingerprint covers. The host is not
-// one of them, because a resend through another daemon may use another address.
+// Identity holds what makes two sends the same request: who asks for what, with which body.
+// Header fields are not part of it, because many change from send to send (deadlines,
+// identifiers, times, credentials) and no list of them is complete: a request that is new to
+// the fleet with each send crashes one server after the other. Requests that differ only in
+// their headers share a fingerprint. The host is not part of it either, because a resend
+// through another daemon may use another address.
 type Identity struct {
 	Mesh, Method, Path, Query string
+	// Origin is the service of the instance where the request originated, or "", and
+	// Organisation the one whose API key the caller sent, or "".
+	Origin, Organisation string
 	// ContentLength is in bytes, -1 if not known in advance.
 	ContentLength int64
-	// Header is not modified. Fields that change between sends are ignored.
-	Header map[string][]string
 	// Body is the whole body if it is small, else nil.
 	Body []byte
 }
 
-// volatileHeaders are header fields that change between sends, on the way, or with the
-// connection.
-var volatileHeaders = map[string]bool{
-	"Accept-Encoding": true, "Baggage": true, "Connection": true, "Date": true, "Expect": true, "Forwarded": true,
-	"Idempotency-Key": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Traceparent": true,
-	"Tracestate": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "User-Agent": true, "Via": true,
-	"X-Forwarded-For": true, "X-Forwarded-Host": true, "X-Forwarded-Proto": true,
-}
-
-const (
-	// internalHeaderPrefix is the prefix of headers between daemons.
-	internalHeaderPrefix = "Daisygate-"
-	// identifierHeaderSuffix is the suffix of headers with request identifiers.
-	identifierHeaderSuffix = "-Id"
-)
-
-func isStableHeader(name string) bool {
-	return !volatileHeaders[name] && !strings.HasPrefix(name, internalHeaderPrefix) && !strings.HasSuffix(name, identifierHeaderSuffix)
-}
-
 // Fingerprint returns a hash of the identity.
 func (id *Identity) Fingerprint() Fingerprint {
 	d := xxhash.New()
-	field := func(s string) {
+	for _, s := range []string{id.Mesh, id.Method, id.Path, id.Query, id.Origin, id.Organisation} {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
-	for _, s := range []string{id.Mesh, id.Method, id.Path, id.Query} {
-		field(s)
-	}
-	var names []string
-	for name := range id.Header {
-		if isStableHeader(name) {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		field(name)
-		for _, value := range id.Header[name] {
-			field(value)
-		}
-	}
 	var size [8]byte
 	binary.LittleEndian.PutUint64(size[:], uint64(id.ContentLength))
 	_, _ = d.Write(size[:])
