Quarantine: an answer with an error of the server clears no suspect

What callers saw: a request that is not idempotent crashed all servers of its service, one with every second send.

Cause: any whole answer to a suspect cleared it everywhere. A server that answers 504 at the time limit, or 500 because a call of its own failed, has not come as far as to crash. A refusal as not executed already cleared nothing.

Change: the outcome of a run that is answered with a 5xx says nothing.

--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -118,6 +118,9 @@
 	// Crashed runs lost their connection before the response was complete, and the
 	// backend server caused the loss.
 	Crashed
+	// Failed runs returned a complete response that reports an error of the server. It may have
+	// stopped early, for instance at the time limit.
+	Failed
 )
 
 // maxStoredBody is the size of the largest response body passed to Settle.
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -161,7 +161,7 @@
 		return nil, refused
 	}
 	took = req.serverTime
-	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run}
+	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, failed: resp.StatusCode >= http.StatusInternalServerError}
 	refused := g.checkResponse(ctx, b, req, resp, start)
 	span.End(codeOf(refused))
 	if refused != nil {
--- a/internal/connection/gateway/tracked_body.go
+++ b/internal/connection/gateway/tracked_body.go
@@ -9,8 +9,10 @@
 // trackedBody is the response body of a backend server. Closing it ends the run.
 type trackedBody struct {
 	io.ReadCloser
-	ctx     context.Context
-	run     Run
+	ctx context.Context
+	run Run
+	// failed is set if the status of the response is a server error.
+	failed  bool
 	readErr error
 	once    sync.Once
 }
@@ -39,6 +41,8 @@
 
 func (b *trackedBody) status() RunStatus {
 	switch {
+	case b.readErr == io.EOF && b.failed:
+		return Failed
 	case b.readErr == io.EOF:
 		return Finished
 	case b.readErr == nil || b.ctx.Err() != nil:
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -21,9 +21,10 @@
 type Outcome uint8
 
 const (
-	// Completed: the server sent a whole answer.
+	// Completed: the server sent a whole answer and reported no error.
 	Completed Outcome = iota + 1
-	// Aborted: the run was ended by this daemon or never reached the server.
+	// Aborted: the run was ended by this daemon, never reached the server, or was answered with
+	// an error. It says nothing about whether the request crashes servers.
 	Aborted
 	// ConnectionLost: the server closed the connection.
 	ConnectionLost
--- a/internal/request/quarantine/fingerprint.go
+++ b/internal/request/quarantine/fingerprint.go
@@ -1,10 +1,10 @@
 // Package quarantine finds requests that crash backend servers and isolates them.
 //
 // All requests in progress at a crash become suspects, but none is blamed yet. A suspect
-// that is sent again runs alone on its server. If it ends well, it is cleared; if the
-// server crashes again, the request is refused everywhere for a time that doubles with
-// each further crash. So a request that crashes every server is found at its second
-// crash, and an unrelated crash leads to no refusal.
+// that is sent again runs alone on its server. If it ends well, without an error of the
+// server, it is cleared; if the server crashes again, the request is refused everywhere for
+// a time that doubles with each further crash. So a request that crashes every server is
+// found at its second crash, and an unrelated crash leads to no refusal.
 //
 // If servers of two other daemons crash within two seconds of the crash at which a
 // request ran alone, for instance because a rack failed, the request may not be the
