Quarantine: daemons remember the reports of daemons that are gone

What callers saw: a request that was refused everywhere ran again and crashed more servers once the instances of those it had crashed were taken away, or their daemons had new reports in place of the old ones.

Cause: a report lived in the record of the daemon that saw the crash and nowhere else. It went with the record: a daemon that leaves, dies, is cut off, or evicts it for others.

Change: a daemon keeps each report that it has learned until the report expires or is cleared, at most 4,096. A weaker report of the same source does not replace a stronger one. What is cleared is dropped for good, so that it does not come back with the clearance's own end.

TestReportOutlivesItsSource fails on the code before.

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -191,7 +191,7 @@
 			})
 		}
 	}
-	q.core.Learn(reports)
+	q.core.Learn(time.Now(), reports)
 }
 
 func identityOf(r *Request) quarantine.Identity {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -55,14 +55,15 @@
 // New returns a Core without suspects.
 func New(cfg Config) *Core {
 	return &Core{
-		ledger:      ledger{cfg: cfg, own: map[Fingerprint]Suspect{}, others: map[Fingerprint][]Suspect{}},
+		ledger:      ledger{cfg: cfg, own: map[Fingerprint]Suspect{}, others: map[Fingerprint]map[string]Suspect{}},
 		servers:     map[string]map[uint64]*run{},
 		lastCrashes: map[string]crashEvent{},
 	}
 }
 
-// Learn replaces the reports of the other daemons.
-func (c *Core) Learn(reports []Suspect) { c.ledger.setRemoteReports(reports) }
+// Learn adds the reports that the other daemons publish now. Earlier ones that they no longer
+// publish are remembered until they expire or are cleared.
+func (c *Core) Learn(now time.Time, reports []Suspect) { c.ledger.learn(now, reports) }
 
 // Empty reports whether there are no reports at all.
 func (c *Core) Empty() bool { return c.ledger.empty() }
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -84,7 +84,7 @@
 				}
 			}
 		}
-		core.Learn(reports)
+		core.Learn(f.now, reports)
 	}
 }
 
--- a/internal/request/quarantine/excuse.go
+++ b/internal/request/quarantine/excuse.go
@@ -44,10 +44,7 @@
 // lastAloneCrash returns when s last crashed a server while it ran alone, and the sources
 // of the daemons that observed that.
 func (l *ledger) lastAloneCrash(now time.Time, s Suspect) (at time.Time, by map[string]bool) {
-	reports := append([]Suspect{}, l.others[s.Fingerprint]...)
-	if own, reported := l.own[s.Fingerprint]; reported {
-		reports = append(reports, own)
-	}
+	reports := l.reportsOn(s.Fingerprint)
 	cleared := clearedUntil(reports)
 	by = map[string]bool{}
 	for _, r := range reports {
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -29,8 +29,9 @@
 	// FirstHold is how long a request is refused after its second crash. Each further
 	// crash doubles the time, up to MaxHold.
 	FirstHold, MaxHold time.Duration
-	// Max is the maximum number of reports of one daemon.
-	Max int
+	// Max is the maximum number of reports of one daemon, and MaxRemembered that of reports of
+	// other daemons that are remembered.
+	Max, MaxRemembered int
 	// SlowRestart states that the restart of a crashed server takes longer than the check
 	// whether it listens. A server that still listens has then not crashed, no matter how
 	// many connections it lost at a time.
@@ -39,7 +40,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Memory: 30 * time.Minute, FirstHold: time.Minute, MaxHold: time.Hour, Max: 32}
+	return Config{Memory: 30 * time.Minute, FirstHold: time.Minute, MaxHold: time.Hour, Max: 32, MaxRemembered: 4096}
 }
 
 func (c *Config) holdTime(crashes uint8) time.Duration {
@@ -74,8 +75,9 @@
 	cfg Config
 	// own holds the reports of this daemon, at most cfg.Max.
 	own map[Fingerprint]Suspect
-	// others holds the reports of all other daemons.
-	others map[Fingerprint][]Suspect
+	// others holds the reports of all other daemons by source, also those of daemons that are
+	// gone or have dropped them. No inner map is empty.
+	others map[Fingerprint]map[string]Suspect
 	// crashTimes holds the times of the crashes that other daemons observed, by source.
 	crashTimes map[string][]time.Time
 }
@@ -85,10 +87,7 @@
 // combined returns the combination of all reports on f; ok is false if none is active.
 // Reports that expire no later than cleared have been cleared.
 func (l *ledger) combined(now time.Time, f Fingerprint) (s Suspect, cleared time.Time, ok bool) {
-	reports := l.others[f]
-	if own, reported := l.own[f]; reported {
-		reports = append(slices.Clip(reports), own)
-	}
+	reports := l.reportsOn(f)
 	cleared = clearedUntil(reports)
 	s.Fingerprint = f
 	for _, r := range reports {
@@ -118,19 +117,86 @@
 	return r.Crashes > 0 && r.Until.After(cleared) && r.Until.After(now)
 }
 
-// setRemoteReports replaces the reports of other daemons. Own reports that another daemon
-// cleared are dropped, so that they do not become active again when the clearance expires.
-func (l *ledger) setRemoteReports(reports []Suspect) {
-	l.others, l.crashTimes = map[Fingerprint][]Suspect{}, map[string][]time.Time{}
-	for _, r := range reports {
-		l.others[r.Fingerprint] = append(l.others[r.Fingerprint], r)
-		if r.Crashes > 0 && !r.ObservedElsewhere {
-			l.crashTimes[r.Source] = append(l.crashTimes[r.Source], l.cfg.crashTime(&r))
+// reportsOn returns all reports on f, in no particular order.
+func (l *ledger) reportsOn(f Fingerprint) []Suspect {
+	reports := slices.Collect(maps.Values(l.others[f]))
+	if own, reported := l.own[f]; reported {
+		reports = append(reports, own)
+	}
+	return reports
+}
+
+// learn adds the reports that other daemons publish now. A report is remembered until it expires
+// or is cleared, even if its source is gone: the request still crashes servers. Own reports that
+// another daemon cleared are dropped, so that they do not become active again when the clearance
+// expires.
+func (l *ledger) learn(now time.Time, published []Suspect) {
+	l.expire(now)
+	for _, r := range published {
+		if r.Until.After(now) {
+			l.remember(r)
+		}
+	}
+	l.dropCleared()
+	l.limitRemembered()
+	l.crashTimes = map[string][]time.Time{}
+	for _, reports := range l.others {
+		for source, r := range reports {
+			if r.Crashes > 0 && !r.ObservedElsewhere {
+				l.crashTimes[source] = append(l.crashTimes[source], l.cfg.crashTime(&r))
+			}
+		}
+	}
+}
+
+// remember stores a report of another daemon. A daemon that has dropped its report may publish a
+// weaker one later, which does not replace it.
+func (l *ledger) remember(r Suspect) {
+	if r.Crashes > 0 && l.others[r.Fingerprint][r.Source].Crashes > r.Crashes {
+		return
+	}
+	if l.others[r.Fingerprint] == nil {
+		l.others[r.Fingerprint] = map[string]Suspect{}
+	}
+	l.others[r.Fingerprint][r.Source] = r
+}
+
+// dropCleared removes the reports about crashes that have been cleared.
+func (l *ledger) dropCleared() {
+	for f, reports := range l.others {
+		cleared := clearedUntil(l.reportsOn(f))
+		isCleared := func(s Suspect) bool { return s.Crashes > 0 && !s.Until.After(cleared) }
+		maps.DeleteFunc(reports, func(_ string, s Suspect) bool { return isCleared(s) })
+		if own, reported := l.own[f]; reported && isCleared(own) {
+			delete(l.own, f)
 		}
 	}
-	maps.DeleteFunc(l.own, func(f Fingerprint, s Suspect) bool {
-		return s.Crashes > 0 && !s.Until.After(clearedUntil(l.others[f]))
+}
+
+// limitRemembered removes the least important requests while there are more than
+// Config.MaxRemembered reports.
+func (l *ledger) limitRemembered() {
+	total := 0
+	for _, reports := range l.others {
+		total += len(reports)
+	}
+	if total <= l.cfg.MaxRemembered {
+		return
+	}
+	byImportance := slices.SortedFunc(maps.Keys(l.others), func(a, b Fingerprint) int {
+		return compareImportance(mostImportant(l.others[a]), mostImportant(l.others[b]))
 	})
+	for _, f := range byImportance {
+		if total <= l.cfg.MaxRemembered {
+			return
+		}
+		total -= len(l.others[f])
+		delete(l.others, f)
+	}
+}
+
+func mostImportant(reports map[string]Suspect) Suspect {
+	return slices.MaxFunc(slices.Collect(maps.Values(reports)), compareImportance)
 }
 
 func (l *ledger) count(now time.Time) int {
@@ -191,6 +257,7 @@
 	s, _, ok := l.combined(now, f)
 	if ok {
 		l.store(now, Suspect{Fingerprint: f, Until: s.Until})
+		delete(l.others, f)
 	}
 	return ok
 }
@@ -203,16 +270,23 @@
 	}
 }
 
-// leastImportant returns the report to evict first: the one with the fewest crashes, then
-// the one that expires first.
+// leastImportant returns the own report to evict first.
 func (l *ledger) leastImportant() Suspect {
-	return slices.MinFunc(slices.Collect(maps.Values(l.own)), func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(a.Crashes, b.Crashes), a.Until.Compare(b.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
-	})
+	return slices.MinFunc(slices.Collect(maps.Values(l.own)), compareImportance)
+}
+
+// compareImportance orders reports by the number of crashes, then by when they expire.
+func compareImportance(a, b Suspect) int {
+	return cmp.Or(cmp.Compare(a.Crashes, b.Crashes), a.Until.Compare(b.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
 }
 
 func (l *ledger) expire(now time.Time) {
-	maps.DeleteFunc(l.own, func(_ Fingerprint, s Suspect) bool { return !s.Until.After(now) })
+	isExpired := func(s Suspect) bool { return !s.Until.After(now) }
+	maps.DeleteFunc(l.own, func(_ Fingerprint, s Suspect) bool { return isExpired(s) })
+	maps.DeleteFunc(l.others, func(_ Fingerprint, reports map[string]Suspect) bool {
+		maps.DeleteFunc(reports, func(_ string, s Suspect) bool { return isExpired(s) })
+		return len(reports) == 0
+	})
 }
 
 // reports returns the reports of this daemon in order of fingerprint.
--- /dev/null
+++ b/internal/request/quarantine/ledger_test.go
@@ -0,0 +1,61 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/request/quarantine"
+)
+
+// report returns a report of a crash now by another daemon.
+func report(f quarantine.Fingerprint, source string, crashes uint8) quarantine.Suspect {
+	return quarantine.Suspect{Fingerprint: f, Crashes: crashes, Until: start.Add(31 * time.Minute), Source: source}
+}
+
+// TestReportOutlivesItsSource guards against a crashing request that runs again once the daemon
+// that reported it is gone, or publishes the report no more.
+func TestReportOutlivesItsSource(t *testing.T) {
+	c := qt.New(t)
+	core := quarantine.New(quarantine.DefaultConfig())
+	f := fingerprint("culprit")
+	core.Learn(start, []quarantine.Suspect{report(f, "a", 2)})
+	core.Learn(start, nil)
+	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Refused)
+	core.Learn(start, []quarantine.Suspect{report(f, "a", 1)})
+	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Refused)
+	later := start.Add(32 * time.Minute)
+	core.Learn(later, nil)
+	c.Check(core.Judge(later, f).Mode, qt.Equals, quarantine.Free)
+	c.Check(core.Empty(), qt.IsTrue)
+}
+
+// TestClearedReportIsForgotten guards against a report that becomes active again when the daemon
+// that cleared it publishes something else.
+func TestClearedReportIsForgotten(t *testing.T) {
+	c := qt.New(t)
+	core := quarantine.New(quarantine.DefaultConfig())
+	f := fingerprint("innocent")
+	core.Learn(start, []quarantine.Suspect{report(f, "a", 2)})
+	core.Learn(start, []quarantine.Suspect{report(f, "b", 0)})
+	core.Learn(start, nil)
+	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Free)
+	core.Learn(start, []quarantine.Suspect{report(f, "b", 1)})
+	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Alone)
+}
+
+// TestRememberedReportsAreLimited checks that the requests with the most crashes are kept.
+func TestRememberedReportsAreLimited(t *testing.T) {
+	c := qt.New(t)
+	cfg := quarantine.DefaultConfig()
+	cfg.MaxRemembered = 4
+	core := quarantine.New(cfg)
+	culprit := fingerprint("culprit")
+	core.Learn(start, []quarantine.Suspect{report(culprit, "a", 2)})
+	for i := range 10 {
+		core.Learn(start, []quarantine.Suspect{report(quarantine.Fingerprint(i), "b", 1)})
+	}
+	c.Check(core.Known(start), qt.Equals, cfg.MaxRemembered)
+	c.Check(core.Judge(start, culprit).Mode, qt.Equals, quarantine.Refused)
+}
