Quarantine: every good answer clears a suspect, also of a run that began before it was one

A crash at which it ran alone was blamed on it; the answer proves that it does not crash what runs it, however it ran.

--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -111,7 +111,7 @@
 		return false, false
 	}
 	switch {
-	case outcome == Completed && (r.alone || r.reported):
+	case outcome == Completed && !c.ledger.empty():
 		changed = c.ledger.clear(now, r.identity.Fingerprint())
 	case outcome == ConnectionLost && r.reported:
 		crashed = true
