Quarantine: a request abandoned shortly before a crash is in progress at it

What callers saw: a request whose callers leave before its servers crash took one server after the other down; harmless requests that ran at the same time became suspects in its place.

Cause: the run of a request that this daemon gives up ends at once. The server may go on with it, and crash with nothing of it in progress.

Change: an abandoned run stays on the server's list for a second. A refused connection tells of the crash as well where nothing else was in progress. Runs that never reached the server, and answers with an error or a refusal, are not abandoned.

--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -113,13 +113,15 @@
 	// Cancelled runs were abandoned by the gateway: the caller disconnected or the
 	// deadline passed.
 	Cancelled
-	// Unsent runs never reached the backend server.
+	// Unsent runs never reached the backend server; ConnectionRefused ones did not because it refused the
+	// connection.
 	Unsent
+	ConnectionRefused
 	// Crashed runs lost their connection before the response was complete, and the
 	// backend server caused the loss.
 	Crashed
-	// Failed runs returned a complete response that reports an error of the server. It may have
-	// stopped early, for instance at the time limit.
+	// Failed runs returned a response that reports an error of the server or that it refused the
+	// request. It may have stopped early, for instance at the time limit.
 	Failed
 )
 
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -217,8 +217,8 @@
 }
 
 var quarantineOutcomes = map[RunStatus]quarantine.Outcome{
-	Finished: quarantine.Completed, Failed: quarantine.Aborted, Cancelled: quarantine.Aborted, Unsent: quarantine.Aborted,
-	Crashed: quarantine.ConnectionLost,
+	Finished: quarantine.Completed, Failed: quarantine.Aborted, Unsent: quarantine.Aborted, ConnectionRefused: quarantine.ConnectionRefused,
+	Cancelled: quarantine.Abandoned, Crashed: quarantine.ConnectionLost,
 }
 
 // End implements Run. After a lost connection it checks whether the server is still
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -154,15 +154,17 @@
 		if errors.Is(failure, syscall.ECONNREFUSED) {
 			g.cfg.OnConnectionRefused(req.addr)
 		}
-		if run.End(runStatusOf(refused.Code)) {
+		if run.End(runStatusOf(failure, refused.Code)) {
 			refused = newRefusal(result.BackendCrashed, failure.Error())
 		}
 		span.End(refused.Code)
 		return nil, refused
 	}
 	took = req.serverTime
-	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, failed: resp.StatusCode >= http.StatusInternalServerError}
-	refused := g.checkResponse(ctx, b, req, resp, start)
+	metadata := g.cfg.Dialect.Answer(resp.StatusCode, resp.Header)
+	failed := metadata.NotRun || metadata.Misdirected || resp.StatusCode >= http.StatusInternalServerError
+	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, failed: failed}
+	refused := g.checkResponse(ctx, b, req, resp, &metadata, start)
 	span.End(codeOf(refused))
 	if refused != nil {
 		return nil, refused
@@ -173,8 +175,7 @@
 // checkResponse evaluates the response metadata of a backend server and buffers a small
 // response. A response to another request was left on the connection by a server that
 // answered twice or too late. sent is when the request was sent.
-func (g *Gateway) checkResponse(ctx context.Context, b *backend, req *backendRequest, resp *http.Response, sent time.Time) *refusal {
-	metadata := g.cfg.Dialect.Answer(resp.StatusCode, resp.Header)
+func (g *Gateway) checkResponse(ctx context.Context, b *backend, req *backendRequest, resp *http.Response, metadata *ResponseMetadata, sent time.Time) *refusal {
 	switch {
 	case metadata.ID != "" && metadata.ID != req.id:
 		_ = resp.Body.Close()
@@ -184,7 +185,7 @@
 		g.cfg.OnMisdirected(req.addr, req.boot)
 		return newRefusal(result.WrongServer, "the server at "+req.addr+" is not boot "+req.boot)
 	}
-	g.recordStatements(b, req, sent, &metadata)
+	g.recordStatements(b, req, sent, metadata)
 	if metadata.NotRun {
 		_ = resp.Body.Close()
 		return &refusal{Error: result.Errorf(result.ServerRefused, "status %d", resp.StatusCode)}
@@ -230,11 +231,14 @@
 	return newRefusal(result.AnswerLost, f.Error())
 }
 
-func runStatusOf(c result.Code) RunStatus {
-	switch c {
-	case result.BackendRefused, result.DeadlineTooShort:
+// runStatusOf returns how a run ended that has no response.
+func runStatusOf(f *upstream.Failure, c result.Code) RunStatus {
+	switch {
+	case errors.Is(f, syscall.ECONNREFUSED):
+		return ConnectionRefused
+	case !f.Sent:
 		return Unsent
-	case result.CallerLeft, result.DeadlineExceeded:
+	case c == result.CallerLeft || c == result.DeadlineExceeded:
 		return Cancelled
 	}
 	return Crashed
--- a/internal/connection/gateway/tracked_body.go
+++ b/internal/connection/gateway/tracked_body.go
@@ -11,7 +11,7 @@
 	io.ReadCloser
 	ctx context.Context
 	run Run
-	// failed is set if the status of the response is a server error.
+	// failed is set if the response reports an error of the server or a refusal.
 	failed  bool
 	readErr error
 	once    sync.Once
@@ -41,7 +41,7 @@
 
 func (b *trackedBody) status() RunStatus {
 	switch {
-	case b.readErr == io.EOF && b.failed:
+	case b.failed && (b.readErr == nil || b.readErr == io.EOF):
 		return Failed
 	case b.readErr == io.EOF:
 		return Finished
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -6,9 +6,14 @@
 	"time"
 )
 
-// connectionLossWindow is the time within which lost connections are attributed to one
-// event.
-const connectionLossWindow = time.Second
+const (
+	// connectionLossWindow is the time within which lost connections are attributed to one
+	// event.
+	connectionLossWindow = time.Second
+	// abandonedWindow is how long a server may go on with a request after this daemon has closed
+	// its connection. A crash within that time may be due to it.
+	abandonedWindow = time.Second
+)
 
 // crashEvent is one crash of a server.
 type crashEvent struct {
@@ -23,14 +28,19 @@
 const (
 	// Completed: the server sent a whole answer and reported no error.
 	Completed Outcome = iota + 1
-	// Aborted: the run was ended by this daemon, never reached the server, or was answered with
-	// an error. It says nothing about whether the request crashes servers.
+	// Aborted: the run never reached the server, or was answered with an error. It says nothing
+	// about whether the request crashes servers.
 	Aborted
+	// ConnectionRefused: the server did not accept the connection.
+	ConnectionRefused
+	// Abandoned: this daemon closed the connection before the answer was complete.
+	Abandoned
 	// ConnectionLost: the server closed the connection.
 	ConnectionLost
 )
 
-// run is one request in progress on a server of this daemon's instance.
+// run is one request in progress on a server of this daemon's instance, or abandoned there less
+// than abandonedWindow ago.
 type run struct {
 	identity Identity
 	// alone is set if nothing else runs on the server.
@@ -38,6 +48,8 @@
 	startedAt time.Time
 	// lostAt is when the connection was lost; zero while it is open.
 	lostAt time.Time
+	// abandonedAt is when this daemon closed the connection; zero otherwise.
+	abandonedAt time.Time
 	// reported is set once a crash of the server was reported for this run.
 	reported bool
 }
@@ -46,7 +58,7 @@
 type Core struct {
 	ledger ledger
 	nextID uint64
-	// servers holds the runs in progress by server address; no inner map is empty.
+	// servers holds the runs by server address; no inner map is empty.
 	servers map[string]map[uint64]*run
 	// lastCrashes holds the last crash of each server by address.
 	lastCrashes map[string]crashEvent
@@ -119,11 +131,37 @@
 		crashed, changed = true, true
 		c.reportCrash(now, addr)
 	}
-	delete(c.servers[addr], id)
+	if outcome == Abandoned {
+		r.abandonedAt = now
+	} else {
+		delete(c.servers[addr], id)
+	}
+	c.dropAbandoned(now, addr)
+	if outcome == ConnectionRefused && c.hasAbandoned(addr) {
+		changed = true
+		c.reportCrash(now, addr)
+	}
+	return crashed, changed
+}
+
+// hasAbandoned reports whether a run was abandoned on the server less than abandonedWindow ago.
+func (c *Core) hasAbandoned(addr string) bool {
+	for _, r := range c.servers[addr] {
+		if !r.abandonedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// dropAbandoned removes the runs that were abandoned too long ago to crash the server.
+func (c *Core) dropAbandoned(now time.Time, addr string) {
+	maps.DeleteFunc(c.servers[addr], func(_ uint64, r *run) bool {
+		return !r.abandonedAt.IsZero() && now.Sub(r.abandonedAt) > abandonedWindow
+	})
 	if len(c.servers[addr]) == 0 {
 		delete(c.servers, addr)
 	}
-	return crashed, changed
 }
 
 // hasRestarted reports whether a server that accepts connections has crashed and
@@ -143,7 +181,7 @@
 		}
 	}
 	for _, r := range c.servers[addr] {
-		if r.lostAt.IsZero() && r.startedAt.Before(first) {
+		if r.lostAt.IsZero() && r.abandonedAt.IsZero() && r.startedAt.Before(first) {
 			return false
 		}
 	}
@@ -175,11 +213,13 @@
 	return event
 }
 
-// reportCrash reports every run that was in progress on a server when it crashed. Runs
+// reportCrash reports every run that was in progress on a server when it crashed, or had been
+// abandoned shortly before. Runs
 // of the same request count once. Runs that started after the first connection was lost
 // are not reported, because they did not cause the crash: a process that ends closes
 // its connections one by one, and a request can still be written to a later one.
 func (c *Core) reportCrash(now time.Time, addr string) {
+	c.dropAbandoned(now, addr)
 	runs := c.servers[addr]
 	ranAlone := map[Fingerprint]bool{}
 	event := c.currentCrash(now, addr)
