Quarantine: the instance where a request began blames it for no crash that it did not cause

What callers saw: a request that was sent to a server on what was left of its connections while it crashed could be refused everywhere for a minute.

Cause: the daemon beside the server reported no such run, but told the daemon where the request began that the server crashed under it. That one reported it as a request that crashed a server, and alone if it was isolated.

Change: the answer is that of any lost connection, and the request may be sent again.

TestLateRunIsNotBlamed: the innocent run was returned as crashed before, in both orders.

--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -99,7 +99,8 @@
 
 // Run is one request running on a backend server of this instance.
 type Run interface {
-	// End records how the run ended and reports whether the backend server crashed.
+	// End records how the run ended and reports whether the backend server crashed, possibly
+	// because of the request.
 	End(status RunStatus) (crashed bool)
 }
 
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -115,8 +115,8 @@
 }
 
 // End records the end of a run. For a ConnectionLost run, listening tells whether the server
-// still accepts connections. End reports whether the server crashed, and whether the
-// reports have changed.
+// still accepts connections. End reports whether the server crashed while the request was in
+// progress, and whether the reports have changed.
 func (c *Core) End(now time.Time, addr string, id uint64, outcome Outcome, listening bool) (crashed, changed bool) {
 	r := c.servers[addr][id]
 	if r == nil {
@@ -128,8 +128,9 @@
 	case outcome == ConnectionLost && r.reported:
 		crashed = true
 	case outcome == ConnectionLost && (!listening || !c.ledger.cfg.SlowRestart && c.hasRestarted(addr)):
-		crashed, changed = true, true
+		changed = true
 		c.reportCrash(now, addr)
+		crashed = r.reported
 	}
 	if outcome == Abandoned {
 		r.abandonedAt = now
--- a/internal/request/quarantine/crash_test.go
+++ b/internal/request/quarantine/crash_test.go
@@ -33,7 +33,8 @@
 				order = []uint64{innocent, culprit}
 			}
 			for _, run := range order {
-				core.End(at(160), "s2", run, quarantine.ConnectionLost, false)
+				blamed, _ := core.End(at(160), "s2", run, quarantine.ConnectionLost, false)
+				c.Check(blamed, qt.Equals, run == culprit)
 			}
 			c.Check(core.Judge(at(200), fingerprint("culprit")).Mode, qt.Equals, quarantine.Refused)
 			c.Check(core.Judge(at(200), fingerprint("innocent")).Mode, qt.Equals, quarantine.Alone)
