Quarantine: a small body is the same in chunks and with a length

What callers saw: a request that crashes servers and whose body is sent in chunks at times crashed all five servers of a service, where two are allowed.

Cause: a body in chunks is streamed, so that the fingerprint had neither its length nor its bytes; each framing was a request of its own, and the crashes of one excused the other.

Change: the daemon beside the server collects a small body as it passes, for the report of a crash. Where a request begins, a small body in chunks is read first, but only if some suspect is the same except for the body, so that no other request waits for its chunks. The upper half of a fingerprint is without the body for that.

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -67,8 +67,9 @@
 type requestBody struct {
 	w http.ResponseWriter
 	r *http.Request
-	// buffered holds a body that was read completely.
-	buffered []byte
+	// buffered holds a body that was read completely. prefix holds the part of a streamed body
+	// that bufferSmall has read and Read has not returned yet.
+	buffered, prefix []byte
 	// streamed is set for a larger body, readStarted after the first read, and complete
 	// when its end has been read.
 	streamed    bool
@@ -82,6 +83,10 @@
 	// end.
 	onRead func(bytes int)
 	onEnd  func()
+	// onSmall, if set, is called with the whole of a streamed body at its end, unless it is larger
+	// than maxBufferedRequestBody. seen holds what has been read of it.
+	onSmall func(body []byte)
+	seen    []byte
 }
 
 // setCallbacks sets the functions called for each part of the body and at its end.
@@ -118,16 +123,36 @@
 	return b, nil
 }
 
+// bufferSmall reads a streamed body of unknown length completely if it is small. It waits for the
+// end of the body or for more than maxBufferedRequestBody bytes. A body that announces trailers,
+// which are only known after it, stays streamed.
+func (b *requestBody) bufferSmall() error {
+	if !b.streamed || b.r.ContentLength >= 0 || len(b.r.Trailer) > 0 {
+		return nil
+	}
+	read, err := io.ReadAll(io.LimitReader(b.r.Body, maxBufferedRequestBody+1))
+	if err != nil {
+		return err
+	}
+	if len(read) > maxBufferedRequestBody {
+		b.prefix = read
+		return nil
+	}
+	b.buffered, b.streamed, b.r.ContentLength = read, false, int64(len(read))
+	return nil
+}
+
 // Read implements io.Reader. Each part that arrives restarts the timer.
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.readStarted.Store(true)
-	n, err := b.r.Body.Read(p)
+	n, err := b.readNext(p)
 	if b.stallTimeout > 0 {
 		b.timer.reset(b.stallTimeout)
 	}
 	if b.onRead != nil {
 		b.onRead(n)
 	}
+	b.captureSmall(p[:n], err)
 	if err != nil {
 		b.finish()
 	}
@@ -137,6 +162,30 @@
 	return n, err
 }
 
+// captureSmall collects a small streamed body for onSmall.
+func (b *requestBody) captureSmall(part []byte, err error) {
+	switch {
+	case b.onSmall == nil:
+		return
+	case len(b.seen)+len(part) > maxBufferedRequestBody:
+		b.onSmall, b.seen = nil, nil
+		return
+	}
+	b.seen = append(b.seen, part...)
+	if err == io.EOF {
+		b.onSmall(b.seen)
+	}
+}
+
+func (b *requestBody) readNext(p []byte) (int, error) {
+	if len(b.prefix) == 0 {
+		return b.r.Body.Read(p)
+	}
+	n := copy(p, b.prefix)
+	b.prefix = b.prefix[n:]
+	return n, nil
+}
+
 const (
 	// abortReadDelay lets a pending Read finish if it has bytes to return.
 	abortReadDelay = 20 * time.Millisecond
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -73,6 +73,9 @@
 // CrashScreener keeps requests that crash backend servers away from them. Implementations
 // must be safe for concurrent use.
 type CrashScreener interface {
+	// NeedsBody reports whether Screen can only decide with the whole body of r, the length of
+	// which is not known.
+	NeedsBody(r *Request) bool
 	// Screen is called before a request is dispatched, and again on the backend server's
 	// instance before it is served.
 	Screen(r *Request) Screening
@@ -99,6 +102,9 @@
 
 // Run is one request running on a backend server of this instance.
 type Run interface {
+	// RecordBody records the whole of a small body, the length of which was not known when the run
+	// began.
+	RecordBody(body []byte)
 	// End records how the run ended and reports whether the backend server crashed, possibly
 	// because of the request.
 	End(status RunStatus) (crashed bool)
@@ -132,6 +138,9 @@
 // noRun is the Run used without a CrashScreener.
 type noRun struct{}
 
+// RecordBody implements Run.
+func (noRun) RecordBody([]byte) {}
+
 // End implements Run.
 func (noRun) End(RunStatus) bool { return false }
 
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -36,6 +36,9 @@
 // screen checks the request before it is dispatched. For suspects it returns the pin that
 // selects their server.
 func (x *exchange) screen() (pin uint64, refused *refusal) {
+	if refused := x.readSuspectBody(); refused != nil {
+		return 0, refused
+	}
 	x.request.Body = x.body.buffered
 	s := x.g.screen(x.request)
 	if s.Refusal != nil {
@@ -45,6 +48,18 @@
 	return s.Pin, nil
 }
 
+// readSuspectBody reads a small body that is sent in chunks if the request may be a suspect, so
+// that it is recognized like one whose length is known.
+func (x *exchange) readSuspectBody() *refusal {
+	if x.r.ContentLength >= 0 || x.g.cfg.CrashScreener == nil || !x.g.cfg.CrashScreener.NeedsBody(x.request) {
+		return nil
+	}
+	if err := x.body.bufferSmall(); err != nil {
+		return newRefusal(result.BadRequest, "the request body is incomplete: "+err.Error())
+	}
+	return nil
+}
+
 // isolate marks a request as isolated after its server crashed, before other daemons know
 // of the crash, so that the next attempt affects no other request. It reports whether
 // another attempt is allowed.
@@ -120,6 +135,15 @@
 	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(core)}
 }
 
+// NeedsBody implements CrashScreener.
+func (q *Quarantine) NeedsBody(r *Request) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.updateReports()
+	id := identityOf(r)
+	return q.core.HasSuspectLike(time.Now(), id.Fingerprint())
+}
+
 // Screen implements CrashScreener.
 func (q *Quarantine) Screen(r *Request) Screening {
 	q.mu.Lock()
@@ -221,6 +245,13 @@
 	Cancelled: quarantine.Abandoned, Crashed: quarantine.ConnectionLost,
 }
 
+// RecordBody implements Run.
+func (s *suspectRun) RecordBody(body []byte) {
+	s.q.mu.Lock()
+	defer s.q.mu.Unlock()
+	s.q.core.RecordBody(s.addr, s.runID, body)
+}
+
 // End implements Run. After a lost connection it checks whether the server is still
 // listening, to distinguish a crash from a single closed connection.
 func (s *suspectRun) End(status RunStatus) bool {
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -140,6 +140,9 @@
 	span.Set(SpanServer, req.addr)
 	b.countRequest(req.retryProbability)
 	run := g.beginRun(req.addr, req.request)
+	if req.body.streamed && req.body.contentLength() < 0 {
+		req.body.onSmall = run.RecordBody
+	}
 	var took time.Duration
 	endRun := g.retryTracker.beginRun(req)
 	out.Done = func() {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -83,6 +83,10 @@
 // Known returns the number of suspects.
 func (c *Core) Known(now time.Time) int { return c.ledger.count(now) }
 
+// HasSuspectLike reports whether there is a suspect that differs from the request in its body at
+// most.
+func (c *Core) HasSuspectLike(now time.Time, f Fingerprint) bool { return c.ledger.hasLike(now, f) }
+
 // Judge returns how a request may run.
 func (c *Core) Judge(now time.Time, f Fingerprint) Verdict { return c.ledger.judge(now, f) }
 
@@ -106,6 +110,13 @@
 	return c.nextID
 }
 
+// RecordBody records the whole body of a run that began with an unknown content length.
+func (c *Core) RecordBody(addr string, id uint64, body []byte) {
+	if r := c.servers[addr][id]; r != nil {
+		r.identity.Body, r.identity.ContentLength = body, int64(len(body))
+	}
+}
+
 // RecordConnectionLoss records that the server closed a run's connection. The caller must then
 // find out whether the server crashed, and call End.
 func (c *Core) RecordConnectionLoss(now time.Time, addr string, id uint64) {
--- a/internal/request/quarantine/fingerprint.go
+++ b/internal/request/quarantine/fingerprint.go
@@ -42,6 +42,9 @@
 	Body []byte
 }
 
+// bodyBits is the number of low bits of a Fingerprint that depend on the body. The others do not.
+const bodyBits = 32
+
 // Fingerprint returns a hash of the identity.
 func (id *Identity) Fingerprint() Fingerprint {
 	d := xxhash.New()
@@ -49,9 +52,14 @@
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
+	head := d.Sum64()
+	d.Reset()
 	var size [8]byte
 	binary.LittleEndian.PutUint64(size[:], uint64(id.ContentLength))
 	_, _ = d.Write(size[:])
 	_, _ = d.Write(id.Body)
-	return Fingerprint(d.Sum64())
+	return Fingerprint(head>>bodyBits<<bodyBits | d.Sum64()>>bodyBits)
 }
+
+// differsInBodyOnly reports whether the two requests are the same except perhaps for their body.
+func (f Fingerprint) differsInBodyOnly(other Fingerprint) bool { return f>>bodyBits == other>>bodyBits }
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -199,23 +200,42 @@
 	return slices.MaxFunc(slices.Collect(maps.Values(reports)), compareImportance)
 }
 
-func (l *ledger) count(now time.Time) int {
-	all := map[Fingerprint]bool{}
-	for f := range l.own {
-		all[f] = true
-	}
-	for f := range l.others {
-		all[f] = true
+// suspects yields the requests with an active report, those with an own report first.
+func (l *ledger) suspects(now time.Time) iter.Seq[Fingerprint] {
+	return func(yield func(Fingerprint) bool) {
+		for f := range l.own {
+			if _, _, ok := l.combined(now, f); ok && !yield(f) {
+				return
+			}
+		}
+		for f := range l.others {
+			if _, own := l.own[f]; own {
+				continue
+			}
+			if _, _, ok := l.combined(now, f); ok && !yield(f) {
+				return
+			}
+		}
 	}
+}
+
+func (l *ledger) count(now time.Time) int {
 	n := 0
-	for f := range all {
-		if _, _, ok := l.combined(now, f); ok {
-			n++
-		}
+	for range l.suspects(now) {
+		n++
 	}
 	return n
 }
 
+func (l *ledger) hasLike(now time.Time, f Fingerprint) bool {
+	for s := range l.suspects(now) {
+		if s.differsInBodyOnly(f) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *ledger) judge(now time.Time, f Fingerprint) Verdict {
 	s, _, ok := l.combined(now, f)
 	if !ok {
