Quarantine: which reports are evicted changes with each crash

Cause: a daemon reports 32 requests at most. Of more that were in progress at a crash those with the smallest fingerprints were left out, the same ones at each crash. A culprit among them is never suspected.

Change: reports on the same crash are ordered by a hash of the request and the time.

--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"iter"
 	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Suspect is one report of a daemon about a request.
@@ -295,9 +298,19 @@
 	return slices.MinFunc(slices.Collect(maps.Values(l.own)), compareImportance)
 }
 
-// compareImportance orders reports by the number of crashes, then by when they expire.
+// compareImportance orders reports by the number of crashes, then by when they expire. The order of
+// the reports on one crash differs from that on the next, so that none of the requests is left
+// out each time.
 func compareImportance(a, b Suspect) int {
-	return cmp.Or(cmp.Compare(a.Crashes, b.Crashes), a.Until.Compare(b.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	return cmp.Or(cmp.Compare(a.Crashes, b.Crashes), a.Until.Compare(b.Until), cmp.Compare(a.shuffled(), b.shuffled()))
+}
+
+// shuffled returns a pseudorandom number that depends on the request and on the time of the crash.
+func (s *Suspect) shuffled() uint64 {
+	var raw [16]byte
+	binary.LittleEndian.PutUint64(raw[:8], uint64(s.Fingerprint))
+	binary.LittleEndian.PutUint64(raw[8:], uint64(s.Until.UnixNano()))
+	return xxhash.Sum64(raw[:])
 }
 
 func (l *ledger) expire(now time.Time) {
--- a/internal/request/quarantine/ledger_test.go
+++ b/internal/request/quarantine/ledger_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,3 +60,37 @@
 	c.Check(core.Known(start), qt.Equals, cfg.MaxRemembered)
 	c.Check(core.Judge(start, culprit).Mode, qt.Equals, quarantine.Refused)
 }
+
+// TestCulpritAmongManyRunsIsFound guards against a crashing request that is never suspected because
+// more requests than a daemon reports are in progress at each of its crashes, and it is always
+// the one that is left out.
+func TestCulpritAmongManyRunsIsFound(t *testing.T) {
+	c := qt.New(t)
+	cfg := quarantine.DefaultConfig()
+	core := quarantine.New(cfg)
+	culprit := identity("culprit")
+	names := namesAbove(culprit.Fingerprint(), cfg.Max+8)
+	now := start
+	for crashes := 1; core.Judge(now, culprit.Fingerprint()).Mode == quarantine.Free; crashes++ {
+		c.Assert(crashes <= 10, qt.IsTrue, qt.Commentf("the culprit is not suspected after %d crashes", crashes))
+		now = now.Add(10 * time.Second)
+		runs := []uint64{core.Begin(now, "s", culprit, false)}
+		for _, name := range names {
+			runs = append(runs, core.Begin(now, "s", identity(name), false))
+		}
+		for _, run := range runs {
+			core.End(now, "s", run, quarantine.ConnectionLost, false)
+		}
+	}
+}
+
+// namesAbove returns names of requests whose fingerprints are larger than f.
+func namesAbove(f quarantine.Fingerprint, n int) []string {
+	var names []string
+	for i := 0; len(names) < n; i++ {
+		if name := fmt.Sprint(i); fingerprint(name) > f {
+			names = append(names, name)
+		}
+	}
+	return names
+}
