Admission: after a pause one sample all but replaces what was measured of a server

What was seen: a server got 0 or 1 requests a second for good, where others of its service got 30, after it had begun to state a rate limit far above the demand.

Cause, not the limit: the service time of a server was smoothed over the last ten samples, however old they were. After some slow answers its cost was too high for every daemon. That belief ages in five seconds, but the one request that then tried the server moved the mean by a tenth, and made it count as new: nine tenths of the slowness lasted for another five seconds, and so on. The failure rate was kept the same way.

Evidence: a simulation of the balance and admission cores, 8 daemons, 5 servers, 16 callers in closed loops. Answers that take 0.5 s longer for 0.3 s starve the server from then to the end (0.2 requests a second, 38 before), with a limit of 40 stated and without. Ruled out: the limit. With 3, 10, 25, 40 and 80 stated and no stall the server gets what it states or its share, and its share again within 2 s of the end of the limit, before the change and after (TestRateLimits).

Change: the weight of a sample grows with the pause before it.

TestServerIsUsedAgainAfterStall: 0.2 requests a second after 20 s before, above 0.8 of the usual 38 now.

--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -177,7 +177,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.core.Ended(failed)
+	g.core.Ended(time.Now(), failed)
 }
 
 // ObserveRateLimit applies the rate limit stated in a response that just arrived to a request
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -91,8 +91,9 @@
 	kindTimes    serviceTimes
 	usages       usages
 	rate         ratelimit.Limiter
-	// failureRate is the smoothed fraction of requests that fail.
+	// failureRate is the smoothed fraction of requests that fail, measured last at endedAt.
 	failureRate float64
+	endedAt     time.Time
 	// lastSlotChange is when a slot was last released, or taken on an idle server.
 	lastSlotChange time.Time
 }
--- a/internal/request/admit/failing.go
+++ b/internal/request/admit/failing.go
@@ -1,16 +1,19 @@
 package admit
 
-// failureRateWeight is the weight of one request in the failure rate, which thus
+import "time"
+
+// failureRateWeight is the least weight of one request in the failure rate, which thus
 // covers about the last ten requests.
 const failureRateWeight = 0.1
 
 // Ended records whether a request that reached the server failed there.
-func (c *Core) Ended(failed bool) {
+func (c *Core) Ended(now time.Time, failed bool) {
 	sample := 0.0
 	if failed {
 		sample = 1
 	}
-	c.failureRate += failureRateWeight * (sample - c.failureRate)
+	c.failureRate += sampleWeight(failureRateWeight, now.Sub(c.endedAt)) * (sample - c.failureRate)
+	c.endedAt = now
 }
 
 // FailureRate returns the smoothed fraction of requests that fail.
--- a/internal/request/admit/limit.go
+++ b/internal/request/admit/limit.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the limiter.
 const (
@@ -22,10 +25,21 @@
 	// baselineDrift adapts the baseline to a lasting change of latency: the
 	// baseline doubles within 1/baselineDrift windows.
 	baselineDrift = 0.05
-	// serviceTimeWeight is the weight of one sample in the smoothed service time.
+	// serviceTimeWeight is the least weight of one sample in the smoothed service time.
 	serviceTimeWeight = 0.1
 )
 
+// MeasurementDecay is the time without samples in which a smoothed measurement of a server loses
+// two thirds of its weight.
+const MeasurementDecay = 5 * time.Second
+
+// sampleWeight returns the weight of a sample in a smoothed measurement that had its last sample a
+// time before. After a long pause the sample all but replaces what was measured then: a server that
+// gets few requests because it was slow would otherwise count as slow for as many samples more.
+func sampleWeight(least float64, pause time.Duration) float64 {
+	return 1 - (1-least)*math.Exp(-pause.Seconds()/MeasurementDecay.Seconds())
+}
+
 // limiter lowers the number of concurrent requests while their latency is
 // elevated, by additive increase and multiplicative decrease (Chiu and Jain,
 // "Analysis of the Increase and Decrease Algorithms for Congestion Avoidance",
@@ -35,8 +49,9 @@
 	limit float64
 	// baseline is the latency without overload; 0 until the first window ended.
 	baseline time.Duration
-	// serviceTime is the smoothed latency of single requests.
+	// serviceTime is the smoothed latency of single requests, measured last at measuredAt.
 	serviceTime time.Duration
+	measuredAt  time.Time
 
 	// overloadedWindows counts the overloaded windows since the latency was
 	// latencyBefore.
@@ -59,7 +74,8 @@
 	if l.serviceTime == 0 {
 		l.serviceTime = took
 	}
-	l.serviceTime += time.Duration(serviceTimeWeight * float64(took-l.serviceTime))
+	l.serviceTime += time.Duration(sampleWeight(serviceTimeWeight, now.Sub(l.measuredAt)) * float64(took-l.serviceTime))
+	l.measuredAt = now
 	if l.windowCount == 0 {
 		l.windowStart = now
 	}
--- a/internal/request/balance/expected.go
+++ b/internal/request/balance/expected.go
@@ -44,10 +44,6 @@
 	defaultServiceTime = 50 * time.Millisecond
 	// meanWeight is the weight of one server's sample in the means over all servers.
 	meanWeight = 0.05
-	// serviceTimeDecay is the time in which the service time of an unused server
-	// loses two thirds of its weight against the mean of all, so that a server that
-	// was once slow is tried again.
-	serviceTimeDecay = 5 * time.Second
 )
 
 // expectedCost returns the expected time, in seconds, until a server answers a
@@ -131,8 +127,11 @@
 	return mean + time.Duration(l.freshness()*float64(l.Service-mean))
 }
 
-// freshness is the remaining weight of a load's measurements, in (0, 1].
-func (l Load) freshness() float64 { return math.Exp(-l.Idle.Seconds() / serviceTimeDecay.Seconds()) }
+// freshness is the remaining weight of a load's measurements against the means of all servers, in
+// (0, 1]. It falls while the server is not used, so that one that was once slow is tried again.
+func (l Load) freshness() float64 {
+	return math.Exp(-l.Idle.Seconds() / admit.MeasurementDecay.Seconds())
+}
 
 // updateMeans adds a measured load to the means over all servers.
 func (t *Table) updateMeans(l Load) {
