Quarantine: each crash has its log line; a body in chunks is read within the request's time

A crash that a refused connection or a run that is blamed for nothing tells of was not logged; a request that is suspected and sends its chunks slowly was waited for without limit; an empty entry of the ledger stayed until it expired.

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -130,10 +130,13 @@
 	if !b.streamed || b.r.ContentLength >= 0 || len(b.r.Trailer) > 0 {
 		return nil
 	}
+	controller := http.NewResponseController(b.w)
+	_ = controller.SetReadDeadline(time.Now().Add(b.timer.timeout))
 	read, err := io.ReadAll(io.LimitReader(b.r.Body, maxBufferedRequestBody+1))
 	if err != nil {
 		return err
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	if len(read) > maxBufferedRequestBody {
 		b.prefix = read
 		return nil
--- a/internal/connection/gateway/body_test.go
+++ b/internal/connection/gateway/body_test.go
@@ -18,7 +18,7 @@
 			sent := strings.Repeat("x", size)
 			r := httptest.NewRequest("POST", "/", io.MultiReader(strings.NewReader(sent)))
 			c.Assert(r.ContentLength, qt.Equals, int64(-1))
-			b := &requestBody{r: r, streamed: true, timer: &inactivityTimer{timer: time.NewTimer(time.Hour)}}
+			b := &requestBody{w: httptest.NewRecorder(), r: r, streamed: true, timer: &inactivityTimer{timer: time.NewTimer(time.Hour)}}
 			c.Assert(b.bufferSmall(), qt.IsNil)
 			c.Check(b.streamed, qt.Equals, size > maxBufferedRequestBody)
 			got := b.buffered
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -261,8 +261,8 @@
 		listening = stillListening(s.addr)
 	}
 	crashed, changed := s.recordEnd(quarantineOutcomes[status], listening)
-	if crashed && changed {
-		s.logCrash()
+	if changed && (status == Crashed || status == ConnectionRefused) {
+		s.logCrash(crashed && s.r.Isolated)
 	}
 	if crashed {
 		time.Sleep(crashReportDelay)
@@ -280,10 +280,10 @@
 	return crashed, changed
 }
 
-// logCrash logs a crash once. If the request ran isolated, the log entry identifies the
-// request.
-func (s *suspectRun) logCrash() {
-	if !s.r.Isolated {
+// logCrash logs a crash once. If it is due to this request, which ran isolated, the log entry
+// identifies the request.
+func (s *suspectRun) logCrash(identified bool) {
+	if !identified {
 		s.q.log.Info("backend server crashed; its requests are suspects and run in isolation next", "server", s.addr)
 		return
 	}
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -143,6 +143,10 @@
 	}
 	l.dropCleared()
 	l.limitRemembered()
+	l.collectCrashTimes()
+}
+
+func (l *ledger) collectCrashTimes() {
 	l.crashTimes = map[string][]time.Time{}
 	for _, reports := range l.others {
 		for source, r := range reports {
@@ -171,6 +175,9 @@
 		cleared := clearedUntil(l.reportsOn(f))
 		isCleared := func(s Suspect) bool { return s.Crashes > 0 && !s.Until.After(cleared) }
 		maps.DeleteFunc(reports, func(_ string, s Suspect) bool { return isCleared(s) })
+		if len(reports) == 0 {
+			delete(l.others, f)
+		}
 		if own, reported := l.own[f]; reported && isCleared(own) {
 			delete(l.own, f)
 		}
@@ -230,6 +237,7 @@
 	return n
 }
 
+// hasLike reports whether there is a suspect that differs from f in its body at most.
 func (l *ledger) hasLike(now time.Time, f Fingerprint) bool {
 	for s := range l.suspects(now) {
 		if s.differsInBodyOnly(f) {
--- a/internal/request/quarantine/ledger_test.go
+++ b/internal/request/quarantine/ledger_test.go
@@ -46,6 +46,24 @@
 	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Alone)
 }
 
+// TestAbandonedRunCrashesServer guards against a crash that is noticed by nobody because its request
+// was abandoned shortly before and nothing else ran.
+func TestAbandonedRunCrashesServer(t *testing.T) {
+	for after, want := range map[time.Duration]quarantine.Mode{
+		900 * time.Millisecond: quarantine.Alone, 1100 * time.Millisecond: quarantine.Free,
+	} {
+		c := qt.New(t)
+		core := quarantine.New(quarantine.DefaultConfig())
+		abandoned := core.Begin(start, "s", identity("culprit"), false)
+		core.End(start, "s", abandoned, quarantine.Abandoned, true)
+		next := core.Begin(start.Add(after), "s", identity("next"), false)
+		crashed, _ := core.End(start.Add(after), "s", next, quarantine.ConnectionRefused, true)
+		c.Check(crashed, qt.IsFalse)
+		c.Check(core.Judge(start.Add(after), fingerprint("culprit")).Mode, qt.Equals, want)
+		c.Check(core.Judge(start.Add(after), fingerprint("next")).Mode, qt.Equals, quarantine.Free)
+	}
+}
+
 // TestRememberedReportsAreLimited checks that the requests with the most crashes are kept.
 func TestRememberedReportsAreLimited(t *testing.T) {
 	c := qt.New(t)
