--- a/internal/request/admit/failing.go
+++ b/internal/request/admit/failing.go
@@ -2,17 +2,19 @@
 
 import "time"
 
-// failureRateWeight is the least weight of one request in the failure rate, which thus
+// failureRateWeight is the weight of one request in the failure rate, which thus
 // covers about the last ten requests.
 const failureRateWeight = 0.1
 
-// Ended records whether a request that reached the server failed there.
+// Ended records whether a request that reached the server failed there. Failures count for less
+// the longer no request has ended since.
 func (c *Core) Ended(now time.Time, failed bool) {
 	sample := 0.0
 	if failed {
 		sample = 1
 	}
-	c.failureRate += sampleWeight(failureRateWeight, now.Sub(c.endedAt)) * (sample - c.failureRate)
+	c.failureRate *= remainingWeight(now.Sub(c.endedAt))
+	c.failureRate += failureRateWeight * (sample - c.failureRate)
 	c.endedAt = now
 }
 
--- a/internal/request/admit/limit.go
+++ b/internal/request/admit/limit.go
@@ -33,11 +33,10 @@
 // two thirds of its weight.
 const MeasurementDecay = 5 * time.Second
 
-// sampleWeight returns the weight of a sample in a smoothed measurement that had its last sample a
-// time before. After a long pause the sample all but replaces what was measured then: a server that
-// gets few requests because it was slow would otherwise count as slow for as many samples more.
-func sampleWeight(least float64, pause time.Duration) float64 {
-	return 1 - (1-least)*math.Exp(-pause.Seconds()/MeasurementDecay.Seconds())
+// remainingWeight returns the weight, in (0, 1], that a smoothed measurement has left after a time
+// without samples.
+func remainingWeight(pause time.Duration) float64 {
+	return math.Exp(-pause.Seconds() / MeasurementDecay.Seconds())
 }
 
 // limiter lowers the number of concurrent requests while their latency is
@@ -74,7 +73,10 @@
 	if l.serviceTime == 0 {
 		l.serviceTime = took
 	}
-	l.serviceTime += time.Duration(sampleWeight(serviceTimeWeight, now.Sub(l.measuredAt)) * float64(took-l.serviceTime))
+	// After a pause the sample counts for more. Otherwise a server that gets few requests because
+	// it was slow would count as slow until it had as many again.
+	weight := 1 - (1-serviceTimeWeight)*remainingWeight(now.Sub(l.measuredAt))
+	l.serviceTime += time.Duration(weight * float64(took-l.serviceTime))
 	l.measuredAt = now
 	if l.windowCount == 0 {
 		l.windowStart = now
