Presence: a restarted daemon takes the newest suspects of the process before

What callers could see: a request that crashed two servers runs once more after a restart of the daemon that reported it.

Cause: a restarted daemon gets records of the process before from its neighbours, in any order. It kept the first report on a request, and ignored a record that made the list no longer.

Change: of two records the newer one counts, and the list is published if it differs.

TestRestartLearnsNewestSuspects failed before: one crash in place of two.

--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -46,9 +46,13 @@
 	pull         pull
 	prober       prober
 	takeover     takeover
+	// ownSuspects are the suspects of this process.
+	ownSuspects []Suspect
 	// inheritedSuspects are the suspects published by earlier processes of this
 	// daemon.
 	inheritedSuspects []Suspect
+	// inheritedFrom is the stamp of the newest record in inheritedSuspects.
+	inheritedFrom Stamp
 	// nextForget is when expired tombstones are removed next.
 	nextForget time.Time
 }
@@ -121,7 +125,12 @@
 // SetSuspects replaces the suspects of this daemon. Of more than MaxSuspects, those
 // that expire first are omitted.
 func (c *Core) SetSuspects(suspects []Suspect) []Action {
-	c.self.Suspects = limitSuspects(mergeSuspects(suspects, c.inheritedSuspects))
+	c.ownSuspects = slices.Clone(suspects)
+	return c.publishSuspects()
+}
+
+func (c *Core) publishSuspects() []Action {
+	c.self.Suspects = limitSuspects(mergeSuspects(c.ownSuspects, c.inheritedSuspects))
 	return c.publishSelf()
 }
 
@@ -131,12 +140,16 @@
 	if earlier.Incarnation >= c.self.Incarnation || len(earlier.Suspects) == 0 {
 		return nil
 	}
-	before := len(c.inheritedSuspects)
-	c.inheritedSuspects = limitSuspects(mergeSuspects(c.inheritedSuspects, earlier.Suspects))
-	if len(c.inheritedSuspects) == before {
+	preferred, other := c.inheritedSuspects, earlier.Suspects
+	if s := earlier.stamp(); s.newer(c.inheritedFrom) {
+		preferred, other, c.inheritedFrom = other, preferred, s
+	}
+	inherited := limitSuspects(mergeSuspects(preferred, other))
+	if slices.Equal(inherited, c.inheritedSuspects) {
 		return nil
 	}
-	return c.SetSuspects(c.self.Suspects)
+	c.inheritedSuspects = inherited
+	return c.publishSuspects()
 }
 
 // Leave marks this daemon as leaving.
--- a/internal/process/presence/restart_test.go
+++ b/internal/process/presence/restart_test.go
@@ -60,3 +60,22 @@
 	want := []presence.Suspect{{Fingerprint: 7, Until: 5_000_000}, {Fingerprint: 8, Crashes: 1, Until: 4_000_000}, {Fingerprint: 9, Crashes: 1, Until: 4_000_000}}
 	c.Check(suspectsSeen("b", "a"), qt.DeepEquals, want)
 }
+
+// TestRestartLearnsNewestSuspects guards against a restarted daemon that publishes what one neighbour
+// knew of its previous process, although another one knows a later record with a further crash.
+func TestRestartLearnsNewestSuspects(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	self := view.Node{Name: "a"}
+	previous := func(seq uint64, crashes uint8) presence.Record {
+		return presence.Record{Node: self, Incarnation: 1, Seq: seq, Suspects: []presence.Suspect{{Fingerprint: 7, Crashes: crashes, Until: int64(crashes) * 1_000_000}}}
+	}
+	older, newer := previous(3, 1), previous(4, 2)
+	for _, order := range [][]presence.Record{{older, newer}, {newer, older}} {
+		core := presence.New(presence.Config{Self: self, Incarnation: 2})
+		for _, r := range order {
+			core.Receive(now, "b", presence.Message{Type: presence.MsgRecords, Records: []presence.Record{r}})
+		}
+		c.Check(core.Records()[0].Suspects, qt.DeepEquals, newer.Suspects)
+	}
+}
