Presence: of too many suspects those of the fewest crashes are omitted

Cause: a daemon's record holds 32 suspects, and kept those that expire last. A request that crashed two servers expires a minute after one of a single crash, so that after a restart 32 harmless requests in progress at a crash two minutes later took the place of the inherited culprit. The ledger of package quarantine already went by crashes.

TestInheritedCulpritIsKept failed before.

--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -122,8 +122,8 @@
 	return c.publishSelf()
 }
 
-// SetSuspects replaces the suspects of this daemon. Of more than MaxSuspects, those
-// that expire first are omitted.
+// SetSuspects replaces the suspects of this daemon. Of more than MaxSuspects, those of the
+// fewest crashes are omitted.
 func (c *Core) SetSuspects(suspects []Suspect) []Action {
 	c.ownSuspects = slices.Clone(suspects)
 	return c.publishSuspects()
--- a/internal/process/presence/restart_test.go
+++ b/internal/process/presence/restart_test.go
@@ -1,6 +1,7 @@
 package presence_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -79,3 +80,22 @@
 		c.Check(core.Records()[0].Suspects, qt.DeepEquals, newer.Suspects)
 	}
 }
+
+// TestInheritedCulpritIsKept guards against a request that crashed several servers and is forgotten
+// because the daemon that reported it restarted and has seen another crash since.
+func TestInheritedCulpritIsKept(t *testing.T) {
+	c := qt.New(t)
+	self := view.Node{Name: "a"}
+	culprit := presence.Suspect{Fingerprint: 7, Crashes: 2, Until: 1_000_000}
+	core := presence.New(presence.Config{Self: self, Incarnation: 2})
+	previous := presence.Record{Node: self, Incarnation: 1, Seq: 1, Suspects: []presence.Suspect{culprit}}
+	core.Receive(time.Unix(1000, 0), "b", presence.Message{Type: presence.MsgRecords, Records: []presence.Record{previous}})
+	var fresh []presence.Suspect
+	for i := range presence.MaxSuspects {
+		fresh = append(fresh, presence.Suspect{Fingerprint: uint64(100 + i), Crashes: 1, Until: 2_000_000})
+	}
+	core.SetSuspects(fresh)
+	got := core.Records()[0].Suspects
+	c.Check(got, qt.HasLen, presence.MaxSuspects)
+	c.Check(slices.Contains(got, culprit), qt.IsTrue)
+}
--- a/internal/process/presence/suspect.go
+++ b/internal/process/presence/suspect.go
@@ -32,12 +32,12 @@
 	return all
 }
 
-// limitSuspects returns a copy with the MaxSuspects suspects that expire last, sorted
-// by fingerprint.
+// limitSuspects returns a copy with the MaxSuspects suspects of the most crashes, of equal ones
+// those that expire last, sorted by fingerprint.
 func limitSuspects(suspects []Suspect) []Suspect {
 	kept := slices.Clone(suspects)
 	slices.SortFunc(kept, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(b.Until, a.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(b.Until, a.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	kept = kept[:min(len(kept), MaxSuspects)]
 	slices.SortFunc(kept, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
