Dev: the test of connections after a start waits for links that a busy machine ends late

Traced with the counts over time: sources have up to 17 connections at first, links that are too many, and end them after 1.4 to 3.3 s there; all were at 13 or below in 6 of 6 runs. The fault that the test guards against keeps connections for 10 s. It waits 5 s now; with the mend of switched off it still fails (29 connections); 6 of 6 runs at once pass.

--- a/internal/process/dev/connections_test.go
+++ b/internal/process/dev/connections_test.go
@@ -38,8 +38,9 @@
 	const nodes, sources = 40, 5
 	// A source has connections from its links, the other sources and the reader of its metrics.
 	const maxConnections = 7 + (sources - 1) + 2
-	// connectionsWithin is shorter than the time for which the pool keeps an idle connection.
-	const connectionsWithin = 2 * time.Second
+	// connectionsWithin is shorter than the time for which the pool keeps an idle connection, and
+	// enough for a source on a busy machine to end the links that it has too many of.
+	const connectionsWithin = 5 * time.Second
 	r := newFixture(c, dev.Config{Nodes: nodes, Log: logr.Discard()})
 	m := manifest.Manifest{Mesh: rolloutMesh, Version: 1, Services: []manifest.Service{{Name: rolloutService}}}
 	r.eventually(c, func() bool { return r.submit(c, m) == nil })
