--- a/internal/request/admit/failing.go
+++ b/internal/request/admit/failing.go
@@ -13,7 +13,7 @@
 	if failed {
 		sample = 1
 	}
-	c.failureRate *= remainingWeight(now.Sub(c.endedAt))
+	c.failureRate *= RemainingWeight(now.Sub(c.endedAt))
 	c.failureRate += failureRateWeight * (sample - c.failureRate)
 	c.endedAt = now
 }
--- a/internal/request/admit/limit.go
+++ b/internal/request/admit/limit.go
@@ -33,9 +33,9 @@
 // two thirds of its weight.
 const MeasurementDecay = 5 * time.Second
 
-// remainingWeight returns the weight, in (0, 1], that a smoothed measurement has left after a time
+// RemainingWeight returns the weight, in (0, 1], that a smoothed measurement has left after a time
 // without samples.
-func remainingWeight(pause time.Duration) float64 {
+func RemainingWeight(pause time.Duration) float64 {
 	return math.Exp(-pause.Seconds() / MeasurementDecay.Seconds())
 }
 
@@ -75,7 +75,7 @@
 	}
 	// After a pause the sample counts for more. Otherwise a server that gets few requests because
 	// it was slow would count as slow until it had as many again.
-	weight := 1 - (1-serviceTimeWeight)*remainingWeight(now.Sub(l.measuredAt))
+	weight := 1 - (1-serviceTimeWeight)*RemainingWeight(now.Sub(l.measuredAt))
 	l.serviceTime += time.Duration(weight * float64(took-l.serviceTime))
 	l.measuredAt = now
 	if l.windowCount == 0 {
--- a/internal/request/balance/expected.go
+++ b/internal/request/balance/expected.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"time"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
@@ -129,9 +128,7 @@
 
 // freshness is the remaining weight of a load's measurements against the means of all servers, in
 // (0, 1]. It falls while the server is not used, so that one that was once slow is tried again.
-func (l Load) freshness() float64 {
-	return math.Exp(-l.Idle.Seconds() / admit.MeasurementDecay.Seconds())
-}
+func (l Load) freshness() float64 { return admit.RemainingWeight(l.Idle) }
 
 // updateMeans adds a measured load to the means over all servers.
 func (t *Table) updateMeans(l Load) {
