--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -210,37 +210,41 @@
 	return slices.MaxFunc(slices.Collect(maps.Values(reports)), compareImportance)
 }
 
-// suspects yields the requests with an active report, those with an own report first.
-func (l *ledger) suspects(now time.Time) iter.Seq[Fingerprint] {
+// fingerprints yields the requests with a report, active or not, each once.
+func (l *ledger) fingerprints() iter.Seq[Fingerprint] {
 	return func(yield func(Fingerprint) bool) {
 		for f := range l.own {
-			if _, _, ok := l.combined(now, f); ok && !yield(f) {
+			if !yield(f) {
 				return
 			}
 		}
 		for f := range l.others {
-			if _, own := l.own[f]; own {
-				continue
-			}
-			if _, _, ok := l.combined(now, f); ok && !yield(f) {
+			if _, own := l.own[f]; !own && !yield(f) {
 				return
 			}
 		}
 	}
 }
 
+func (l *ledger) isSuspect(now time.Time, f Fingerprint) bool {
+	_, _, ok := l.combined(now, f)
+	return ok
+}
+
 func (l *ledger) count(now time.Time) int {
 	n := 0
-	for range l.suspects(now) {
-		n++
+	for f := range l.fingerprints() {
+		if l.isSuspect(now, f) {
+			n++
+		}
 	}
 	return n
 }
 
 // hasLike reports whether there is a suspect that differs from f in its body at most.
 func (l *ledger) hasLike(now time.Time, f Fingerprint) bool {
-	for s := range l.suspects(now) {
-		if s.differsInBodyOnly(f) {
+	for other := range l.fingerprints() {
+		if other.differsInBodyOnly(f) && l.isSuspect(now, other) {
 			return true
 		}
 	}
