Quarantine: logs and metrics name the requests that a crash is attributed to

The core now returns events: a crash with all its requests (fingerprint, method, path, origin, crashes, alone), a crash that another daemon saw, a suspect cleared, a report evicted. Verdicts tell whether a quarantined request runs because it is excused or because its refusal has ended.

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/request/admit"
@@ -126,13 +127,16 @@
 	core *quarantine.Core
 	// learnedFrom is the directory whose reports core has processed.
 	learnedFrom *directory.Directory
+	counters    QuarantineCounters
+	// releaseLines limits the log lines about quarantined requests that run.
+	releaseLines *rate.Limiter
 }
 
 // NewQuarantine returns a Quarantine.
 func NewQuarantine(cfg QuarantineConfig, log logr.Logger) *Quarantine {
 	core := quarantine.DefaultConfig()
 	core.SlowRestart = cfg.SlowRestart
-	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(core)}
+	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(core), releaseLines: rate.NewLimiter(releaseLinesPerSecond, releaseLinesPerSecond)}
 }
 
 // NeedsBody implements CrashScreener.
@@ -153,7 +157,7 @@
 		return Screening{}
 	}
 	id := identityOf(r)
-	return q.judge(time.Now(), id.Fingerprint(), r.Isolated)
+	return q.judge(time.Now(), &id, r.Isolated)
 }
 
 // ReportCrash implements CrashScreener.
@@ -162,15 +166,18 @@
 	defer q.mu.Unlock()
 	q.updateReports()
 	id := identityOf(r)
-	now, f := time.Now(), id.Fingerprint()
-	if q.core.ReportRemoteCrash(now, f, r.Isolated) {
+	now := time.Now()
+	if q.core.ReportRemoteCrash(now, &id, r.Isolated) {
 		q.publish()
 	}
-	return q.judge(now, f, true)
+	q.reportEvents()
+	return q.judge(now, &id, true)
 }
 
-func (q *Quarantine) judge(now time.Time, f quarantine.Fingerprint, isolated bool) Screening {
+func (q *Quarantine) judge(now time.Time, id *quarantine.Identity, isolated bool) Screening {
+	f := id.Fingerprint()
 	v := q.core.Judge(now, f)
+	q.reportVerdict(v, id)
 	switch {
 	case v.Mode == quarantine.Refused:
 		code := result.Quarantined
@@ -260,35 +267,22 @@
 		s.recordConnectionLoss()
 		listening = stillListening(s.addr)
 	}
-	crashed, changed := s.recordEnd(quarantineOutcomes[status], listening)
-	if changed && (status == Crashed || status == ConnectionRefused) {
-		s.logCrash(crashed && s.r.Isolated)
-	}
+	crashed := s.recordEnd(quarantineOutcomes[status], listening)
 	if crashed {
 		time.Sleep(crashReportDelay)
 	}
 	return crashed
 }
 
-func (s *suspectRun) recordEnd(outcome quarantine.Outcome, listening bool) (crashed, changed bool) {
+func (s *suspectRun) recordEnd(outcome quarantine.Outcome, listening bool) (crashed bool) {
 	s.q.mu.Lock()
 	defer s.q.mu.Unlock()
-	crashed, changed = s.q.core.End(time.Now(), s.addr, s.runID, outcome, listening)
+	crashed, changed := s.q.core.End(time.Now(), s.addr, s.runID, outcome, listening)
 	if changed {
 		s.q.publish()
 	}
-	return crashed, changed
-}
-
-// logCrash logs a crash once. If it is due to this request, which ran isolated, the log entry
-// identifies the request.
-func (s *suspectRun) logCrash(identified bool) {
-	if !identified {
-		s.q.log.Info("backend server crashed; its requests are suspects and run in isolation next", "server", s.addr)
-		return
-	}
-	s.q.log.Info("backend server crashed by a request in isolation; the request is quarantined",
-		"server", s.addr, "mesh", s.r.Mesh, "method", s.r.HTTP.Method, "path", s.r.HTTP.URL.Path)
+	s.q.reportEvents()
+	return crashed
 }
 
 func (s *suspectRun) recordConnectionLoss() {
--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -328,7 +328,7 @@
 
 // metricsState returns the values of the metrics about claims and suspects.
 func (s *claimManager) metricsState() telemetry.IdempotencyState {
-	state := telemetry.IdempotencyState{Waiting: s.once.PendingResults(), Suspects: s.suspects.Known()}
+	state := telemetry.IdempotencyState{Waiting: s.once.PendingResults(), Suspects: s.suspects.Known(), Quarantine: s.suspects.Counters()}
 	if s.group == nil {
 		return state
 	}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -92,8 +92,14 @@
 
 // ReportRemoteCrash records that another daemon observed a crash while the request was in
 // progress, alone or not. It reports whether that was new.
-func (c *Core) ReportRemoteCrash(now time.Time, f Fingerprint, alone bool) bool {
-	return c.ledger.addRemoteCrash(now, f, alone)
+func (c *Core) ReportRemoteCrash(now time.Time, id *Identity, alone bool) bool {
+	blamed := newBlamed(id)
+	blamed.Alone = alone
+	var added bool
+	if blamed.Crashes, added = c.ledger.addRemoteCrash(now, blamed.Fingerprint, alone); added {
+		c.ledger.events = append(c.ledger.events, Event{Kind: CrashedElsewhere, Requests: []Blamed{blamed}})
+	}
+	return added
 }
 
 // Reports returns the reports of this daemon, which are sent to all others.
@@ -135,7 +141,7 @@
 	}
 	switch {
 	case outcome == Completed && !c.ledger.empty():
-		changed = c.ledger.clear(now, r.identity.Fingerprint())
+		changed = c.clear(now, &r.identity)
 	case outcome == ConnectionLost && r.reported:
 		crashed = true
 	case outcome == ConnectionLost && (!listening || !c.ledger.cfg.SlowRestart && c.hasRestarted(addr)):
@@ -156,6 +162,16 @@
 	return crashed, changed
 }
 
+// clear reports that a request ended well, and returns whether it was a suspect.
+func (c *Core) clear(now time.Time, id *Identity) bool {
+	blamed := newBlamed(id)
+	cleared := c.ledger.clear(now, blamed.Fingerprint)
+	if cleared {
+		c.ledger.events = append(c.ledger.events, Event{Kind: Cleared, Requests: []Blamed{blamed}})
+	}
+	return cleared
+}
+
 // hasAbandoned reports whether a run was abandoned on the server less than abandonedWindow ago.
 func (c *Core) hasAbandoned(addr string) bool {
 	for _, r := range c.servers[addr] {
@@ -232,18 +248,25 @@
 func (c *Core) reportCrash(now time.Time, addr string) {
 	c.dropAbandoned(now, addr)
 	runs := c.servers[addr]
-	ranAlone := map[Fingerprint]bool{}
-	event := c.currentCrash(now, addr)
+	requests := map[Fingerprint]*Blamed{}
+	crash := c.currentCrash(now, addr)
 	for _, id := range slices.Sorted(maps.Keys(runs)) {
 		r := runs[id]
-		if r.reported || r.lostInEarlierEvent(now) || r.startedDuring(event) {
+		if r.reported || r.lostInEarlierEvent(now) || r.startedDuring(crash) {
 			continue
 		}
 		r.reported = true
-		f := r.identity.Fingerprint()
-		ranAlone[f] = ranAlone[f] || r.alone
+		blamed := newBlamed(&r.identity)
+		if requests[blamed.Fingerprint] == nil {
+			requests[blamed.Fingerprint] = &blamed
+		}
+		requests[blamed.Fingerprint].Alone = requests[blamed.Fingerprint].Alone || r.alone
 	}
-	for _, f := range slices.Sorted(maps.Keys(ranAlone)) {
-		c.ledger.addCrash(now, f, ranAlone[f], false)
+	event := Event{Kind: Crashed, Server: addr}
+	for _, f := range slices.Sorted(maps.Keys(requests)) {
+		blamed := requests[f]
+		blamed.Crashes = c.ledger.addCrash(now, f, blamed.Alone, false)
+		event.Requests = append(event.Requests, *blamed)
 	}
+	c.ledger.events = append(c.ledger.events, event)
 }
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -72,6 +72,11 @@
 	Mode Mode
 	// Until is set if Mode is Refused.
 	Until time.Time
+	// Crashes is the number of crashes known, as in Suspect.Crashes.
+	Crashes uint8
+	// Excused is set if the request runs although its last crash is recent, because other
+	// servers crashed at the same time.
+	Excused bool
 }
 
 // ledger combines the reports of all daemons.
@@ -84,6 +89,8 @@
 	others map[Fingerprint]map[string]Suspect
 	// crashTimes holds the times of the crashes that other daemons observed, by source.
 	crashTimes map[string][]time.Time
+	// events are the events since the last call of Core.TakeEvents.
+	events []Event
 }
 
 func (l *ledger) empty() bool { return len(l.own) == 0 && len(l.others) == 0 }
@@ -256,14 +263,18 @@
 	if !ok {
 		return Verdict{}
 	}
-	if end := s.Until.Add(-l.cfg.Memory); s.Crashes > 1 && now.Before(end) && !l.excused(now, s) {
-		return Verdict{Mode: Refused, Until: end}
+	v := Verdict{Mode: Alone, Crashes: s.Crashes}
+	if end := s.Until.Add(-l.cfg.Memory); s.Crashes > 1 && now.Before(end) {
+		v.Excused = l.excused(now, s)
+		if !v.Excused {
+			v.Mode, v.Until = Refused, end
+		}
 	}
-	return Verdict{Mode: Alone}
+	return v
 }
 
-// addCrash reports a request in progress at a crash.
-func (l *ledger) addCrash(now time.Time, f Fingerprint, ranAlone, remote bool) {
+// addCrash reports a request in progress at a crash, and returns its Suspect.Crashes.
+func (l *ledger) addCrash(now time.Time, f Fingerprint, ranAlone, remote bool) uint8 {
 	s, cleared, _ := l.combined(now, f)
 	crashes := max(s.Crashes, 1)
 	if ranAlone && crashes < math.MaxUint8 {
@@ -274,17 +285,17 @@
 		until = cleared.Add(time.Millisecond)
 	}
 	l.store(now, Suspect{Fingerprint: f, Crashes: crashes, Until: until, ObservedElsewhere: remote})
+	return crashes
 }
 
 // addRemoteCrash reports a crash that another daemon observed, unless it is known, and
-// returns whether it was new.
-func (l *ledger) addRemoteCrash(now time.Time, f Fingerprint, ranAlone bool) bool {
+// returns the request's Suspect.Crashes and whether the crash was new.
+func (l *ledger) addRemoteCrash(now time.Time, f Fingerprint, ranAlone bool) (crashes uint8, added bool) {
 	s, _, _ := l.combined(now, f)
 	if s.Crashes > 1 || (s.Crashes == 1 && !ranAlone) {
-		return false
+		return s.Crashes, false
 	}
-	l.addCrash(now, f, ranAlone, true)
-	return true
+	return l.addCrash(now, f, ranAlone, true), true
 }
 
 // clear reports that a suspect ended well, and returns whether f was a suspect.
@@ -301,7 +312,9 @@
 	l.expire(now)
 	l.own[s.Fingerprint] = s
 	if len(l.own) > l.cfg.Max {
-		delete(l.own, l.leastImportant().Fingerprint)
+		evicted := l.leastImportant()
+		delete(l.own, evicted.Fingerprint)
+		l.events = append(l.events, Event{Kind: Evicted, Requests: []Blamed{{Fingerprint: evicted.Fingerprint, Crashes: evicted.Crashes}}})
 	}
 }
 
