Quarantine: a request is refused until its callers stop after three crashes alone; other callers' copies share what is known

Two faults of one class: what the fleet knows of a request was not applied to its next send.

A request that instances of several services send was new to the fleet for each of them: two crashes a service before it was refused, and again at each end of the refusal.

Cause: a refusal ended by time alone, and the count of crashes had no consequence but a longer refusal. What was known hung on the fingerprint, which holds the sender; nothing connected the requests for the same content.

Now reports state the content (method, path, query, body) beside the fingerprint. While one sender's request is a suspect, the others' run alone once; a good end clears each on its own. Where two senders' have crashed servers alone, those that never ended well are refused with them. After three crashes alone, over all senders, a refusal ends only when nobody has sent the request for a quarter of an hour or more: a refused send renews reports that are past half of their life.

Reports of daemons of the release before state no content; they count for their fingerprint only. Events now name the requests that were in progress at a crash and spared, with the age of each run.

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -175,15 +175,18 @@
 }
 
 func (q *Quarantine) judge(now time.Time, id *quarantine.Identity, isolated bool) Screening {
-	f := id.Fingerprint()
-	v := q.core.Judge(now, f)
+	v := q.core.Judge(now, id)
+	if v.Renew {
+		q.core.Renew(now, id)
+		q.publish()
+	}
 	q.reportVerdict(v, id)
 	switch {
 	case v.Mode == quarantine.Refused:
 		code := result.Quarantined
 		return Screening{Refusal: result.Errorf(code, "%s", code.Meaning()), RetryAfter: v.Until.Sub(now)}
 	case v.Mode == quarantine.Alone || isolated:
-		return Screening{Isolated: true, Pin: uint64(f)}
+		return Screening{Isolated: true, Pin: uint64(id.Content())}
 	}
 	return Screening{}
 }
@@ -218,7 +221,7 @@
 			// Reports of an earlier process of this daemon are treated like those of
 			// another daemon.
 			reports = append(reports, quarantine.Suspect{
-				Fingerprint: f, Crashes: s.Crashes, Until: time.UnixMilli(s.Until), ObservedElsewhere: s.Told || self, Source: r.Node.Name,
+				Fingerprint: f, Content: quarantine.Content(s.Content), Crashes: s.Crashes, Until: time.UnixMilli(s.Until), ObservedElsewhere: s.Told || self, Source: r.Node.Name,
 			})
 		}
 	}
@@ -292,11 +295,18 @@
 }
 
 func (q *Quarantine) publish() {
+	q.cfg.Publish(presenceSuspects(q.core.Reports()))
+}
+
+func presenceSuspects(reports []quarantine.Suspect) []presence.Suspect {
 	var out []presence.Suspect
-	for _, s := range q.core.Reports() {
-		out = append(out, presence.Suspect{Fingerprint: uint64(s.Fingerprint), Crashes: s.Crashes, Until: s.Until.UnixMilli(), Told: s.ObservedElsewhere})
+	for _, s := range reports {
+		out = append(out, presence.Suspect{
+			Fingerprint: uint64(s.Fingerprint), Content: uint64(s.Content), Crashes: s.Crashes,
+			Until: s.Until.UnixMilli(), Told: s.ObservedElsewhere,
+		})
 	}
-	q.cfg.Publish(out)
+	return out
 }
 
 // stillListening reports whether addr does not refuse connections. A server that is
--- a/internal/connection/gateway/quarantine_report.go
+++ b/internal/connection/gateway/quarantine_report.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxLoggedSuspects is the maximum number of suspects in the log line of a crash.
+	// maxLoggedSuspects is the maximum number of requests in one field of a crash's log line.
 	maxLoggedSuspects = 32
 	// releaseLinesPerSecond bounds the log lines about quarantined requests that run.
 	releaseLinesPerSecond = 10
@@ -56,22 +56,34 @@
 }
 
 func (q *Quarantine) reportCrash(e quarantine.Event) {
-	var suspects []string
 	proven := false
 	for _, r := range e.Requests {
 		if r.Alone {
 			proven = true
 			q.counters.Proven++
-			q.log.Info("backend server crashed by a request in isolation; the request is quarantined", fields(r, "server", e.Server)...)
+			q.log.Info("backend server crashed by a request in isolation; the request is quarantined", fields(r,
+				"server", e.Server, "age", r.Age, "in_progress", describe(e.Requests), "spared", describe(e.Spared))...)
 		}
-		suspects = append(suspects, fmt.Sprintf("%s %s %s", formatFingerprint(r.Fingerprint), r.Method, r.Path))
 	}
 	if !proven {
 		q.log.Info("backend server crashed; its requests are suspects and run in isolation next",
-			"server", e.Server, "requests", len(e.Requests), "suspects", suspects[:min(len(suspects), maxLoggedSuspects)])
+			"server", e.Server, "requests", len(e.Requests), "suspects", describe(e.Requests), "spared", describe(e.Spared))
 	}
 }
 
+// describe returns the fingerprint, method, path and age of up to maxLoggedSuspects requests.
+func describe(requests []quarantine.Blamed) []string {
+	texts := []string{}
+	for _, r := range requests[:min(len(requests), maxLoggedSuspects)] {
+		text := fmt.Sprintf("%s %s %s %s", formatFingerprint(r.Fingerprint), r.Method, r.Path, r.Age)
+		if r.Abandoned {
+			text += " abandoned"
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
 // reportVerdict logs and counts the verdict on a request that has crashed a server while it ran
 // alone.
 func (q *Quarantine) reportVerdict(v quarantine.Verdict, id *quarantine.Identity) {
--- a/internal/process/presence/suspect.go
+++ b/internal/process/presence/suspect.go
@@ -12,6 +12,8 @@
 type Suspect struct {
 	// Fingerprint identifies the content of the request.
 	Fingerprint uint64
+	// Content identifies the content alone, whoever sent the request; 0 if it is not known.
+	Content uint64
 	// Crashes is the number of crashes that the owner saw while the request was in
 	// progress.
 	Crashes uint8
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -87,8 +87,17 @@
 // most.
 func (c *Core) HasSuspectLike(now time.Time, f Fingerprint) bool { return c.ledger.hasLike(now, f) }
 
-// Judge returns how a request may run.
-func (c *Core) Judge(now time.Time, f Fingerprint) Verdict { return c.ledger.judge(now, f) }
+// Judge returns how a request may run. If Verdict.Renew is set, the caller must call Renew.
+func (c *Core) Judge(now time.Time, id *Identity) Verdict {
+	return c.ledger.judge(now, id.Fingerprint(), id.Content())
+}
+
+// Renew extends the refusal of a request that is still sent. The reports have changed afterwards.
+func (c *Core) Renew(now time.Time, id *Identity) { c.ledger.renew(now, id.Content()) }
+
+// Proven returns a report on each request that crashed a server while it ran alone, whichever
+// daemon observed that.
+func (c *Core) Proven(now time.Time) []Suspect { return c.ledger.proven(now) }
 
 // ReportRemoteCrash records that another daemon observed a crash while the request was in
 // progress, alone or not. It reports whether that was new.
@@ -96,7 +105,7 @@
 	blamed := newBlamed(id)
 	blamed.Alone = alone
 	var added bool
-	if blamed.Crashes, added = c.ledger.addRemoteCrash(now, blamed.Fingerprint, alone); added {
+	if blamed.Crashes, added = c.ledger.addRemoteCrash(now, blamed.Fingerprint, blamed.Content, alone); added {
 		c.ledger.events = append(c.ledger.events, Event{Kind: CrashedElsewhere, Requests: []Blamed{blamed}})
 	}
 	return added
@@ -165,7 +174,7 @@
 // clear reports that a request ended well, and returns whether it was a suspect.
 func (c *Core) clear(now time.Time, id *Identity) bool {
 	blamed := newBlamed(id)
-	cleared := c.ledger.clear(now, blamed.Fingerprint)
+	cleared := c.ledger.clear(now, blamed.Fingerprint, id.Content())
 	if cleared {
 		c.ledger.events = append(c.ledger.events, Event{Kind: Cleared, Requests: []Blamed{blamed}})
 	}
@@ -250,23 +259,30 @@
 	runs := c.servers[addr]
 	requests := map[Fingerprint]*Blamed{}
 	crash := c.currentCrash(now, addr)
+	event := Event{Kind: Crashed, Server: addr}
 	for _, id := range slices.Sorted(maps.Keys(runs)) {
 		r := runs[id]
-		if r.reported || r.lostInEarlierEvent(now) || r.startedDuring(crash) {
+		if r.reported {
 			continue
 		}
-		r.reported = true
 		blamed := newBlamed(&r.identity)
+		blamed.Age, blamed.Abandoned = now.Sub(r.startedAt), !r.abandonedAt.IsZero()
+		if r.lostInEarlierEvent(now) || r.startedDuring(crash) {
+			event.Spared = append(event.Spared, blamed)
+			continue
+		}
+		r.reported = true
 		if requests[blamed.Fingerprint] == nil {
 			requests[blamed.Fingerprint] = &blamed
 		}
 		requests[blamed.Fingerprint].Alone = requests[blamed.Fingerprint].Alone || r.alone
 	}
-	event := Event{Kind: Crashed, Server: addr}
 	for _, f := range slices.Sorted(maps.Keys(requests)) {
 		blamed := requests[f]
-		blamed.Crashes = c.ledger.addCrash(now, f, blamed.Alone, false)
+		blamed.Crashes = c.ledger.addCrash(now, f, blamed.Content, blamed.Alone, false)
 		event.Requests = append(event.Requests, *blamed)
 	}
-	c.ledger.events = append(c.ledger.events, event)
+	if len(event.Requests) > 0 {
+		c.ledger.events = append(c.ledger.events, event)
+	}
 }
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -110,7 +110,7 @@
 	case "cut":
 		return end(quarantine.ConnectionLost, true)
 	}
-	switch v := core.Judge(f.now, fingerprint(request)); v.Mode {
+	switch v := core.Judge(f.now, new(identity(request))); v.Mode {
 	case quarantine.Alone:
 		return "alone"
 	case quarantine.Refused:
@@ -205,7 +205,7 @@
 	if request[0] != 'i' && o.isRunning(request) {
 		return
 	}
-	verdict := o.cores[via].Judge(o.now, fingerprint(request))
+	verdict := o.cores[via].Judge(o.now, new(identity(request)))
 	if verdict.Mode == quarantine.Refused {
 		if request[0] == 'i' && !o.killedAlone[request] {
 			t.Fatalf("harmless request %s is refused", request)
@@ -216,7 +216,7 @@
 	if _, running := o.runs[to][request]; running {
 		return
 	}
-	alone := verdict.Mode == quarantine.Alone || o.cores[to].Judge(o.now, fingerprint(request)).Mode == quarantine.Alone
+	alone := verdict.Mode == quarantine.Alone || o.cores[to].Judge(o.now, new(identity(request))).Mode == quarantine.Alone
 	if !o.admits(to, alone) {
 		return
 	}
@@ -317,7 +317,7 @@
 			t.Fatalf("%s crashed %d servers", request, crashes)
 		}
 		for _, d := range daemons {
-			if v := o.cores[d].Judge(o.now, fingerprint(request)); crashes == limit && v.Mode != quarantine.Refused {
+			if v := o.cores[d].Judge(o.now, new(identity(request))); crashes == limit && v.Mode != quarantine.Refused {
 				t.Fatalf("%s is not refused at %s after %d crashes", request, d, crashes)
 			}
 		}
@@ -337,7 +337,7 @@
 	o.now = o.now.Add(cfg.MaxHold + cfg.Memory)
 	for _, d := range daemons {
 		for _, request := range harmlessRequests {
-			if v := o.cores[d].Judge(o.now, fingerprint(request)); v.Mode != quarantine.Free {
+			if v := o.cores[d].Judge(o.now, new(identity(request))); v.Mode != quarantine.Free {
 				t.Fatalf("%s is not free at %s", request, d)
 			}
 		}
--- a/internal/request/quarantine/crash_test.go
+++ b/internal/request/quarantine/crash_test.go
@@ -36,8 +36,8 @@
 				blamed, _ := core.End(at(160), "s2", run, quarantine.ConnectionLost, false)
 				c.Check(blamed, qt.Equals, run == culprit)
 			}
-			c.Check(core.Judge(at(200), fingerprint("culprit")).Mode, qt.Equals, quarantine.Refused)
-			c.Check(core.Judge(at(200), fingerprint("innocent")).Mode, qt.Equals, quarantine.Alone)
+			c.Check(core.Judge(at(200), new(identity("culprit"))).Mode, qt.Equals, quarantine.Refused)
+			c.Check(core.Judge(at(200), new(identity("innocent"))).Mode, qt.Equals, quarantine.Alone)
 		})
 	}
 }
@@ -56,10 +56,10 @@
 		for _, run := range []uint64{a, b} {
 			core.End(start, "s", run, quarantine.ConnectionLost, true)
 		}
-		c.Check(core.Judge(start, fingerprint("a")).Mode, qt.Equals, want, qt.Commentf("slow restart %t", slow))
+		c.Check(core.Judge(start, new(identity("a"))).Mode, qt.Equals, want, qt.Commentf("slow restart %t", slow))
 		lost := core.Begin(start, "s", identity("c"), false)
 		core.RecordConnectionLoss(start, "s", lost)
 		core.End(start, "s", lost, quarantine.ConnectionLost, false)
-		c.Check(core.Judge(start, fingerprint("c")).Mode, qt.Equals, quarantine.Alone)
+		c.Check(core.Judge(start, new(identity("c"))).Mode, qt.Equals, quarantine.Alone)
 	}
 }
--- a/internal/request/quarantine/fingerprint.go
+++ b/internal/request/quarantine/fingerprint.go
@@ -6,6 +6,13 @@
 // a time that doubles with each further crash. So a request that crashes every server is
 // found at its second crash, and an unrelated crash leads to no refusal.
 //
+// A request that crashed servers is refused for a time, then runs alone again. After a few such
+// runs it is refused until nobody has sent it for long.
+//
+// Requests of other callers for the same content run alone once, too, while one of them is a
+// suspect. Where those of two callers have crashed servers alone, those of callers that are not
+// known to be harmless are refused with them.
+//
 // If servers of two other daemons crash within two seconds of the crash at which a
 // request ran alone, for instance because a rack failed, the request may not be the
 // cause, and it runs alone once more. A request is excused only once, so a request
@@ -25,6 +32,10 @@
 // Fingerprint identifies a request across resends.
 type Fingerprint uint64
 
+// Content identifies what is asked for, whoever asks: it is the same for requests that differ only
+// in their origin and organisation.
+type Content uint64
+
 // Identity holds what makes two sends the same request: who asks for what, with which body.
 // Header fields are not part of it, because many change from send to send (deadlines,
 // identifiers, times, credentials) and no list of them is complete: a request that is new to
@@ -47,8 +58,18 @@
 
 // Fingerprint returns a hash of the identity.
 func (id *Identity) Fingerprint() Fingerprint {
+	return Fingerprint(id.hash(id.Mesh, id.Method, id.Path, id.Query, id.Origin, id.Organisation))
+}
+
+// Content returns a hash of the identity without Origin and Organisation.
+func (id *Identity) Content() Content {
+	return Content(id.hash(id.Mesh, id.Method, id.Path, id.Query))
+}
+
+// hash returns a hash of the parts in the high bits, and of the body in the low bodyBits.
+func (id *Identity) hash(parts ...string) uint64 {
 	d := xxhash.New()
-	for _, s := range []string{id.Mesh, id.Method, id.Path, id.Query, id.Origin, id.Organisation} {
+	for _, s := range parts {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
@@ -58,7 +79,7 @@
 	binary.LittleEndian.PutUint64(size[:], uint64(id.ContentLength))
 	_, _ = d.Write(size[:])
 	_, _ = d.Write(id.Body)
-	return Fingerprint(head>>bodyBits<<bodyBits | d.Sum64()>>bodyBits)
+	return head>>bodyBits<<bodyBits | d.Sum64()>>bodyBits
 }
 
 // differsInBodyOnly reports whether the two requests are the same except perhaps for their body.
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -15,6 +15,8 @@
 // Suspect is one report of a daemon about a request.
 type Suspect struct {
 	Fingerprint Fingerprint
+	// Content is that of the request; 0 if the reporting daemon did not state it.
+	Content Content
 	// Crashes is 1 for a request in progress at a crash, plus 1 for each crash at which
 	// it ran alone. 0 clears all reports that expire no later than Until.
 	Crashes uint8
@@ -33,6 +35,9 @@
 	// FirstHold is how long a request is refused after its second crash. Each further
 	// crash doubles the time, up to MaxHold.
 	FirstHold, MaxHold time.Duration
+	// MaxAloneCrashes is the number of crashes at which requests for the same content ran alone
+	// from which they are refused until none was sent for Memory/2.
+	MaxAloneCrashes int
 	// Max is the maximum number of reports of one daemon, and MaxRemembered that of reports of
 	// other daemons that are remembered.
 	Max, MaxRemembered int
@@ -44,7 +49,7 @@
 
 // DefaultConfig returns the documented defaults.
 func DefaultConfig() Config {
-	return Config{Memory: 30 * time.Minute, FirstHold: time.Minute, MaxHold: time.Hour, Max: 32, MaxRemembered: 4096}
+	return Config{Memory: 30 * time.Minute, FirstHold: time.Minute, MaxHold: time.Hour, MaxAloneCrashes: 3, Max: 32, MaxRemembered: 4096}
 }
 
 func (c *Config) holdTime(crashes uint8) time.Duration {
@@ -74,6 +79,8 @@
 	Until time.Time
 	// Crashes is the number of crashes known, as in Suspect.Crashes.
 	Crashes uint8
+	// Renew is set if the reports must be renewed because the refused request is still sent.
+	Renew bool
 	// Excused is set if the request runs although its last crash is recent, because other
 	// servers crashed at the same time.
 	Excused bool
@@ -91,6 +98,8 @@
 	crashTimes map[string][]time.Time
 	// events are the events since the last call of Core.TakeEvents.
 	events []Event
+	// byContent holds the reported requests by content. It is nil if it has to be built again.
+	byContent map[Content][]Fingerprint
 }
 
 func (l *ledger) empty() bool { return len(l.own) == 0 && len(l.others) == 0 }
@@ -105,6 +114,7 @@
 		if !r.isActive(now, cleared) {
 			continue
 		}
+		s.Content = cmp.Or(s.Content, r.Content)
 		s.Crashes = max(s.Crashes, r.Crashes)
 		if r.Until.After(s.Until) {
 			s.Until = r.Until
@@ -151,6 +161,7 @@
 	l.dropCleared()
 	l.limitRemembered()
 	l.collectCrashTimes()
+	l.byContent = nil
 }
 
 func (l *ledger) collectCrashTimes() {
@@ -258,23 +269,36 @@
 	return false
 }
 
-func (l *ledger) judge(now time.Time, f Fingerprint) Verdict {
-	s, _, ok := l.combined(now, f)
-	if !ok {
-		return Verdict{}
-	}
+func (l *ledger) judge(now time.Time, f Fingerprint, content Content) Verdict {
+	s, cleared, _ := l.combined(now, f)
+	g := l.group(now, content)
+	// sharesBlame: requests of two other callers crashed servers alone, and this one has never
+	// ended well.
+	sharesBlame := g.proven > 1 && cleared.IsZero()
 	v := Verdict{Mode: Alone, Crashes: s.Crashes}
-	if end := s.Until.Add(-l.cfg.Memory); s.Crashes > 1 && now.Before(end) {
-		v.Excused = l.excused(now, s)
-		if !v.Excused {
-			v.Mode, v.Until = Refused, end
+	switch {
+	case g.aloneCrashes >= l.cfg.MaxAloneCrashes && (s.Crashes > 1 || sharesBlame):
+		v.refuse(g.until)
+		v.Renew = g.until.Sub(now) < l.cfg.Memory/2
+	case s.Crashes > 1 && now.Before(l.holdEnd(s.Until)):
+		if v.Excused = l.excused(now, s); !v.Excused {
+			v.refuse(l.holdEnd(s.Until))
 		}
+	case s.Crashes <= 1 && sharesBlame && now.Before(l.holdEnd(g.until)):
+		v.refuse(l.holdEnd(g.until))
+	case s.Crashes == 0 && !g.until.After(cleared):
+		v.Mode = Free
 	}
 	return v
 }
 
+func (v *Verdict) refuse(until time.Time) { v.Mode, v.Until = Refused, until }
+
+// holdEnd returns when the refusal ends that a report with the given expiry is about.
+func (l *ledger) holdEnd(until time.Time) time.Time { return until.Add(-l.cfg.Memory) }
+
 // addCrash reports a request in progress at a crash, and returns its Suspect.Crashes.
-func (l *ledger) addCrash(now time.Time, f Fingerprint, ranAlone, remote bool) uint8 {
+func (l *ledger) addCrash(now time.Time, f Fingerprint, content Content, ranAlone, remote bool) uint8 {
 	s, cleared, _ := l.combined(now, f)
 	crashes := max(s.Crashes, 1)
 	if ranAlone && crashes < math.MaxUint8 {
@@ -284,32 +308,38 @@
 	if !until.After(cleared) {
 		until = cleared.Add(time.Millisecond)
 	}
-	l.store(now, Suspect{Fingerprint: f, Crashes: crashes, Until: until, ObservedElsewhere: remote})
+	l.store(now, Suspect{Fingerprint: f, Content: content, Crashes: crashes, Until: until, ObservedElsewhere: remote})
 	return crashes
 }
 
 // addRemoteCrash reports a crash that another daemon observed, unless it is known, and
 // returns the request's Suspect.Crashes and whether the crash was new.
-func (l *ledger) addRemoteCrash(now time.Time, f Fingerprint, ranAlone bool) (crashes uint8, added bool) {
+func (l *ledger) addRemoteCrash(now time.Time, f Fingerprint, content Content, ranAlone bool) (crashes uint8, added bool) {
 	s, _, _ := l.combined(now, f)
 	if s.Crashes > 1 || (s.Crashes == 1 && !ranAlone) {
 		return s.Crashes, false
 	}
-	return l.addCrash(now, f, ranAlone, true), true
+	return l.addCrash(now, f, content, ranAlone, true), true
 }
 
-// clear reports that a suspect ended well, and returns whether f was a suspect.
-func (l *ledger) clear(now time.Time, f Fingerprint) bool {
-	s, _, ok := l.combined(now, f)
-	if ok {
-		l.store(now, Suspect{Fingerprint: f, Until: s.Until})
-		delete(l.others, f)
+// clear reports that a request ended well, and returns whether it was a suspect.
+func (l *ledger) clear(now time.Time, f Fingerprint, content Content) bool {
+	s, cleared, ok := l.combined(now, f)
+	until := s.Until
+	if g := l.group(now, content); g.until.After(until) {
+		until = g.until
 	}
-	return ok
+	if !ok && !until.After(cleared) {
+		return false
+	}
+	l.store(now, Suspect{Fingerprint: f, Content: content, Until: until})
+	delete(l.others, f)
+	return true
 }
 
 func (l *ledger) store(now time.Time, s Suspect) {
 	l.expire(now)
+	l.byContent = nil
 	l.own[s.Fingerprint] = s
 	if len(l.own) > l.cfg.Max {
 		evicted := l.leastImportant()
@@ -349,5 +379,7 @@
 
 // reports returns the reports of this daemon in order of fingerprint.
 func (l *ledger) reports() []Suspect {
-	return slices.SortedFunc(maps.Values(l.own), func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return slices.SortedFunc(maps.Values(l.own), compareFingerprints)
 }
+
+func compareFingerprints(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
--- a/internal/request/quarantine/ledger_test.go
+++ b/internal/request/quarantine/ledger_test.go
@@ -20,15 +20,16 @@
 func TestReportOutlivesItsSource(t *testing.T) {
 	c := qt.New(t)
 	core := quarantine.New(quarantine.DefaultConfig())
-	f := fingerprint("culprit")
+	id := identity("culprit")
+	f := id.Fingerprint()
 	core.Learn(start, []quarantine.Suspect{report(f, "a", 2)})
 	core.Learn(start, nil)
-	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Refused)
+	c.Check(core.Judge(start, &id).Mode, qt.Equals, quarantine.Refused)
 	core.Learn(start, []quarantine.Suspect{report(f, "a", 1)})
-	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Refused)
+	c.Check(core.Judge(start, &id).Mode, qt.Equals, quarantine.Refused)
 	later := start.Add(32 * time.Minute)
 	core.Learn(later, nil)
-	c.Check(core.Judge(later, f).Mode, qt.Equals, quarantine.Free)
+	c.Check(core.Judge(later, &id).Mode, qt.Equals, quarantine.Free)
 	c.Check(core.Empty(), qt.IsTrue)
 }
 
@@ -37,13 +38,14 @@
 func TestClearedReportIsForgotten(t *testing.T) {
 	c := qt.New(t)
 	core := quarantine.New(quarantine.DefaultConfig())
-	f := fingerprint("innocent")
+	id := identity("innocent")
+	f := id.Fingerprint()
 	core.Learn(start, []quarantine.Suspect{report(f, "a", 2)})
 	core.Learn(start, []quarantine.Suspect{report(f, "b", 0)})
 	core.Learn(start, nil)
-	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Free)
+	c.Check(core.Judge(start, &id).Mode, qt.Equals, quarantine.Free)
 	core.Learn(start, []quarantine.Suspect{report(f, "b", 1)})
-	c.Check(core.Judge(start, f).Mode, qt.Equals, quarantine.Alone)
+	c.Check(core.Judge(start, &id).Mode, qt.Equals, quarantine.Alone)
 }
 
 // TestAbandonedRunCrashesServer guards against a crash that is noticed by nobody because its request
@@ -59,8 +61,8 @@
 		next := core.Begin(start.Add(after), "s", identity("next"), false)
 		crashed, _ := core.End(start.Add(after), "s", next, quarantine.ConnectionRefused, true)
 		c.Check(crashed, qt.IsFalse)
-		c.Check(core.Judge(start.Add(after), fingerprint("culprit")).Mode, qt.Equals, want)
-		c.Check(core.Judge(start.Add(after), fingerprint("next")).Mode, qt.Equals, quarantine.Free)
+		c.Check(core.Judge(start.Add(after), new(identity("culprit"))).Mode, qt.Equals, want)
+		c.Check(core.Judge(start.Add(after), new(identity("next"))).Mode, qt.Equals, quarantine.Free)
 	}
 }
 
@@ -76,7 +78,7 @@
 		core.Learn(start, []quarantine.Suspect{report(quarantine.Fingerprint(i), "b", 1)})
 	}
 	c.Check(core.Known(start), qt.Equals, cfg.MaxRemembered)
-	c.Check(core.Judge(start, culprit).Mode, qt.Equals, quarantine.Refused)
+	c.Check(core.Judge(start, new(identity("culprit"))).Mode, qt.Equals, quarantine.Refused)
 }
 
 // TestCulpritAmongManyRunsIsFound guards against a crashing request that is never suspected because
@@ -89,7 +91,7 @@
 	culprit := identity("culprit")
 	names := namesAbove(culprit.Fingerprint(), cfg.Max+8)
 	now := start
-	for crashes := 1; core.Judge(now, culprit.Fingerprint()).Mode == quarantine.Free; crashes++ {
+	for crashes := 1; core.Judge(now, &culprit).Mode == quarantine.Free; crashes++ {
 		c.Assert(crashes <= 10, qt.IsTrue, qt.Commentf("the culprit is not suspected after %d crashes", crashes))
 		now = now.Add(10 * time.Second)
 		runs := []uint64{core.Begin(now, "s", culprit, false)}
