Quarantine: a reset shortly before a crash hides its cause no more

Cause: requests that begin on what is left of a crashing server are not blamed. A crash was taken to last from the first connection lost within the last second until its detection. A connection that is reset by itself is checked for 50 ms; when the server crashes meanwhile, everything that began after the reset was spared, and what had begun before was blamed.

A run is spared only if it also lost its connection within 20 ms of its start, which is how a run on a server that closes its connections ends.

Ruled out: that the culprit's run is not on the list at all; it ends only after the check. What remains: a culprit that crashes a server within 20 ms of its start and within 50 ms of a reset is still spared.

--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -13,6 +13,8 @@
 	// abandonedWindow is how long a server may go on with a request after this daemon has closed
 	// its connection. A crash within that time may be due to it.
 	abandonedWindow = time.Second
+	// exitDuration is the time within which a process that ends closes all its connections.
+	exitDuration = 20 * time.Millisecond
 )
 
 // crashEvent is one crash of a server.
@@ -230,9 +232,15 @@
 	return !r.lostAt.IsZero() && now.Sub(r.lostAt) > connectionLossWindow
 }
 
-// startedDuring reports whether the run started while the server was already crashing.
+// startedDuring reports whether the run started while the server was already crashing. A run that
+// kept its connection for longer than exitDuration did not: the first connection that was lost, before
+// it started, was lost for another reason.
 func (r *run) startedDuring(event crashEvent) bool {
-	return r.startedAt.After(event.firstLost) && !r.startedAt.After(event.detected)
+	lost := r.lostAt
+	if lost.IsZero() {
+		lost = event.detected
+	}
+	return r.startedAt.After(event.firstLost) && !r.startedAt.After(event.detected) && lost.Sub(r.startedAt) <= exitDuration
 }
 
 // currentCrash returns the ongoing crash of a server, or records a new one detected now.
