Gateway: a slot is held until it is known whether the server crashed

Cause: the slot of a request was released when its connection was lost, and only then was the server checked. All waiting requests started on a dead server, lost their connections too, and became suspects that have to run alone, one after the other.

A slot is now released when the server has finished the request and the check has ended. The delay that lets reports spread comes after that, so waiting requests are told at once.

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -270,11 +270,7 @@
 		s.recordConnectionLoss()
 		listening = stillListening(s.addr)
 	}
-	crashed := s.recordEnd(quarantineOutcomes[status], listening)
-	if crashed {
-		time.Sleep(crashReportDelay)
-	}
-	return crashed
+	return s.recordEnd(quarantineOutcomes[status], listening)
 }
 
 func (s *suspectRun) recordEnd(outcome quarantine.Outcome, listening bool) (crashed bool) {
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -165,10 +165,11 @@
 	}
 	var took time.Duration
 	endRun := g.retryTracker.beginRun(req)
-	out.Done = func() {
+	slot := &heldSlot{release: func() {
 		endRun()
 		b.gate.release(ticket, req.route, took)
-	}
+	}}
+	out.Done = slot.finished
 	predicted := b.gate.beginMeasurement(req)
 	start := time.Now()
 	resp, failure := b.pool.Load().RoundTrip(ctx, out)
@@ -178,8 +179,11 @@
 		if errors.Is(failure, syscall.ECONNREFUSED) {
 			g.cfg.OnConnectionRefused(req.addr)
 		}
-		if run.End(runStatusOf(failure, refused.Code)) {
+		crashed := run.End(runStatusOf(failure, refused.Code))
+		slot.checked()
+		if crashed {
 			refused = newRefusal(result.BackendCrashed, failure.Error())
+			time.Sleep(crashReportDelay)
 		}
 		span.End(refused.Code)
 		return nil, refused
@@ -193,7 +197,7 @@
 			g.log.Info(logStatementsUntrusted, "server", req.addr, "boot", req.boot, "stated", metadata.Contention)
 		}
 	}
-	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, failed: failed}
+	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, slot: slot, failed: failed}
 	refused := g.checkResponse(ctx, b, req, resp, &metadata, start)
 	span.End(codeOf(refused))
 	if refused != nil {
--- a/internal/connection/gateway/tracked_body.go
+++ b/internal/connection/gateway/tracked_body.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 )
 
 // trackedBody is the response body of a backend server. Closing it ends the run.
@@ -11,6 +12,8 @@
 	io.ReadCloser
 	ctx context.Context
 	run Run
+	// slot is the slot that the request holds.
+	slot *heldSlot
 	// failed is set if the response reports an error of the server or a refusal.
 	failed  bool
 	readErr error
@@ -23,13 +26,22 @@
 	if err != nil {
 		b.readErr = err
 	}
+	if err == io.EOF {
+		b.slot.checked()
+	}
 	return n, err
 }
 
 // Close implements io.Closer.
 func (b *trackedBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(func() { _ = b.run.End(b.status()) })
+	b.once.Do(func() {
+		crashed := b.run.End(b.status())
+		b.slot.checked()
+		if crashed {
+			time.Sleep(crashReportDelay)
+		}
+	})
 	return err
 }
 
