Quarantine: a refused connection makes only abandoned requests suspects

Cause: a refused connection on a server with an abandoned run tells of a crash that this run may have caused. It was reported like a lost connection, for all runs in progress; those had just begun on the dead server and were about to be refused as well.

Such a crash is now attributed to abandoned runs that were not reported yet. Runs in progress learn of the crash from their own connections.

Evidence: TestRefusedConnectionBlamesOthers failed before (the other request ran alone).

--- a/internal/request/quarantine/attribution_test.go
+++ b/internal/request/quarantine/attribution_test.go
@@ -26,3 +26,20 @@
 	c.Check(crashed, qt.IsTrue)
 	c.Check(core.Judge(at(100), new(identity("culprit"))).Mode, qt.Equals, quarantine.Alone)
 }
+
+// TestRefusedConnectionBlamesOthers guards against requests that become suspects because another one's
+// connection was refused: a refusal only shows that the requests abandoned before may have crashed
+// the server.
+func TestRefusedConnectionBlamesOthers(t *testing.T) {
+	c := qt.New(t)
+	core := quarantine.New(quarantine.DefaultConfig())
+	abandoned := core.Begin(at(0), "s", identity("abandoned"), false)
+	core.End(at(10), "s", abandoned, quarantine.Abandoned, true)
+	refused := core.Begin(at(20), "s", identity("refused"), false)
+	other := core.Begin(at(20), "s", identity("other"), false)
+	core.End(at(21), "s", refused, quarantine.ConnectionRefused, true)
+	core.End(at(21), "s", other, quarantine.ConnectionRefused, true)
+	mode := func(name string) quarantine.Mode { return core.Judge(at(100), new(identity(name))).Mode }
+	c.Check(mode("abandoned"), qt.Equals, quarantine.Alone)
+	c.Check(mode("other"), qt.Equals, quarantine.Free)
+}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -157,7 +157,7 @@
 		crashed = true
 	case outcome == ConnectionLost && (!listening || !c.ledger.cfg.SlowRestart && c.hasRestarted(addr)):
 		changed = true
-		c.reportCrash(now, addr)
+		c.reportCrash(now, addr, func(*run) bool { return true })
 		crashed = r.reported
 	}
 	if outcome == Abandoned {
@@ -168,7 +168,7 @@
 	c.dropAbandoned(now, addr)
 	if outcome == ConnectionRefused && c.hasAbandoned(addr) {
 		changed = true
-		c.reportCrash(now, addr)
+		c.reportCrash(now, addr, (*run).isAbandoned)
 	}
 	return crashed, changed
 }
@@ -183,20 +183,23 @@
 	return cleared
 }
 
-// hasAbandoned reports whether a run was abandoned on the server less than abandonedWindow ago.
+// hasAbandoned reports whether a run was abandoned on the server less than abandonedWindow ago, and
+// not yet reported.
 func (c *Core) hasAbandoned(addr string) bool {
 	for _, r := range c.servers[addr] {
-		if !r.abandonedAt.IsZero() {
+		if r.isAbandoned() && !r.reported {
 			return true
 		}
 	}
 	return false
 }
 
+func (r *run) isAbandoned() bool { return !r.abandonedAt.IsZero() }
+
 // dropAbandoned removes the runs that were abandoned too long ago to crash the server.
 func (c *Core) dropAbandoned(now time.Time, addr string) {
 	maps.DeleteFunc(c.servers[addr], func(_ uint64, r *run) bool {
-		return !r.abandonedAt.IsZero() && now.Sub(r.abandonedAt) > abandonedWindow
+		return r.isAbandoned() && now.Sub(r.abandonedAt) > abandonedWindow
 	})
 	if len(c.servers[addr]) == 0 {
 		delete(c.servers, addr)
@@ -220,7 +223,7 @@
 		}
 	}
 	for _, r := range c.servers[addr] {
-		if r.lostAt.IsZero() && r.abandonedAt.IsZero() && r.startedAt.Before(first) {
+		if r.lostAt.IsZero() && !r.isAbandoned() && r.startedAt.Before(first) {
 			return false
 		}
 	}
@@ -259,10 +262,10 @@
 }
 
 // reportCrash reports every run that was in progress on a server when it crashed, or had been
-// abandoned shortly before. Runs of the same request count once. Runs that started after the first
+// abandoned shortly before, and for which mayBeCause is true. Runs of the same request count once. Runs that started after the first
 // connection was lost are not reported, because they did not cause the crash: a process that ends
 // closes its connections one by one, and a request can still be written to a later one.
-func (c *Core) reportCrash(now time.Time, addr string) {
+func (c *Core) reportCrash(now time.Time, addr string, mayBeCause func(*run) bool) {
 	c.dropAbandoned(now, addr)
 	runs := c.servers[addr]
 	requests := map[Fingerprint]*Blamed{}
@@ -270,11 +273,11 @@
 	event := Event{Kind: Crashed, Server: addr}
 	for _, id := range slices.Sorted(maps.Keys(runs)) {
 		r := runs[id]
-		if r.reported {
+		if r.reported || !mayBeCause(r) {
 			continue
 		}
 		blamed := newBlamed(&r.identity)
-		blamed.Age, blamed.Abandoned = now.Sub(r.startedAt), !r.abandonedAt.IsZero()
+		blamed.Age, blamed.Abandoned = now.Sub(r.startedAt), r.isAbandoned()
 		if r.lostInEarlierEvent(now) || r.startedDuring(crash) {
 			event.Spared = append(event.Spared, blamed)
 			continue
