Sources retain proven requests on their disks

Cause: what daemons know of such requests was soft state. A restarted daemon learns it from its neighbours; where all had stopped, nobody had it, although the sources have disks.

A source now reports the proven requests of the whole fleet in its own presence record and writes them to suspects.json in its data folder (new file, sync, rename), within a tenth of a second of learning of them. It publishes them from its first record on. So they also outlive daemons of which no neighbour stays. Suspects of a single crash are not kept: they cost one crash more.

A damaged file is reported, and the source starts without it (TestSuspectsAreLostWithTheProcess).

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +31,8 @@
 	// retryAfterCrash is when a caller may retry a request that was in progress at a
 	// crash: the fleet knows of the crash by then.
 	retryAfterCrash = time.Second
+	// retainInterval is the time between two updates of the retained suspects.
+	retainInterval = 100 * time.Millisecond
 	// maxIsolationWait bounds how long a suspect waits for its server to become idle; the
 	// server starts no other request meanwhile.
 	maxIsolationWait = time.Second
@@ -115,6 +119,10 @@
 	Publish func([]presence.Suspect)
 	// SlowRestart is passed on to package quarantine.
 	SlowRestart bool
+	// Retain keeps the requests of the whole fleet that are proven to crash servers. It is called
+	// from Run when they have changed. If it is set, this daemon reports them too, so that they
+	// outlive the daemons that observed the crashes; nil retains nothing.
+	Retain func([]presence.Suspect)
 }
 
 // Quarantine isolates or refuses requests that crash backend servers. It implements
@@ -127,7 +135,9 @@
 	core *quarantine.Core
 	// learnedFrom is the directory whose reports core has processed.
 	learnedFrom *directory.Directory
-	counters    QuarantineCounters
+	// retained are the suspects last passed to QuarantineConfig.Retain.
+	retained []presence.Suspect
+	counters QuarantineCounters
 	// releaseLines limits the log lines about quarantined requests that run.
 	releaseLines *rate.Limiter
 }
@@ -290,8 +300,50 @@
 	s.q.core.RecordConnectionLoss(time.Now(), s.addr, s.runID)
 }
 
+// publish publishes the reports of this daemon, followed by the retained ones.
 func (q *Quarantine) publish() {
-	q.cfg.Publish(presenceSuspects(q.core.Reports()))
+	reports := presenceSuspects(q.core.Reports())
+	for _, s := range q.retained {
+		isOwn := func(own presence.Suspect) bool { return own.Fingerprint == s.Fingerprint }
+		if !slices.ContainsFunc(reports, isOwn) {
+			reports = append(reports, s)
+		}
+	}
+	q.cfg.Publish(reports)
+}
+
+// Run retains what the fleet knows until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	if q.cfg.Retain == nil {
+		return
+	}
+	ticker := time.NewTicker(retainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if proven, changed := q.updateRetained(); changed {
+				q.cfg.Retain(proven)
+			}
+		}
+	}
+}
+
+// updateRetained returns the proven suspects of the fleet and whether they have changed. If so, it
+// publishes them.
+func (q *Quarantine) updateRetained() (proven []presence.Suspect, changed bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.updateReports()
+	proven = presenceSuspects(q.core.Proven(time.Now()))
+	if slices.Equal(proven, q.retained) {
+		return nil, false
+	}
+	q.retained = proven
+	q.publish()
+	return proven, true
 }
 
 func presenceSuspects(reports []quarantine.Suspect) []presence.Suspect {
--- a/internal/process/daemon/claims.go
+++ b/internal/process/daemon/claims.go
@@ -315,12 +315,16 @@
 }
 
 // newQuarantine returns a quarantine that publishes its suspects in this daemon's presence
-// record.
+// record. On a source it also retains those of the fleet on disk.
 func newQuarantine(d *Daemon) *gateway.Quarantine {
-	return gateway.NewQuarantine(gateway.QuarantineConfig{
+	cfg := gateway.QuarantineConfig{
 		Self: d.settings.Node, Directory: d.mesh.Directory, Publish: d.mesh.SetSuspects,
 		SlowRestart: d.settings.Servers.SlowRestart,
-	}, d.log.WithName("quarantine"))
+	}
+	if d.suspects != nil {
+		cfg.Retain = d.suspects.put
+	}
+	return gateway.NewQuarantine(cfg, d.log.WithName("quarantine"))
 }
 
 // tableQueryTimeout is how long a metrics scrape waits for the table.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -87,6 +87,8 @@
 	leadership *leadership
 	servers    *announce.Server
 	claims     *claimManager
+	// suspects is nil if the daemon is not a source, or quarantines no requests.
+	suspects   *suspectStore
 	allowances *allowances
 	rooms      *domainRooms
 
@@ -197,6 +199,10 @@
 	incarnation := uint64(time.Now().UnixMilli())
 	d.incarnation = incarnation
 	seed := xxhash.Sum64String(d.settings.Node) ^ incarnation
+	suspects, err := d.openSuspects()
+	if err != nil {
+		return err
+	}
 	control, err := mesh.New(mesh.Config{
 		View: view.Config{
 			Self: d.self, Seeds: d.otherSeeds(d.settings.Seeds), Active: activeLinks, Max: maxLinks,
@@ -204,7 +210,7 @@
 		},
 		Spread: dissemination.Config{Self: d.settings.Node, Seed: seed, ProofInterval: d.proofInterval(), Clock: bootclock.Now},
 		Presence: presence.Config{
-			Self: d.self, Incarnation: incarnation, DigestInterval: presenceInterval, SuspectFor: suspectFor,
+			Self: d.self, Incarnation: incarnation, Suspects: suspects, DigestInterval: presenceInterval, SuspectFor: suspectFor,
 			ForgetAfter: forgetAfter, ProbeInterval: probeInterval, Seed: seed,
 		},
 		Probe:        peer.Reachable,
@@ -263,6 +269,14 @@
 	return err
 }
 
+// openSuspects opens the store of suspects on a source, and returns what it holds.
+func (d *Daemon) openSuspects() (suspects []presence.Suspect, err error) {
+	if d.settings.IsSource() && d.settings.Servers.Quarantine {
+		d.suspects, suspects, err = openSuspectStore(d.settings.DataDir, d.log.WithName("quarantine"))
+	}
+	return suspects, err
+}
+
 // observeInstall is called before the directory contains a version that was installed.
 func (d *Daemon) observeInstall(version uint64) {
 	d.traces.Install(version)
@@ -302,6 +316,10 @@
 	group.Go(func() error { d.mesh.Run(groupCtx); return nil })
 	group.Go(func() error { d.servers.Run(groupCtx); return nil })
 	group.Go(func() error { return d.claims.run(groupCtx) })
+	if d.suspects != nil {
+		group.Go(func() error { d.claims.suspects.Run(groupCtx); return nil })
+		group.Go(func() error { d.suspects.run(groupCtx); return nil })
+	}
 	if d.source != nil {
 		group.Go(func() error { return d.source.Run(groupCtx) })
 		group.Go(func() error { d.rollouts.run(groupCtx); return nil })
--- /dev/null
+++ b/internal/process/daemon/suspects.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/process/storage"
+)
+
+// Names of the files of a suspectStore. The new file replaces the other once it is complete.
+const (
+	suspectsFile    = "suspects.json"
+	newSuspectsFile = "suspects.json.new"
+)
+
+// suspectStore keeps the requests that are proven to crash servers on the disk of a source, so that
+// they are known when all processes of the fleet have stopped.
+type suspectStore struct {
+	dir storage.Dir
+	log logr.Logger
+	// changed holds the newest suspects that are not yet written.
+	changed chan []presence.Suspect
+}
+
+// openSuspectStore returns the store in the data folder, and the suspects in it that have not
+// expired. A file that cannot be read is reported and replaced with the next change.
+func openSuspectStore(path string, log logr.Logger) (*suspectStore, []presence.Suspect, error) {
+	dir, err := storage.NewOSDir(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &suspectStore{dir: dir, log: log, changed: make(chan []presence.Suspect, 1)}
+	suspects, err := s.load()
+	if err != nil {
+		log.Error(err, "suspect requests could not be read; those known before the restart may crash servers again", "file", dir.Path(suspectsFile))
+		return s, nil, nil
+	}
+	now := time.Now().UnixMilli()
+	suspects = slices.DeleteFunc(suspects, func(p presence.Suspect) bool { return p.Until <= now })
+	log.Info("suspect requests read from disk", "file", dir.Path(suspectsFile), "requests", len(suspects))
+	return s, suspects, nil
+}
+
+func (s *suspectStore) load() ([]presence.Suspect, error) {
+	raw, err := s.dir.ReadFile(suspectsFile)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var suspects []presence.Suspect
+	return suspects, errors.Wrapf(json.Unmarshal(raw, &suspects), "decode %s", s.dir.Path(suspectsFile))
+}
+
+// put queues the suspects to be written. It never blocks; only one goroutine may call it.
+func (s *suspectStore) put(suspects []presence.Suspect) {
+	select {
+	case <-s.changed:
+	default:
+	}
+	s.changed <- suspects
+}
+
+// run writes queued suspects until ctx ends. A failed write is reported; the next change is written
+// in full.
+func (s *suspectStore) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case suspects := <-s.changed:
+			if err := s.save(suspects); err != nil {
+				s.log.Error(err, "suspect requests could not be written", "file", s.dir.Path(suspectsFile), "requests", len(suspects))
+			}
+		}
+	}
+}
+
+func (s *suspectStore) save(suspects []presence.Suspect) error {
+	raw, err := json.Marshal(suspects)
+	if err != nil {
+		return err
+	}
+	f, err := s.dir.Create(newSuspectsFile)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(raw)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.CombineErrors(err, f.Close()); err != nil {
+		return err
+	}
+	if err := s.dir.Rename(newSuspectsFile, suspectsFile); err != nil {
+		return err
+	}
+	return s.dir.Sync()
+}
--- a/internal/process/presence/message.go
+++ b/internal/process/presence/message.go
@@ -95,6 +95,8 @@
 	Self view.Node
 	// Incarnation is the incarnation of this process.
 	Incarnation uint64
+	// Suspects are those that earlier processes of this daemon left on its disk.
+	Suspects []Suspect
 	// DigestInterval is the time between digests, each sent on one random link.
 	DigestInterval time.Duration
 	// SuspectFor is how long a suspected daemon has to refute.
--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -63,8 +63,9 @@
 		cfg: cfg, id: IDOf(cfg.Self.Name), rand: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		table: newTable(), links: map[string]bool{}, suspectedIDs: map[ID]bool{},
 		updates: newUpdateQueue(), isBorderNode: func(string) bool { return true },
+		inheritedSuspects: limitSuspects(cfg.Suspects),
 	}
-	c.self = Record{Node: cfg.Self, Incarnation: cfg.Incarnation, Seq: 1}
+	c.self = Record{Node: cfg.Self, Incarnation: cfg.Incarnation, Seq: 1, Suspects: c.inheritedSuspects}
 	c.storeSelf()
 	return c
 }
