Quarantine: a run that timed out may be the cause of a crash

The shape is that of the users' record: sends that run with no refusal between them, seconds in which the service is refused nearly whole because harmless suspects run one after the other.

Cause: a suspect waits for its server to become idle and then often has little time left. The server answers it at its time limit with 504 and crashes some 30 ms later all the same. An answer with an error ended the run; the slots were free, other requests began, and the crash hit them. Each such send cost a server, made more suspects, and longer waits made more such sends.

A run that the server answered with a timeout now stays among those that may be the cause for a second, as one that this daemon abandoned does. The class again: what is known of a request is lost between two sends.

A refusal as not executed is no such run.

--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -127,9 +127,13 @@
 	// Crashed runs lost their connection before the response was complete, and the
 	// backend server caused the loss.
 	Crashed
-	// Failed runs returned a response that reports an error of the server or that it refused the
-	// request. It may have stopped early, for instance at the time limit.
+	// Failed runs returned a response that reports an error of the server. It may have stopped early.
 	Failed
+	// TimedOut runs returned a response that reports that the server gave up at the time limit. Its
+	// work may go on.
+	TimedOut
+	// Rejected runs returned a response that states that the server did not run the request.
+	Rejected
 )
 
 // maxStoredBody is the size of the largest response body passed to Settle.
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -261,7 +261,7 @@
 }
 
 var quarantineOutcomes = map[RunStatus]quarantine.Outcome{
-	Finished: quarantine.Completed, Failed: quarantine.Aborted, Unsent: quarantine.Aborted, ConnectionRefused: quarantine.ConnectionRefused,
+	Finished: quarantine.Completed, Failed: quarantine.Aborted, TimedOut: quarantine.TimedOut, Rejected: quarantine.Aborted, Unsent: quarantine.Aborted, ConnectionRefused: quarantine.ConnectionRefused,
 	Cancelled: quarantine.Abandoned, Crashed: quarantine.ConnectionLost,
 }
 
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -197,7 +197,7 @@
 			g.log.Info(logStatementsUntrusted, "server", req.addr, "boot", req.boot, "stated", metadata.Contention)
 		}
 	}
-	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, slot: slot, failed: failed}
+	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, slot: slot, whole: runStatusOfResponse(resp.StatusCode, &metadata)}
 	refused := g.checkResponse(ctx, b, req, resp, &metadata, start)
 	span.End(codeOf(refused))
 	if refused != nil {
@@ -265,6 +265,19 @@
 	return newRefusal(result.AnswerLost, f.Error())
 }
 
+// runStatusOfResponse returns how a run ended whose response is complete.
+func runStatusOfResponse(status int, metadata *ResponseMetadata) RunStatus {
+	switch {
+	case metadata.NotRun || metadata.Misdirected:
+		return Rejected
+	case status == http.StatusGatewayTimeout:
+		return TimedOut
+	case status >= http.StatusInternalServerError:
+		return Failed
+	}
+	return Finished
+}
+
 // runStatusOf returns how a run ended that has no response.
 func runStatusOf(f *upstream.Failure, c result.Code) RunStatus {
 	switch {
--- a/internal/connection/gateway/tracked_body.go
+++ b/internal/connection/gateway/tracked_body.go
@@ -14,8 +14,8 @@
 	run Run
 	// slot is the slot that the request holds.
 	slot *heldSlot
-	// failed is set if the response reports an error of the server or a refusal.
-	failed  bool
+	// whole is how the run ended if the response is complete.
+	whole   RunStatus
 	readErr error
 	once    sync.Once
 }
@@ -53,10 +53,8 @@
 
 func (b *trackedBody) status() RunStatus {
 	switch {
-	case b.failed && (b.readErr == nil || b.readErr == io.EOF):
-		return Failed
-	case b.readErr == io.EOF:
-		return Finished
+	case b.readErr == io.EOF || b.readErr == nil && b.whole != Finished:
+		return b.whole
 	case b.readErr == nil || b.ctx.Err() != nil:
 		return Cancelled
 	}
--- a/internal/request/quarantine/attribution_test.go
+++ b/internal/request/quarantine/attribution_test.go
@@ -43,3 +43,37 @@
 	c.Check(mode("abandoned"), qt.Equals, quarantine.Alone)
 	c.Check(mode("other"), qt.Equals, quarantine.Free)
 }
+
+// TestTimedOutRunHidesTheCauseOfACrash guards against a crash that is attributed to other requests
+// because the server had answered the one that caused it with a timeout.
+func TestTimedOutRunHidesTheCauseOfACrash(t *testing.T) {
+	c := qt.New(t)
+	core := quarantine.New(quarantine.DefaultConfig())
+	crash := func(begin int, isolated bool) {
+		culprit := core.Begin(at(begin), "s", identity("culprit"), isolated)
+		core.End(at(begin+20), "s", culprit, quarantine.TimedOut, true)
+		other := core.Begin(at(begin+21), "s", identity("other"), false)
+		core.RecordConnectionLoss(at(begin+60), "s", other)
+		core.End(at(begin+61), "s", other, quarantine.ConnectionLost, false)
+	}
+	crash(0, false)
+	c.Check(core.Judge(at(100), new(identity("culprit"))).Mode, qt.Equals, quarantine.Alone)
+	crash(5000, true)
+	c.Check(core.Judge(at(5100), new(identity("culprit"))).Mode, qt.Equals, quarantine.Refused)
+	c.Check(core.Judge(at(5100), new(identity("other"))).Mode, qt.Equals, quarantine.Alone)
+}
+
+// TestCrashUnderTwoIsolatedRunsProvesNothing guards against a harmless request that is refused because
+// it ran in isolation when a server crashed under one that had been abandoned there.
+func TestCrashUnderTwoIsolatedRunsProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	core := quarantine.New(quarantine.DefaultConfig())
+	abandoned := core.Begin(at(0), "s", identity("culprit"), true)
+	core.End(at(20), "s", abandoned, quarantine.Abandoned, true)
+	innocent := core.Begin(at(21), "s", identity("innocent"), true)
+	core.RecordConnectionLoss(at(60), "s", innocent)
+	core.End(at(61), "s", innocent, quarantine.ConnectionLost, false)
+	for _, name := range []string{"culprit", "innocent"} {
+		c.Check(core.Judge(at(100), new(identity(name))).Mode, qt.Equals, quarantine.Alone, qt.Commentf("%s", name))
+	}
+}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -11,7 +11,8 @@
 	// event.
 	connectionLossWindow = time.Second
 	// abandonedWindow is how long a server may go on with a request after this daemon has closed
-	// its connection. A crash within that time may be due to it.
+	// its connection, or after it has answered with a timeout. A crash within that time may be due to
+	// the request.
 	abandonedWindow = time.Second
 	// exitDuration is the time within which a process that ends closes all its connections.
 	exitDuration = 20 * time.Millisecond
@@ -37,6 +38,9 @@
 	ConnectionRefused
 	// Abandoned: this daemon closed the connection before the answer was complete.
 	Abandoned
+	// TimedOut: the server answered that it gave up at the time limit. Its work may go on, as after
+	// Abandoned.
+	TimedOut
 	// ConnectionLost: the server closed the connection.
 	ConnectionLost
 )
@@ -50,7 +54,7 @@
 	startedAt time.Time
 	// lostAt is when the connection was lost; zero while it is open.
 	lostAt time.Time
-	// abandonedAt is when this daemon closed the connection; zero otherwise.
+	// abandonedAt is when this daemon closed the connection or received a timeout; zero otherwise.
 	abandonedAt time.Time
 	// reported is set once a crash of the server was reported for this run.
 	reported bool
@@ -160,7 +164,7 @@
 		c.reportCrash(now, addr, func(*run) bool { return true })
 		crashed = r.reported
 	}
-	if outcome == Abandoned {
+	if outcome == Abandoned || outcome == TimedOut {
 		r.abandonedAt = now
 	} else {
 		delete(c.servers[addr], id)
@@ -288,8 +292,16 @@
 		}
 		requests[blamed.Fingerprint].Alone = requests[blamed.Fingerprint].Alone || r.alone
 	}
+	ranAlone := 0
+	for _, blamed := range requests {
+		if blamed.Alone {
+			ranAlone++
+		}
+	}
 	for _, f := range slices.Sorted(maps.Keys(requests)) {
 		blamed := requests[f]
+		// A request that began in isolation after another was abandoned was not alone.
+		blamed.Alone = blamed.Alone && ranAlone == 1
 		blamed.Crashes = c.ledger.addCrash(now, f, blamed.Content, blamed.Alone, false)
 		event.Requests = append(event.Requests, *blamed)
 	}
