Gateway: a suspect runs in isolation only if it has the time to end

Callers saw: a suspect waited up to a second for its server to become idle, started with 20 to 50 ms of its time left and ended at its time limit.

Cause: the wait for isolation was bounded by the request's deadline alone.

The wait now ends while twice the usual duration of the request's kind is left, or half of the time that was left on arrival where that is less. The request is then refused as not run, and its caller may come back with its full time.

Evidence: TestIsolatedRunStartsTooLateToEnd; by construction it fails on the code before (no duration is taken into account).

--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -36,6 +36,9 @@
 	// maxIsolationWait bounds how long a suspect waits for its server to become idle; the
 	// server starts no other request meanwhile.
 	maxIsolationWait = time.Second
+	// isolationReserve is the time that a suspect needs after that wait, as a multiple of the usual
+	// duration of its kind.
+	isolationReserve = 2
 )
 
 // screen checks the request before it is dispatched. For suspects it returns the pin that
@@ -97,17 +100,30 @@
 	return nil
 }
 
-func (req *backendRequest) ticket(now time.Time) admit.Ticket {
+// ticket returns the ticket to wait with for a slot. typical is the usual duration of requests of
+// this kind, or 0.
+func (req *backendRequest) ticket(now time.Time, typical time.Duration) admit.Ticket {
 	t := admit.Ticket{
 		Priority: req.priority, Organisation: req.request.Organisation, Weight: req.weight,
 		Deadline: req.deadline, Useful: req.usefulUntil, Kind: req.route, Alone: req.request.Isolated, Call: req.isCall,
 	}
-	if wait := now.Add(maxIsolationWait); t.Alone && wait.Before(t.Deadline) {
-		t.Deadline = wait
+	if t.Alone {
+		t.Deadline = latestIsolation(now, req.deadline, typical)
 	}
 	return t
 }
 
+// latestIsolation returns until when a suspect with the given deadline waits for its server to become
+// idle. It must have the time to end, otherwise its run proves nothing.
+func latestIsolation(now, deadline time.Time, typical time.Duration) time.Time {
+	reserve := min(isolationReserve*typical, deadline.Sub(now)/2)
+	latest, wait := deadline.Add(-reserve), now.Add(maxIsolationWait)
+	if wait.Before(latest) {
+		return wait
+	}
+	return latest
+}
+
 // QuarantineConfig holds the settings of a Quarantine; they do not change afterwards.
 type QuarantineConfig struct {
 	// Self is the name of this daemon.
--- a/internal/connection/gateway/quarantine_test.go
+++ b/internal/connection/gateway/quarantine_test.go
@@ -37,3 +37,26 @@
 		c.Check(s.Refusal.Code, qt.Equals, result.Quarantined)
 	}
 }
+
+// TestIsolatedRunStartsTooLateToEnd guards against a suspect that waits for an idle server until it has no
+// time left: it ends at its time limit, proves nothing, and may crash the server under others.
+func TestIsolatedRunStartsTooLateToEnd(t *testing.T) {
+	now := time.Now()
+	const left = 800 * time.Millisecond
+	for name, test := range map[string]struct {
+		isolated      bool
+		left, typical time.Duration
+		want          time.Duration
+	}{
+		"not isolated":        {left: left, typical: 150 * time.Millisecond, want: left},
+		"time to end":         {isolated: true, left: left, typical: 150 * time.Millisecond, want: 500 * time.Millisecond},
+		"usually takes long":  {isolated: true, left: left, typical: time.Second, want: left / 2},
+		"duration not known":  {isolated: true, left: left, want: left},
+		"far from its limits": {isolated: true, left: time.Minute, typical: 150 * time.Millisecond, want: maxIsolationWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := &backendRequest{request: &Request{Isolated: test.isolated}, deadline: now.Add(test.left)}
+			qt.Check(t, req.ticket(now, test.typical).Deadline.Sub(now), qt.Equals, test.want)
+		})
+	}
+}
