--- a/internal/request/admit/calls_test.go
+++ b/internal/request/admit/calls_test.go
@@ -102,23 +102,31 @@
 	if other.core.Load(r.now) < s.core.Load(r.now) {
 		s = other
 	}
+	r.sendTo(s, t, work, func(d Decision) {
+		if attempts > 1 && d.Code != result.DeadlineTooShort {
+			r.after(time.Millisecond, func() { r.send(servers, t, attempts-1, work, refused) })
+		} else {
+			refused()
+		}
+	})
+}
+
+// sendTo sends a ticket to a server once.
+func (r *replay) sendTo(s *replayServer, t Ticket, work func(release func(time.Duration)), refused func(Decision)) {
 	r.nextID++
 	t.ID = r.nextID
 	s.done[t.ID] = func(d Decision) {
-		switch {
-		case d.Verdict == Start:
-			work(func(took time.Duration) {
-				if t.Call {
-					s.apply(s.core.FinishCall(r.now, t.Kind, took))
-				} else {
-					s.apply(s.core.Finish(r.now, t.Kind, took))
-				}
-			})
-		case attempts > 1 && d.Code != result.DeadlineTooShort:
-			r.after(time.Millisecond, func() { r.send(servers, t, attempts-1, work, refused) })
-		default:
-			refused()
+		if d.Verdict != Start {
+			refused(d)
+			return
 		}
+		work(func(took time.Duration) {
+			if t.Call {
+				s.apply(s.core.FinishCall(r.now, t.Kind, took))
+			} else {
+				s.apply(s.core.Finish(r.now, t.Kind, took))
+			}
+		})
 	}
 	s.apply(s.core.Arrive(r.now, t))
 }
