--- a/internal/request/flow/flow.go
+++ b/internal/request/flow/flow.go
@@ -96,7 +96,8 @@
 	// RepeatProbability is the probability that the request was made by a run that was itself
 	// a repeat.
 	RepeatProbability float64
-	// Pin, if not 0, determines the server: all requests with the same Pin go to the same one.
+	// Pin, if not 0, determines the server: all requests with the same Pin go to the same one. Another
+	// one is tried only if that cannot be reached, not if it has no room.
 	Pin uint64
 	// Arm restricts the first attempt during a roll-out, and RetryArm the others. If Arm has no
 	// usable server, RetryArm applies to the first attempt too.
@@ -319,7 +320,7 @@
 		// The budget was already charged for this repeat, and it has reached no server yet.
 		c.redirects++
 		return c.redirects <= maxRedirects
-	case outcomeFor(code) == balance.Neutral:
+	case outcomeFor(code) == balance.Neutral, c.request.Pin != 0 && outcomeFor(code) == balance.Full:
 		return false
 	case code.Outcome() != result.NotRun && !c.request.Repeatable:
 		return false
