Quarantine: a request that ended well since is a suspect for the first time at its next crash

A harmless request, in progress on five servers of which three were killed, was refused for a minute.

Cause: its copies on the other servers ended well and cleared it while one copy still waited for its run in isolation. When that server was killed, the crash counted like a second one; and the daemon where the request began counted the same crash once more, because the daemon beside the server had reported only one.

A crash of a request that was cleared counts as its first, and a crash that the daemon beside the server has reported is not reported again by the origin.

--- a/internal/connection/gateway/caller.go
+++ b/internal/connection/gateway/caller.go
@@ -253,7 +253,7 @@
 		x.logAttempt(action.Candidate, number, refused, took)
 		x.recordRefusal(action.Candidate, refused, took)
 		last = refused
-		retryable := x.isolate(refused) && !x.body.readStarted.Load() && !x.noRoom(refused)
+		retryable := x.isolate(refused, action.Candidate.Node.Name) && !x.body.readStarted.Load() && !x.noRoom(refused)
 		action = call.failed(refused, !retryable)
 	}
 	if action.Code == result.NoBackendServer && time.Since(x.g.started) < learningPeriod {
--- a/internal/connection/gateway/crash_check_test.go
+++ b/internal/connection/gateway/crash_check_test.go
@@ -20,9 +20,9 @@
 
 const checkTime = 100 * time.Millisecond
 
-func (*slowScreener) NeedsBody(*Request) bool        { return false }
-func (*slowScreener) Screen(*Request) Screening      { return Screening{} }
-func (*slowScreener) ReportCrash(*Request) Screening { return Screening{} }
+func (*slowScreener) NeedsBody(*Request) bool                { return false }
+func (*slowScreener) Screen(*Request) Screening              { return Screening{} }
+func (*slowScreener) ReportCrash(*Request, string) Screening { return Screening{} }
 
 func (s *slowScreener) Begin(string, *Request) Run {
 	s.mu.Lock()
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -80,8 +80,8 @@
 	// instance before it is served.
 	Screen(r *Request) Screening
 	// ReportCrash records that the server running r crashed, on this instance or another,
-	// and screens r for the next attempt.
-	ReportCrash(r *Request) Screening
+	// and screens r for the next attempt. node is the name of the daemon beside the server.
+	ReportCrash(r *Request, node string) Screening
 	// Begin records that a request is being sent to the backend server at addr. End is
 	// called on the Run exactly once, when nothing of the request is in progress any
 	// more; until then the Run may read r.
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -71,11 +71,11 @@
 // isolate marks a request as isolated after its server crashed, before other daemons know
 // of the crash, so that the next attempt affects no other request. It reports whether
 // another attempt is allowed.
-func (x *exchange) isolate(refused *refusal) bool {
+func (x *exchange) isolate(refused *refusal, node string) bool {
 	if refused.Code != result.BackendCrashed || x.g.cfg.CrashScreener == nil {
 		return true
 	}
-	s := x.g.cfg.CrashScreener.ReportCrash(x.request)
+	s := x.g.cfg.CrashScreener.ReportCrash(x.request, node)
 	mayRetry := s.Refusal == nil && !x.request.Isolated
 	x.request.Isolated = true
 	x.call.isolate(s.Pin)
@@ -187,13 +187,13 @@
 }
 
 // ReportCrash implements CrashScreener.
-func (q *Quarantine) ReportCrash(r *Request) Screening {
+func (q *Quarantine) ReportCrash(r *Request, node string) Screening {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.updateReports()
 	id := identityOf(r)
 	now := time.Now()
-	if q.core.ReportRemoteCrash(now, &id, r.Isolated) {
+	if q.core.ReportRemoteCrash(now, &id, node, r.Isolated) {
 		q.publish()
 	}
 	q.reportEvents()
--- a/internal/request/quarantine/attribution_test.go
+++ b/internal/request/quarantine/attribution_test.go
@@ -77,3 +77,24 @@
 		c.Check(core.Judge(at(100), new(identity(name))).Mode, qt.Equals, quarantine.Alone, qt.Commentf("%s", name))
 	}
 }
+
+// TestClearedRequestIsRefusedAtItsNextCrash guards against a harmless request that is refused because the
+// server of its last run in isolation was killed: it had ended well elsewhere while it waited for that run.
+func TestClearedRequestIsRefusedAtItsNextCrash(t *testing.T) {
+	c := qt.New(t)
+	server, origin := quarantine.New(quarantine.DefaultConfig()), quarantine.New(quarantine.DefaultConfig())
+	id := identity("innocent")
+	f := id.Fingerprint()
+	server.Learn(at(0), []quarantine.Suspect{report(f, "a", 1)})
+	ended := server.Begin(at(10), "s", id, false)
+	server.End(at(20), "s", ended, quarantine.Completed, true)
+	isolated := server.Begin(at(21), "s", id, true)
+	server.End(at(30), "s", isolated, quarantine.ConnectionLost, false)
+	c.Check(server.Judge(at(40), &id).Mode, qt.Equals, quarantine.Alone)
+	// The daemon where the request began learns of the same crash twice.
+	reports := server.Reports()
+	reports[0].Source = "server"
+	origin.Learn(at(40), reports)
+	c.Check(origin.ReportRemoteCrash(at(41), &id, "server", true), qt.IsFalse)
+	c.Check(origin.Judge(at(42), &id).Mode, qt.Equals, quarantine.Alone)
+}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -105,13 +105,13 @@
 // daemon observed that.
 func (c *Core) Proven(now time.Time) []Suspect { return c.ledger.proven(now) }
 
-// ReportRemoteCrash records that another daemon observed a crash while the request was in
+// ReportRemoteCrash records that the daemon named source observed a crash while the request was in
 // progress, alone or not. It reports whether that was new.
-func (c *Core) ReportRemoteCrash(now time.Time, id *Identity, alone bool) bool {
+func (c *Core) ReportRemoteCrash(now time.Time, id *Identity, source string, alone bool) bool {
 	blamed := newBlamed(id)
 	blamed.Alone = alone
 	var added bool
-	if blamed.Crashes, added = c.ledger.addRemoteCrash(now, blamed.Fingerprint, blamed.Content, alone); added {
+	if blamed.Crashes, added = c.ledger.addRemoteCrash(now, blamed.Fingerprint, blamed.Content, source, alone); added {
 		c.ledger.events = append(c.ledger.events, Event{Kind: CrashedElsewhere, Requests: []Blamed{blamed}})
 	}
 	return added
--- a/internal/request/quarantine/event_test.go
+++ b/internal/request/quarantine/event_test.go
@@ -45,7 +45,7 @@
 	run = core.Begin(start, "s", identity("a"), true)
 	core.End(start, "s", run, quarantine.Completed, true)
 	id := identity("b")
-	core.ReportRemoteCrash(start.Add(time.Second), &id, false)
+	core.ReportRemoteCrash(start.Add(time.Second), &id, "elsewhere", false)
 	var kinds []quarantine.EventKind
 	for _, e := range core.TakeEvents() {
 		kinds = append(kinds, e.Kind)
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -299,9 +299,11 @@
 
 // addCrash reports a request in progress at a crash, and returns its Suspect.Crashes.
 func (l *ledger) addCrash(now time.Time, f Fingerprint, content Content, ranAlone, remote bool) uint8 {
-	s, cleared, _ := l.combined(now, f)
+	s, cleared, suspected := l.combined(now, f)
 	crashes := max(s.Crashes, 1)
-	if ranAlone && crashes < math.MaxUint8 {
+	// A request that has ended well since it was to run alone is a suspect for the first time.
+	wasCleared := !suspected && !cleared.IsZero()
+	if ranAlone && !wasCleared && crashes < math.MaxUint8 {
 		crashes++
 	}
 	until := now.Add(l.cfg.holdTime(crashes) + l.cfg.Memory)
@@ -312,11 +314,13 @@
 	return crashes
 }
 
-// addRemoteCrash reports a crash that another daemon observed, unless it is known, and
+// addRemoteCrash reports a crash that the daemon named source observed, unless it is known, and
 // returns the request's Suspect.Crashes and whether the crash was new.
-func (l *ledger) addRemoteCrash(now time.Time, f Fingerprint, content Content, ranAlone bool) (crashes uint8, added bool) {
-	s, _, _ := l.combined(now, f)
-	if s.Crashes > 1 || (s.Crashes == 1 && !ranAlone) {
+func (l *ledger) addRemoteCrash(now time.Time, f Fingerprint, content Content, source string, ranAlone bool) (crashes uint8, added bool) {
+	s, cleared, _ := l.combined(now, f)
+	known := l.others[f][source]
+	reported := known.isActive(now, cleared) && !known.ObservedElsewhere
+	if s.Crashes > 1 || (s.Crashes == 1 && (!ranAlone || reported)) {
 		return s.Crashes, false
 	}
 	return l.addCrash(now, f, content, ranAlone, true), true
--- a/test/e2e/crash_test.go
+++ b/test/e2e/crash_test.go
@@ -132,7 +132,7 @@
 	get := func(n *node) callResponse { return send(ctx, n, http.MethodGet, "/records/1", "", slow) }
 	results := make(chan callResponse, 20)
 	for i := range cap(results) {
-		go func() { results <- get(cl.nodes[i%5]) }()
+		go func() { results <- getUntilRun(cl.nodes[i%5], get) }()
 	}
 	running := func(b *backend) int { return b.runs(c)["rack"] }
 	cl.eventually("start of all requests", func() error {
@@ -171,3 +171,15 @@
 		})
 	}
 }
+
+// resendTime bounds how long a caller sends a request that is refused as not run again.
+const resendTime = 5 * time.Second
+
+// getUntilRun sends a request again, as callers do, while it is refused as not run.
+func getUntilRun(n *node, get func(*node) callResponse) callResponse {
+	for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		if r := get(n); r.outcome != "not-run" || time.Since(start) > resendTime {
+			return r
+		}
+	}
+}
