Operators list quarantined requests and release one

Since a refusal no longer ends by time alone after three crashes, an operator who has mended the fault needs a way out. daisygate quarantine list shows the proven requests of the fleet as any daemon knows them, daisygate quarantine release ends the refusal of one everywhere, whoever sends it: a clearance is published like that of a good answer, and the sources drop it from their disks.

TestMendedRequestStaysRefused (e2e, real processes), TestOperatorReleasesARequest, script quarantine.

--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -20,7 +21,8 @@
 // which some daemons lag permanently.
 type fakeFleet struct {
 	operator.Backend
-	fleet operator.Fleet
+	fleet      operator.Fleet
+	quarantine operator.QuarantineStatus
 }
 
 func (f *fakeFleet) Submit(context.Context, *manifest.Manifest) (source.Answer, error) {
@@ -31,6 +33,17 @@
 
 func (f *fakeFleet) NodeStatus() operator.NodeStatus { return operator.NodeStatus{Node: "n1"} }
 
+// Quarantine and Release act on one request.
+func (f *fakeFleet) Quarantine() operator.QuarantineStatus { return f.quarantine }
+
+func (f *fakeFleet) Release(r operator.ReleaseRequest) (operator.QuarantineStatus, *result.Error) {
+	if r.Fingerprint != f.quarantine.Requests[0].Fingerprint {
+		return operator.QuarantineStatus{}, result.Errorf(result.UnknownResource, "no request with the fingerprint %s is suspected", r.Fingerprint)
+	}
+	f.quarantine.Requests = f.quarantine.Requests[1:]
+	return f.quarantine, nil
+}
+
 func fakeSource(role, failure string, repair replica.Repair) *source.Status {
 	return &source.Status{Version: 7, Status: quorum.Status{Role: role, Term: 2, Commit: 9, Lead: "n1", Failure: failure, Repair: repair}}
 }
@@ -52,7 +65,10 @@
 		fleet.Daemons, fleet.Complete, fleet.Nodes = 10000, false, fleet.Nodes[1:6]
 		fleet.InForce = mesh.InForce{Version: 7, Count: 9990, Total: 10000, Laggards: []string{"n4", "n5"}}
 	}
-	server := httptest.NewServer(operator.Handler(operator.Config{ManifestBytes: 1 << 10}, &fakeFleet{fleet: fleet}))
+	quarantine := operator.QuarantineStatus{Requests: []operator.QuarantinedRequest{
+		{Fingerprint: "70fbb3e634c96acd", Crashes: 2, Forgotten: time.Unix(1<<31, 0).UTC()},
+	}}
+	server := httptest.NewServer(operator.Handler(operator.Config{ManifestBytes: 1 << 10}, &fakeFleet{fleet: fleet, quarantine: quarantine}))
 	ts.Defer(server.Close)
 	ts.Setenv("FAKE", strings.TrimPrefix(server.URL, "http://"))
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -87,7 +87,7 @@
 	}
 	root.AddCommand(
 		newServe(platform), newValidate(), newApply(), newStatus(), newHistory(),
-		newDiff(), newDrain(), newRollout(), newKeys(), newExplain(), newDev(), newVersion(),
+		newDiff(), newDrain(), newRollout(), newQuarantine(), newKeys(), newExplain(), newDev(), newVersion(),
 	)
 	return root
 }
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -225,6 +225,29 @@
 	return q.core.Known(time.Now())
 }
 
+// Proven returns the requests of the fleet that crashed servers while they ran alone.
+func (q *Quarantine) Proven() []presence.Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.updateReports()
+	return presenceSuspects(q.core.Proven(time.Now()))
+}
+
+// Release ends the refusal of a request on an operator's order, in the whole fleet. It reports whether
+// the request was a suspect.
+func (q *Quarantine) Release(fingerprint uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.updateReports()
+	f := quarantine.Fingerprint(fingerprint)
+	released := q.core.Release(time.Now(), f)
+	if released {
+		q.log.Info("suspect request released by an operator", "fingerprint", formatFingerprint(f))
+		q.publish()
+	}
+	return released
+}
+
 // updateReports processes the reports of the directory if it has changed.
 func (q *Quarantine) updateReports() {
 	dir := q.cfg.Directory()
--- a/internal/connection/gateway/quarantine_test.go
+++ b/internal/connection/gateway/quarantine_test.go
@@ -60,3 +60,38 @@
 		})
 	}
 }
+
+// TestOperatorReleasesARequest guards against a request that stays refused although its fault is mended:
+// an operator's release holds against the reports of other daemons, whoever sends the request.
+func TestOperatorReleasesARequest(t *testing.T) {
+	c := qt.New(t)
+	snap, err := snapshot.Compile(fleet.Empty())
+	c.Assert(err, qt.IsNil)
+	var reports []presence.Suspect
+	requests := map[string]*Request{}
+	for _, origin := range []string{"one", "two"} {
+		r := &Request{Mesh: "m", Origin: origin, HTTP: httptest.NewRequest("GET", "/crash", nil)}
+		requests[origin] = r
+		id := identityOf(r)
+		reports = append(reports, presence.Suspect{
+			Fingerprint: uint64(id.Fingerprint()), Content: uint64(id.Content()), Crashes: 4, Until: time.Now().Add(time.Hour).UnixMilli(),
+		})
+	}
+	dir := directory.Build(snap, []presence.Record{{Node: view.Node{Name: "other"}, Suspects: reports}})
+	var published []presence.Suspect
+	q := NewQuarantine(QuarantineConfig{
+		Self: "self", Directory: func() *directory.Directory { return dir }, Publish: func(s []presence.Suspect) { published = s },
+	}, logr.Discard())
+	c.Assert(q.Screen(requests["one"]).Refusal, qt.IsNotNil)
+	c.Check(q.Proven(), qt.HasLen, 2)
+	c.Check(q.Release(1), qt.IsFalse)
+	c.Check(q.Release(reports[0].Fingerprint), qt.IsTrue)
+	c.Check(q.Proven(), qt.HasLen, 0)
+	for origin, r := range requests {
+		c.Check(q.Screen(r), qt.Equals, Screening{}, qt.Commentf("%s", origin))
+	}
+	c.Assert(published, qt.HasLen, 2)
+	for _, s := range published {
+		c.Check(s.Crashes, qt.Equals, uint8(0))
+	}
+}
--- a/internal/connection/operator/client.go
+++ b/internal/connection/operator/client.go
@@ -76,6 +76,22 @@
 	return status, c.do(ctx, http.MethodGet, DrainPath+"?"+query.Encode(), nil, &status)
 }
 
+// Quarantine returns the quarantined requests of the fleet.
+func (c *Client) Quarantine(ctx context.Context) (QuarantineStatus, error) {
+	var status QuarantineStatus
+	return status, c.do(ctx, http.MethodGet, QuarantinePath, nil, &status)
+}
+
+// Release ends the refusal of a request, and returns the requests that are still quarantined.
+func (c *Client) Release(ctx context.Context, r ReleaseRequest) (QuarantineStatus, error) {
+	var status QuarantineStatus
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return status, errors.Wrap(err, "encode release")
+	}
+	return status, c.do(ctx, http.MethodPost, QuarantinePath, raw, &status)
+}
+
 // OrderRollout starts or aborts a rollout; it is idempotent.
 func (c *Client) OrderRollout(ctx context.Context, r RolloutRequest) (source.Answer, error) {
 	var answer source.Answer
--- a/internal/connection/operator/handler.go
+++ b/internal/connection/operator/handler.go
@@ -83,6 +83,8 @@
 	router.HandleFunc(DrainPath, a.drainStatus).Methods(http.MethodGet)
 	router.HandleFunc(RolloutsPath, a.orderRollout).Methods(http.MethodPost)
 	router.HandleFunc(RolloutsPath, a.rollout).Methods(http.MethodGet)
+	router.HandleFunc(QuarantinePath, a.release).Methods(http.MethodPost)
+	router.HandleFunc(QuarantinePath, a.quarantine).Methods(http.MethodGet)
 	if cfg.Metrics != nil {
 		router.Handle(MetricsPath, cfg.Metrics).Methods(http.MethodGet)
 	}
@@ -225,6 +227,19 @@
 	writeResult(w, status, refused)
 }
 
+func (a *api) release(w http.ResponseWriter, r *http.Request) {
+	var request ReleaseRequest
+	if !a.decode(w, r, &request, `{"fingerprint": "16 hexadecimal digits"}`) {
+		return
+	}
+	status, refused := a.backend.Release(request)
+	writeResult(w, status, refused)
+}
+
+func (a *api) quarantine(w http.ResponseWriter, _ *http.Request) {
+	writeResult(w, a.backend.Quarantine(), nil)
+}
+
 // decode parses the small JSON body of a request into dst; want is the expected format, for the
 // error message. If it returns false, it has written the error response.
 func (a *api) decode(w http.ResponseWriter, r *http.Request, dst any, want string) bool {
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/daisygate/daisygate/internal/process/mesh"
 	"github.com/daisygate/daisygate/internal/process/source"
@@ -25,6 +26,8 @@
 	DrainPath   = "/v1/drain"
 	// RolloutsPath starts and aborts rollouts and returns the newest rollout of a service.
 	RolloutsPath = "/v1/rollouts"
+	// QuarantinePath returns the requests that crashed backend servers, and releases one of them.
+	QuarantinePath = "/v1/quarantine"
 )
 
 // Query parameters.
@@ -153,6 +156,26 @@
 	return source.ServiceName{Mesh: r.Mesh, Service: r.Service}
 }
 
+// QuarantinedRequest is a request that crashed a backend server while it ran alone.
+type QuarantinedRequest struct {
+	// Fingerprint identifies the request as in the logs, in 16 hexadecimal digits.
+	Fingerprint string `json:"fingerprint"`
+	// Crashes is the number of crashes that are attributed to it.
+	Crashes int `json:"crashes"`
+	// Forgotten is when the request is forgotten, unless it is sent or crashes a server before.
+	Forgotten time.Time `json:"forgotten"`
+}
+
+// QuarantineStatus lists the quarantined requests of the fleet.
+type QuarantineStatus struct {
+	Requests []QuarantinedRequest `json:"requests"`
+}
+
+// ReleaseRequest selects the request to release.
+type ReleaseRequest struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
 // Backend is the daemon behind the API. Its errors are refusals that are returned to the
 // operator unchanged.
 type Backend interface {
@@ -170,4 +193,8 @@
 	Drain(ctx context.Context, r DrainRequest) (DrainStatus, *result.Error)
 	// DrainStatus returns the progress of the drain selected by r, without changing it.
 	DrainStatus(ctx context.Context, r DrainRequest) (DrainStatus, *result.Error)
+	// Quarantine returns the quarantined requests of the fleet.
+	Quarantine() QuarantineStatus
+	// Release ends the refusal of a request in the whole fleet, and returns the others.
+	Release(r ReleaseRequest) (QuarantineStatus, *result.Error)
 }
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -101,6 +101,10 @@
 // Renew extends the refusal of a request that is still sent. The reports have changed afterwards.
 func (c *Core) Renew(now time.Time, id *Identity) { c.ledger.renew(now, id.Content()) }
 
+// Release clears a suspect, and all others with the same content, on an operator's order. It returns
+// whether there was one; the reports have then changed.
+func (c *Core) Release(now time.Time, f Fingerprint) bool { return c.ledger.release(now, f) }
+
 // Proven returns a report on each request that crashed a server while it ran alone, whichever
 // daemon observed that.
 func (c *Core) Proven(now time.Time) []Suspect { return c.ledger.proven(now) }
--- a/internal/request/quarantine/group.go
+++ b/internal/request/quarantine/group.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// release clears a suspect and all others with the same content, and returns whether f was one.
+func (l *ledger) release(now time.Time, f Fingerprint) bool {
+	s, _, ok := l.combined(now, f)
+	if !ok {
+		return false
+	}
+	for _, member := range append(slices.Clone(l.withContent(s.Content)), f) {
+		if m, _, suspect := l.combined(now, member); suspect {
+			l.store(now, Suspect{Fingerprint: member, Content: m.Content, Until: m.Until})
+			delete(l.others, member)
+		}
+	}
+	return true
+}
+
 // proven returns the requests that crashed a server while they ran alone, in order of fingerprint.
 func (l *ledger) proven(now time.Time) []Suspect {
 	var proven []Suspect
--- a/test/e2e/crash_test.go
+++ b/test/e2e/crash_test.go
@@ -183,3 +183,30 @@
 		}
 	}
 }
+
+// TestMendedRequestStaysRefused guards against a request that is refused although its fault is mended: an
+// operator lists it at one daemon and releases it at another.
+func TestMendedRequestStaysRefused(t *testing.T) {
+	c := qt.New(t)
+	cl := newArchiveCluster(c, 4, 0, 1, 2, 3)
+	send := func(n *node, header map[string]string) callResponse {
+		return send(context.Background(), n, http.MethodGet, "/records/crash", "", header)
+	}
+	crash := map[string]string{testbackend.HeaderCrash: "1"}
+	for _, n := range cl.nodes {
+		cl.eventually("refusal at "+n.name, func() error { return send(n, crash).must(result.Quarantined) })
+	}
+	c.Check(send(cl.nodes[0], nil).is(result.Quarantined), qt.IsTrue) // headers do not identify a request
+
+	list, code := cl.run("quarantine", "list", "--operator", cl.nodes[1].operator)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", list))
+	c.Log(list)
+	rows := strings.Split(strings.TrimSpace(list), "\n")
+	c.Assert(rows, qt.HasLen, 2)
+	released, code := cl.run("quarantine", "release", "--fingerprint", strings.Fields(rows[1])[0], "--operator", cl.nodes[2].operator)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s", released))
+	c.Check(strings.TrimSpace(released), qt.Equals, "no request is quarantined")
+	for _, n := range cl.nodes {
+		cl.eventually("answer at "+n.name, func() error { return send(n, nil).must(result.OK) })
+	}
+}
