Soak: a request that crashes servers, and servers that refuse connections while they are down

Seeds of remainder 1 modulo 3 now send one several times a second at the instances of one service, beside the other faults, and its check is the rule's: at most three runs later than 3 s after the third crash, sent by daemons that had no fault.

The soak's crashed servers kept their listener (their proxy accepted and reset connections), which a daemon of the platform's settings takes for a server that is up. So none of its crashes ever reached the quarantine. The proxy now refuses connections while its server is down.

TestBrokenPromisesAreFound has the new check.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -38,6 +38,8 @@
 	// daemon is the name of the local daemon and outbound its address for outgoing requests.
 	daemon, outbound string
 	client           *http.Client
+	// crashUnderRequest is called when the server runs a request that crashes it.
+	crashUnderRequest func()
 	// refusing is set while the server refuses a share of its requests, and fails a share of the
 	// calls that it executes.
 	refusing atomic.Bool
@@ -85,7 +87,7 @@
 	server, to := b.server, l.Addr().String()
 	go func() { _ = server.Serve(l) }()
 	b.proxy.target.Store(&to)
-	return nil
+	return b.proxy.accept()
 }
 
 // bootID returns the ID of a start of the server at an address.
@@ -95,10 +97,11 @@
 
 func bootPrefix(addr string) string { return strings.ReplaceAll(addr, ":", "-") + "-" }
 
-// crash closes the server and resets all connections without draining.
+// crash closes the server and resets all connections without draining. New ones are refused.
 func (b *backend) crash() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.proxy.refuse()
 	b.proxy.target.Store(nil)
 	if b.server != nil {
 		_ = b.server.Close()
@@ -148,6 +151,15 @@
 		ID: id, Boot: boot, Service: b.service, Method: r.Method, Path: r.URL.Path, Origin: r.Header.Get(headerOrigin),
 		Body: hashOf(string(body)), At: time.Now(),
 	})
+	if isCrashing(r.URL.Path) {
+		time.Sleep(rand.N(crashWork))
+		b.crashUnderRequest()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(crashDuration):
+		}
+		panic(http.ErrAbortHandler) // no answer
+	}
 	status := http.StatusOK
 	if strings.HasPrefix(r.URL.Path, pathSafe) && rand.Float64() < callingShare {
 		status = b.callOtherService(repeat, r.Header.Get(headerDeadline))
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -47,7 +47,9 @@
 // request describes a request to send.
 type request struct {
 	kind, path, method string
-	bytes              int
+	// exact is set if the path is the same for each request; otherwise its ID follows the path.
+	exact bool
+	bytes int
 	// deadline is the time for the answer; 0 means requestDeadline.
 	deadline time.Duration
 }
@@ -72,7 +74,11 @@
 // send sends a request through the daemon at base.
 func send(client *http.Client, base string, k request, id string) SentRequest {
 	body := strings.Repeat("b", k.bytes)
-	s := SentRequest{ID: id, Method: k.method, Path: k.path + id, Kind: k.kind, Body: hashOf(body), At: time.Now(), Deadline: cmp.Or(k.deadline, requestDeadline)}
+	path := k.path
+	if !k.exact {
+		path += id
+	}
+	s := SentRequest{ID: id, Method: k.method, Path: path, Kind: k.kind, Body: hashOf(body), At: time.Now(), Deadline: cmp.Or(k.deadline, requestDeadline)}
 	// A plain reader has no GetBody, so net/http never sends the body a second time.
 	req, err := http.NewRequest(k.method, base+s.Path, io.NopCloser(bytes.NewReader([]byte(body))))
 	if err != nil {
--- a/soak/check.go
+++ b/soak/check.go
@@ -40,6 +40,7 @@
 	c.checkStatements()
 	c.checkCalls()
 	c.checkFloor()
+	c.checkCrashingRequest()
 	c.checkRecovery()
 	for _, f := range h.Faults {
 		if f.Kind == unexpectedExit {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -71,6 +71,7 @@
 		"REFUSED calls fail":   func(h *History) { refuseSafe(h) },
 		"CALL late":            func(h *History) { addCall(h, at(15), 2500*time.Millisecond) },
 		"CALL unanswered":      func(h *History) { addCall(h, at(15), 0) },
+		"BUDGET crashes":       func(h *History) { crashServers(h) },
 		"FLOOR":                func(h *History) { starveRoute(h) },
 		"RECOVER":              func(h *History) { h.Sent[1].Status = 504; h.Sent[1].Signed = false },
 		"EXIT ended by itself": func(h *History) { h.Faults = []Fault{{Kind: unexpectedExit, Target: "d", At: at(3)}} },
@@ -86,6 +87,16 @@
 	}
 }
 
+// crashServers adds a request that crashes servers again and again.
+func crashServers(h *History) {
+	for i, second := range []float64{1, 1.1, 1.2, 5, 5.5, 6, 6.5} {
+		t, id := at(second), "crash-"+strconv.Itoa(i)
+		h.Faults = append(h.Faults, Fault{Kind: crashedByCaller, Target: "b", At: t, Until: t})
+		h.Sent = append(h.Sent, SentRequest{ID: id, Daemon: "d", Method: "GET", Path: pathCrash, Kind: "safe", At: t, Ended: t})
+		h.Runs = append(h.Runs, Exec{ID: id, Boot: "s-1", Service: serviceA, Method: "GET", Path: pathCrash, Origin: serviceA, At: t})
+	}
+}
+
 // refuseSafe refuses a safe request that was executed.
 func refuseSafe(h *History) {
 	h.Sent[0].Kind, h.Sent[0].Code, h.Sent[0].Outcome = "safe", "228", outcomeNotRun
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -207,6 +207,9 @@
 			return errors.Wrap(err, "start proxy")
 		}
 		b := &backend{history: cl.history, service: p.service, addr: cl.addr(p, portApplication), control: cl.addr(p, portControl), proxy: proxy, daemon: p.name, outbound: cl.addr(p, portOutbound), client: newClient(slots)}
+		b.crashUnderRequest = func() {
+			cl.runFault(crashedByCaller, b.addr, crashDuration, false, b.crash, func() { cl.must(b.start()) })
+		}
 		cl.backends = append(cl.backends, b)
 		if err := b.start(); err != nil {
 			return errors.Wrap(err, "start backend server")
@@ -272,6 +275,5 @@
 	}
 	for _, b := range cl.backends {
 		b.crash()
-		_ = b.proxy.listener.Close()
 	}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -68,6 +68,9 @@
 // runs by the configuration, otherwise by where the requests enter.
 func (o Options) hasOrganisation() bool { return o.Seed%4 == 1 }
 
+// hasCrashingRequest reports whether a request that crashes servers is sent.
+func (o Options) hasCrashingRequest() bool { return o.Seed%3 == 1 }
+
 const (
 	sourceCount = 3
 	// startupTimeout bounds the start of the cluster. recoveryTime is the time that the cluster
@@ -115,6 +118,9 @@
 	defer stopDisturbance()
 	cl.startForeignReports(disturbance)
 	cl.startRefusals(disturbance)
+	if o.hasCrashingRequest() {
+		cl.startCrashingRequest(disturbance)
+	}
 	cl.startLimits(disturbance)
 	cl.injectFaults(ctx, o.Duration)
 	stopDisturbance()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -25,26 +25,49 @@
 
 // proxy is a TCP proxy in front of a backend server.
 type proxy struct {
+	addr   string
+	target atomic.Pointer[string]
+	mode   atomic.Int32
+	mu     sync.Mutex
+	// listener is nil while connections are refused.
 	listener net.Listener
-	target   atomic.Pointer[string]
-	mode     atomic.Int32
-	mu       sync.Mutex
 	conns    map[net.Conn]bool
 }
 
 func newProxy(addr string) (*proxy, error) {
-	l, err := net.Listen("tcp", addr)
+	p := &proxy{addr: addr, conns: map[net.Conn]bool{}}
+	return p, p.accept()
+}
+
+// accept begins to accept connections, if they are refused.
+func (p *proxy) accept() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.addr)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	p.listener = l
+	go p.serve(l)
+	return nil
+}
+
+// refuse refuses new connections until the next call of accept.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
 	}
-	p := &proxy{listener: l, conns: map[net.Conn]bool{}}
-	go p.serve()
-	return p, nil
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(l net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
