--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -154,15 +154,15 @@
 	// retained are the suspects last passed to QuarantineConfig.Retain.
 	retained []presence.Suspect
 	counters QuarantineCounters
-	// releaseLines limits the log lines about quarantined requests that run.
-	releaseLines *rate.Limiter
+	// trialLines limits the log lines about quarantined requests that run.
+	trialLines *rate.Limiter
 }
 
 // NewQuarantine returns a Quarantine.
 func NewQuarantine(cfg QuarantineConfig, log logr.Logger) *Quarantine {
 	core := quarantine.DefaultConfig()
 	core.SlowRestart = cfg.SlowRestart
-	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(core), releaseLines: rate.NewLimiter(releaseLinesPerSecond, releaseLinesPerSecond)}
+	return &Quarantine{cfg: cfg, log: log, core: quarantine.New(core), trialLines: rate.NewLimiter(trialLinesPerSecond, trialLinesPerSecond)}
 }
 
 // NeedsBody implements CrashScreener.
--- a/internal/connection/gateway/quarantine_report.go
+++ b/internal/connection/gateway/quarantine_report.go
@@ -9,8 +9,8 @@
 const (
 	// maxLoggedSuspects is the maximum number of requests in one field of a crash's log line.
 	maxLoggedSuspects = 32
-	// releaseLinesPerSecond bounds the log lines about quarantined requests that run.
-	releaseLinesPerSecond = 10
+	// trialLinesPerSecond bounds the log lines about quarantined requests that run.
+	trialLinesPerSecond = 10
 )
 
 // QuarantineCounters counts the decisions of a Quarantine since the daemon started.
@@ -58,7 +58,7 @@
 func (q *Quarantine) reportCrash(e quarantine.Event) {
 	proven := false
 	for _, r := range e.Requests {
-		if r.Alone {
+		if r.Alone && r.Crashes > 1 {
 			proven = true
 			q.counters.Proven++
 			q.log.Info("backend server crashed by a request in isolation; the request is quarantined", fields(r,
@@ -100,7 +100,7 @@
 	default:
 		q.counters.Lapsed++
 	}
-	if q.releaseLines.Allow() {
+	if q.trialLines.Allow() {
 		q.log.Info("quarantined request runs in isolation", "fingerprint", formatFingerprint(id.Fingerprint()),
 			"mesh", id.Mesh, "method", id.Method, "path", id.Path, "origin", id.Origin, "crashes", v.Crashes, "why", why)
 	}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -270,9 +270,10 @@
 }
 
 // reportCrash reports every run that was in progress on a server when it crashed, or had been
-// abandoned shortly before, and for which mayBeCause is true. Runs of the same request count once. Runs that started after the first
-// connection was lost are not reported, because they did not cause the crash: a process that ends
-// closes its connections one by one, and a request can still be written to a later one.
+// abandoned shortly before, and for which mayBeCause is true. Runs of the same request count once.
+// Runs that started after the first connection was lost are not reported, because they did not cause
+// the crash: a process that ends closes its connections one by one, and a request can still be written
+// to a later one.
 func (c *Core) reportCrash(now time.Time, addr string, mayBeCause func(*run) bool) {
 	c.dropAbandoned(now, addr)
 	runs := c.servers[addr]
