Quarantine: a suspect that times out keeps its server, which is then checked; copies of a request excuse it not

TestCrashAfterATimeoutIsAttributed, 4 of 5 servers crashed. Each isolated send of the culprit was answered with a timeout at once, its slot was free, and the next suspect was isolated when the server crashed: two isolated requests at each crash, neither proven, and so on. After an isolated run that timed out or was abandoned, the slot is now held for the second in which a crash may be due to it.

TestCrashingRequestIsRefused, 4 crashes instead of 2. The announcement of one daemon's server came a second late, so its sends had no origin, and the request was two to the fleet. The crash of one copy alone excused that of the other. Crashes under the same content from another sender excuse nothing now, and a request whose origin is not known, or beside a proven one of unknown origin, shares its blame.

Tests: TestSuspectTimesOutBesideOthers, TestCrashesOfOneContentExcuseIt.

--- a/internal/connection/gateway/crash_check_test.go
+++ b/internal/connection/gateway/crash_check_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/daisygate/daisygate/internal/request/quarantine"
 )
 
 // slowScreener takes checkTime to find out whether a server crashed, and counts the runs that begin
@@ -78,3 +80,30 @@
 		})
 	}
 }
+
+// TestSuspectTimesOutBesideOthers guards against a server that crashes under other requests because the
+// slot of a suspect was free as soon as the server had answered it with a timeout.
+func TestSuspectTimesOutBesideOthers(t *testing.T) {
+	for name, test := range map[string]struct {
+		isolated bool
+		status   RunStatus
+		held     bool
+	}{
+		"suspect times out":    {isolated: true, status: TimedOut, held: true},
+		"suspect is abandoned": {isolated: true, status: Cancelled, held: true},
+		"suspect ends":         {isolated: true, status: Finished},
+		"other times out":      {status: TimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			released := make(chan struct{})
+			slot := &heldSlot{release: func() { close(released) }}
+			slot.finished()
+			begin := time.Now()
+			slot.ended(test.isolated, test.status)
+			slot.ended(test.isolated, test.status)
+			<-released
+			c.Check(time.Since(begin) >= quarantine.AbandonedWindow, qt.Equals, test.held)
+		})
+	}
+}
--- a/internal/connection/gateway/held_slot.go
+++ b/internal/connection/gateway/held_slot.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "sync"
+import (
+	"sync"
+	"time"
+
+	"github.com/daisygate/daisygate/internal/request/quarantine"
+)
 
 // heldSlot is the slot of a request on a backend server. It is released once the server has finished
 // the request and it is known whether the server crashed: otherwise waiting requests would start on a
@@ -19,6 +24,16 @@
 // first have no effect.
 func (s *heldSlot) checked() { s.advance(&s.isChecked) }
 
+// ended calls checked once nothing of a run can crash the server any more. After an isolated run that
+// was abandoned, the server stays idle for a while, so that a crash is attributed to no other request.
+func (s *heldSlot) ended(isolated bool, status RunStatus) {
+	if isolated && status.mayGoOn() {
+		time.AfterFunc(quarantine.AbandonedWindow, s.checked)
+		return
+	}
+	s.checked()
+}
+
 func (s *heldSlot) advance(step *bool) {
 	s.mu.Lock()
 	complete := !*step && (s.isFinished || s.isChecked)
--- a/internal/connection/gateway/hooks.go
+++ b/internal/connection/gateway/hooks.go
@@ -136,6 +136,9 @@
 	Rejected
 )
 
+// mayGoOn reports whether the backend server may still work on a run that ended so.
+func (s RunStatus) mayGoOn() bool { return s == TimedOut || s == Cancelled }
+
 // maxStoredBody is the size of the largest response body passed to Settle.
 const maxStoredBody = 64 << 10
 
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -31,6 +31,10 @@
 	// retryAfterCrash is when a caller may retry a request that was in progress at a
 	// crash: the fleet knows of the crash by then.
 	retryAfterCrash = time.Second
+	// abandonedCheckDelay is when a server is checked after an isolated run was abandoned there: nothing
+	// else runs on it that would reveal a crash. It is shorter than quarantine.AbandonedWindow by
+	// more than probeTimeout.
+	abandonedCheckDelay = quarantine.AbandonedWindow - 300*time.Millisecond
 	// retainInterval is the time between two updates of the retained suspects.
 	retainInterval = 100 * time.Millisecond
 	// maxIsolationWait bounds how long a suspect waits for its server to become idle; the
@@ -319,9 +323,25 @@
 		s.recordConnectionLoss()
 		listening = stillListening(s.addr)
 	}
+	if s.r.Isolated && status.mayGoOn() {
+		time.AfterFunc(abandonedCheckDelay, func() { s.q.checkAbandoned(s.addr) })
+	}
 	return s.recordEnd(quarantineOutcomes[status], listening)
 }
 
+// checkAbandoned reports a crash if a server on which runs were abandoned refuses connections.
+func (q *Quarantine) checkAbandoned(addr string) {
+	if acceptsConnections(addr) {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.core.RecordRefusal(time.Now(), addr) {
+		q.publish()
+	}
+	q.reportEvents()
+}
+
 func (s *suspectRun) recordEnd(outcome quarantine.Outcome, listening bool) (crashed bool) {
 	s.q.mu.Lock()
 	defer s.q.mu.Unlock()
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -179,8 +179,9 @@
 		if errors.Is(failure, syscall.ECONNREFUSED) {
 			g.cfg.OnConnectionRefused(req.addr)
 		}
-		crashed := run.End(runStatusOf(failure, refused.Code))
-		slot.checked()
+		status := runStatusOf(failure, refused.Code)
+		crashed := run.End(status)
+		slot.ended(req.request.Isolated, status)
 		if crashed {
 			refused = newRefusal(result.BackendCrashed, failure.Error())
 			time.Sleep(crashReportDelay)
@@ -197,7 +198,7 @@
 			g.log.Info(logStatementsUntrusted, "server", req.addr, "boot", req.boot, "stated", metadata.Contention)
 		}
 	}
-	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, slot: slot, whole: runStatusOfResponse(resp.StatusCode, &metadata)}
+	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, run: run, slot: slot, isolated: req.request.Isolated, whole: runStatusOfResponse(resp.StatusCode, &metadata)}
 	refused := g.checkResponse(ctx, b, req, resp, &metadata, start)
 	span.End(codeOf(refused))
 	if refused != nil {
--- a/internal/connection/gateway/tracked_body.go
+++ b/internal/connection/gateway/tracked_body.go
@@ -13,7 +13,8 @@
 	ctx context.Context
 	run Run
 	// slot is the slot that the request holds.
-	slot *heldSlot
+	slot     *heldSlot
+	isolated bool
 	// whole is how the run ended if the response is complete.
 	whole   RunStatus
 	readErr error
@@ -27,7 +28,7 @@
 		b.readErr = err
 	}
 	if err == io.EOF {
-		b.slot.checked()
+		b.slot.ended(b.isolated, b.whole)
 	}
 	return n, err
 }
@@ -36,8 +37,9 @@
 func (b *trackedBody) Close() error {
 	err := b.ReadCloser.Close()
 	b.once.Do(func() {
-		crashed := b.run.End(b.status())
-		b.slot.checked()
+		status := b.status()
+		crashed := b.run.End(status)
+		b.slot.ended(b.isolated, status)
 		if crashed {
 			time.Sleep(crashReportDelay)
 		}
--- a/internal/request/quarantine/attribution_test.go
+++ b/internal/request/quarantine/attribution_test.go
@@ -98,3 +98,26 @@
 	c.Check(origin.ReportRemoteCrash(at(41), &id, "server", true), qt.IsFalse)
 	c.Check(origin.Judge(at(42), &id).Mode, qt.Equals, quarantine.Alone)
 }
+
+// TestCrashesOfOneContentExcuseIt guards against a request that is excused, and crashes one server more,
+// because copies of it from an instance with an unknown service crashed others at the same time.
+func TestCrashesOfOneContentExcuseIt(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	f.now = at(0)
+	known, unknown := identity("culprit"), identity("culprit")
+	known.Origin = "service"
+	crash := func(daemon string, id quarantine.Identity, alone bool) {
+		run := f.cores[daemon].Begin(f.now, daemon, id, alone)
+		f.cores[daemon].End(f.now, daemon, run, quarantine.ConnectionLost, false)
+		f.spread()
+	}
+	crash("a", known, false)
+	c.Check(f.cores["b"].Judge(f.now, &unknown).Mode, qt.Equals, quarantine.Alone)
+	crash("b", unknown, true)
+	// It may be the request that is proven.
+	c.Check(f.cores["c"].Judge(f.now, &known).Mode, qt.Equals, quarantine.Refused)
+	// A copy that was under way.
+	crash("c", known, true)
+	c.Check(f.cores["a"].Judge(f.now, &known).Mode, qt.Equals, quarantine.Refused)
+}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -10,10 +10,10 @@
 	// connectionLossWindow is the time within which lost connections are attributed to one
 	// event.
 	connectionLossWindow = time.Second
-	// abandonedWindow is how long a server may go on with a request after this daemon has closed
+	// AbandonedWindow is how long a server may go on with a request after this daemon has closed
 	// its connection, or after it has answered with a timeout. A crash within that time may be due to
 	// the request.
-	abandonedWindow = time.Second
+	AbandonedWindow = time.Second
 	// exitDuration is the time within which a process that ends closes all its connections.
 	exitDuration = 20 * time.Millisecond
 )
@@ -46,7 +46,7 @@
 )
 
 // run is one request in progress on a server of this daemon's instance, or abandoned there less
-// than abandonedWindow ago.
+// than AbandonedWindow ago.
 type run struct {
 	identity Identity
 	// alone is set if nothing else runs on the server.
@@ -95,7 +95,7 @@
 
 // Judge returns how a request may run. If Verdict.Renew is set, the caller must call Renew.
 func (c *Core) Judge(now time.Time, id *Identity) Verdict {
-	return c.ledger.judge(now, id.Fingerprint(), id.Content())
+	return c.ledger.judge(now, id)
 }
 
 // Renew extends the refusal of a request that is still sent. The reports have changed afterwards.
@@ -174,13 +174,23 @@
 		delete(c.servers[addr], id)
 	}
 	c.dropAbandoned(now, addr)
-	if outcome == ConnectionRefused && c.hasAbandoned(addr) {
-		changed = true
-		c.reportCrash(now, addr, (*run).isAbandoned)
+	if outcome == ConnectionRefused {
+		changed = c.RecordRefusal(now, addr) || changed
 	}
 	return crashed, changed
 }
 
+// RecordRefusal records that the server refuses connections, and reports whether the reports have
+// changed: runs abandoned there shortly before may have crashed it.
+func (c *Core) RecordRefusal(now time.Time, addr string) (changed bool) {
+	c.dropAbandoned(now, addr)
+	if !c.hasAbandoned(addr) {
+		return false
+	}
+	c.reportCrash(now, addr, (*run).isAbandoned)
+	return true
+}
+
 // clear reports that a request ended well, and returns whether it was a suspect.
 func (c *Core) clear(now time.Time, id *Identity) bool {
 	blamed := newBlamed(id)
@@ -191,7 +201,7 @@
 	return cleared
 }
 
-// hasAbandoned reports whether a run was abandoned on the server less than abandonedWindow ago, and
+// hasAbandoned reports whether a run was abandoned on the server less than AbandonedWindow ago, and
 // not yet reported.
 func (c *Core) hasAbandoned(addr string) bool {
 	for _, r := range c.servers[addr] {
@@ -207,7 +217,7 @@
 // dropAbandoned removes the runs that were abandoned too long ago to crash the server.
 func (c *Core) dropAbandoned(now time.Time, addr string) {
 	maps.DeleteFunc(c.servers[addr], func(_ uint64, r *run) bool {
-		return r.isAbandoned() && now.Sub(r.abandonedAt) > abandonedWindow
+		return r.isAbandoned() && now.Sub(r.abandonedAt) > AbandonedWindow
 	})
 	if len(c.servers[addr]) == 0 {
 		delete(c.servers, addr)
--- a/internal/request/quarantine/excuse.go
+++ b/internal/request/quarantine/excuse.go
@@ -29,16 +29,22 @@
 		return false
 	}
 	at, by := l.lastAloneCrash(now, s)
-	others := 0
-	for source, times := range l.crashTimes {
-		if !by[source] && anyWithinCrashWindow(at, times) {
-			others++
+	others := map[string]bool{}
+	for f := range l.fingerprints() {
+		for _, r := range l.reportsOn(f) {
+			if !by[r.Source] && l.mayExcuse(&r, &s) && l.cfg.crashTime(&r).Sub(at).Abs() < crashWindow {
+				others[r.Source] = true
+			}
 		}
 	}
-	if !by[""] && anyWithinCrashWindow(at, l.ownCrashTimes()) {
-		others++
-	}
-	return others >= minOtherCrashes
+	return len(others) >= minOtherCrashes
+}
+
+// mayExcuse reports whether r is about a crash that a daemon observed itself, and not only under the same
+// content as s from another sender.
+func (l *ledger) mayExcuse(r, s *Suspect) bool {
+	related := r.Content != 0 && r.Content == s.Content && r.Fingerprint != s.Fingerprint
+	return r.Crashes > 0 && !r.ObservedElsewhere && !related
 }
 
 // lastAloneCrash returns when s last crashed a server while it ran alone, and the sources
@@ -60,22 +66,3 @@
 	}
 	return at, by
 }
-
-func (l *ledger) ownCrashTimes() []time.Time {
-	var times []time.Time
-	for _, r := range l.own {
-		if r.Crashes > 0 && !r.ObservedElsewhere {
-			times = append(times, l.cfg.crashTime(&r))
-		}
-	}
-	return times
-}
-
-func anyWithinCrashWindow(at time.Time, times []time.Time) bool {
-	for _, t := range times {
-		if t.Sub(at).Abs() < crashWindow {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -94,8 +94,6 @@
 	// others holds the reports of all other daemons by source, also those of daemons that are
 	// gone or have dropped them. No inner map is empty.
 	others map[Fingerprint]map[string]Suspect
-	// crashTimes holds the times of the crashes that other daemons observed, by source.
-	crashTimes map[string][]time.Time
 	// events are the events since the last call of Core.TakeEvents.
 	events []Event
 	// byContent holds the reported requests by content. It is nil if it has to be built again.
@@ -160,21 +158,9 @@
 	}
 	l.dropCleared()
 	l.limitRemembered()
-	l.collectCrashTimes()
 	l.byContent = nil
 }
 
-func (l *ledger) collectCrashTimes() {
-	l.crashTimes = map[string][]time.Time{}
-	for _, reports := range l.others {
-		for source, r := range reports {
-			if r.Crashes > 0 && !r.ObservedElsewhere {
-				l.crashTimes[source] = append(l.crashTimes[source], l.cfg.crashTime(&r))
-			}
-		}
-	}
-}
-
 // remember stores a report of another daemon. A daemon that has dropped its report may publish a
 // weaker one later, which does not replace it.
 func (l *ledger) remember(r Suspect) {
@@ -269,12 +255,12 @@
 	return false
 }
 
-func (l *ledger) judge(now time.Time, f Fingerprint, content Content) Verdict {
-	s, cleared, _ := l.combined(now, f)
-	g := l.group(now, content)
-	// sharesBlame: requests of two other callers crashed servers alone, and this one has never
-	// ended well.
-	sharesBlame := g.proven > 1 && cleared.IsZero()
+func (l *ledger) judge(now time.Time, id *Identity) Verdict {
+	s, cleared, _ := l.combined(now, id.Fingerprint())
+	g := l.group(now, id.Content())
+	// sharesBlame: requests of two other callers crashed servers alone, or one that may be of the
+	// same caller, and this one has never ended well.
+	sharesBlame := cleared.IsZero() && (g.proven > 1 || g.proven == 1 && l.mayBeSameCaller(now, id))
 	v := Verdict{Mode: Alone, Crashes: s.Crashes}
 	switch {
 	case g.aloneCrashes >= l.cfg.MaxAloneCrashes && (s.Crashes > 1 || sharesBlame):
@@ -292,6 +278,15 @@
 	return v
 }
 
+// mayBeSameCaller reports whether the origin of a request is not known, or that of a proven one with the
+// same content is not.
+func (l *ledger) mayBeSameCaller(now time.Time, id *Identity) bool {
+	unknown := *id
+	unknown.Origin = ""
+	s, _, _ := l.combined(now, unknown.Fingerprint())
+	return id.Origin == "" || s.Crashes > 1
+}
+
 func (v *Verdict) refuse(until time.Time) { v.Mode, v.Until = Refused, until }
 
 // holdEnd returns when the refusal ends that a report with the given expiry is about.
