Admission, quarantine: one loop picks the best ticket, one place stores a clearance; no lock for the usual duration of ordinary requests

Behaviour stays as it is.

Admission had three loops over its queue that differ in which tickets are eligible: bestIndex serves the first ticket, the first callers' ticket and the first that runs alone. ledger.clear and release wrote the same clearance. The usual duration of a kind was read under the gate's lock for each request, and is needed for suspects only. latestIsolation is one expression.

--- a/internal/connection/gateway/downstream_test.go
+++ b/internal/connection/gateway/downstream_test.go
@@ -318,7 +318,7 @@
 // holdFull takes the only slot of a backend and fills its queue.
 func holdFull(b *backend, calls bool) {
 	for range 64 {
-		t := (&backendRequest{request: &Request{}, isCall: calls, deadline: time.Now().Add(time.Hour)}).ticket(time.Now(), 0)
+		t := (&backendRequest{request: &Request{}, isCall: calls, deadline: time.Now().Add(time.Hour)}).ticket(time.Now(), nil)
 		b.gate.submit(&t)
 	}
 }
--- a/internal/connection/gateway/organisation_test.go
+++ b/internal/connection/gateway/organisation_test.go
@@ -230,7 +230,7 @@
 	for name, weight := range map[string]float64{"parish": 1, "removed": 0, "": 0} {
 		req := backendRequest{request: &Request{Mesh: "m", Organisation: name}}
 		req.setWeight(f.snap)
-		ticket := req.ticket(time.Now(), 0)
+		ticket := req.ticket(time.Now(), nil)
 		c.Check(ticket.Organisation, qt.Equals, name)
 		c.Check(ticket.Weight, qt.Equals, weight)
 	}
--- a/internal/connection/gateway/quarantine.go
+++ b/internal/connection/gateway/quarantine.go
@@ -104,15 +104,15 @@
 	return nil
 }
 
-// ticket returns the ticket to wait with for a slot. typical is the usual duration of requests of
-// this kind, or 0.
-func (req *backendRequest) ticket(now time.Time, typical time.Duration) admit.Ticket {
+// ticket returns the ticket to wait with for a slot. typicalTime returns the usual duration of requests
+// of a kind, or 0; it is called for suspects only.
+func (req *backendRequest) ticket(now time.Time, typicalTime func(kind string) time.Duration) admit.Ticket {
 	t := admit.Ticket{
 		Priority: req.priority, Organisation: req.request.Organisation, Weight: req.weight,
 		Deadline: req.deadline, Useful: req.usefulUntil, Kind: req.route, Alone: req.request.Isolated, Call: req.isCall,
 	}
 	if t.Alone {
-		t.Deadline = latestIsolation(now, req.deadline, typical)
+		t.Deadline = latestIsolation(now, req.deadline, typicalTime(req.route))
 	}
 	return t
 }
@@ -120,12 +120,9 @@
 // latestIsolation returns until when a suspect with the given deadline waits for its server to become
 // idle. It must have the time to end, otherwise its run proves nothing.
 func latestIsolation(now, deadline time.Time, typical time.Duration) time.Time {
-	reserve := min(isolationReserve*typical, deadline.Sub(now)/2)
-	latest, wait := deadline.Add(-reserve), now.Add(maxIsolationWait)
-	if wait.Before(latest) {
-		return wait
-	}
-	return latest
+	left := deadline.Sub(now)
+	reserve := min(isolationReserve*typical, left/2)
+	return now.Add(min(left-reserve, maxIsolationWait))
 }
 
 // QuarantineConfig holds the settings of a Quarantine; they do not change afterwards.
--- a/internal/connection/gateway/quarantine_test.go
+++ b/internal/connection/gateway/quarantine_test.go
@@ -56,7 +56,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			req := &backendRequest{request: &Request{Isolated: test.isolated}, deadline: now.Add(test.left)}
-			qt.Check(t, req.ticket(now, test.typical).Deadline.Sub(now), qt.Equals, test.want)
+			qt.Check(t, req.ticket(now, func(string) time.Duration { return test.typical }).Deadline.Sub(now), qt.Equals, test.want)
 		})
 	}
 }
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -108,7 +108,7 @@
 	}
 	req.releaseResponse = releaseResponse
 	entered := time.Now()
-	ticket := req.ticket(entered, b.gate.typicalTime(req.route))
+	ticket := req.ticket(entered, b.gate.typicalTime)
 	refused = b.gate.Acquire(ctx, ticket)
 	req.queueTime = time.Since(entered)
 	if refused != nil {
@@ -133,7 +133,7 @@
 	if !g.link.schedulesBody(req) {
 		return nil
 	}
-	if refused := gate.WouldRefuse(req.ticket(time.Now(), gate.typicalTime(req.route))); refused != nil {
+	if refused := gate.WouldRefuse(req.ticket(time.Now(), gate.typicalTime)); refused != nil {
 		return refused
 	}
 	return g.link.admitBody(ctx, req, gate.typicalTime(req.route))
--- a/internal/request/admit/calls.go
+++ b/internal/request/admit/calls.go
@@ -137,8 +137,11 @@
 
 // nextIndex returns the index of the ticket that starts next; the queue must not be empty.
 func (c *Core) nextIndex(now time.Time) int {
-	if i := c.isolatedIndex(now); i >= 0 {
-		return i
+	if c.running == 0 {
+		// These start in a row, so that the server becomes idle once for all of them.
+		if i := c.bestIndex(now, func(t *Ticket) bool { return t.Alone }); i >= 0 {
+			return i
+		}
 	}
 	first := c.firstIndex(now)
 	if !c.queue[first].Call {
@@ -150,13 +153,7 @@
 	if !c.callersTurn(now) {
 		return first
 	}
-	best := -1
-	for i := range c.queue {
-		if !c.queue[i].Call && (best < 0 || c.runsBefore(now, &c.queue[i], &c.queue[best])) {
-			best = i
-		}
-	}
-	return best
+	return c.bestIndex(now, func(t *Ticket) bool { return !t.Call })
 }
 
 // slotTime returns how long a waiting ticket is expected to keep a slot from callers' requests. Calls
@@ -215,18 +212,3 @@
 	}
 	return c.refuse(now, *t, result.DeadlineTooShort, BeyondDeadline), true
 }
-
-// isolatedIndex returns the index of the ticket with Alone that starts next if the server is idle, or
-// -1. Such tickets start in a row, so that the server becomes idle once for all of them.
-func (c *Core) isolatedIndex(now time.Time) int {
-	best := -1
-	if c.running > 0 {
-		return best
-	}
-	for i := range c.queue {
-		if c.queue[i].Alone && (best < 0 || c.runsBefore(now, &c.queue[i], &c.queue[best])) {
-			best = i
-		}
-	}
-	return best
-}
--- a/internal/request/admit/order.go
+++ b/internal/request/admit/order.go
@@ -44,17 +44,24 @@
 	)
 }
 
-// firstIndex and lastIndex return the ends of the queue, which must not be empty.
-func (c *Core) firstIndex(now time.Time) int {
-	best := 0
+// bestIndex returns the index of the waiting ticket that runs first of those for which eligible is
+// true, or -1.
+func (c *Core) bestIndex(now time.Time, eligible func(*Ticket) bool) int {
+	best := -1
 	for i := range c.queue {
-		if c.runsBefore(now, &c.queue[i], &c.queue[best]) {
+		t := &c.queue[i]
+		if eligible(t) && (best < 0 || c.runsBefore(now, t, &c.queue[best])) {
 			best = i
 		}
 	}
 	return best
 }
 
+// firstIndex and lastIndex return the ends of the queue, which must not be empty.
+func (c *Core) firstIndex(now time.Time) int {
+	return c.bestIndex(now, func(*Ticket) bool { return true })
+}
+
 func (c *Core) lastIndex(now time.Time) int {
 	worst := 0
 	for i := range c.queue {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -194,7 +194,7 @@
 // clear reports that a request ended well, and returns whether it was a suspect.
 func (c *Core) clear(now time.Time, id *Identity) bool {
 	blamed := newBlamed(id)
-	cleared := c.ledger.clear(now, blamed.Fingerprint, id.Content())
+	cleared := c.ledger.clear(now, blamed.Fingerprint, blamed.Content)
 	if cleared {
 		c.ledger.events = append(c.ledger.events, Event{Kind: Cleared, Requests: []Blamed{blamed}})
 	}
--- a/internal/request/quarantine/group.go
+++ b/internal/request/quarantine/group.go
@@ -68,8 +68,7 @@
 	}
 	for _, member := range append(slices.Clone(l.withContent(s.Content)), f) {
 		if m, _, suspect := l.combined(now, member); suspect {
-			l.store(now, Suspect{Fingerprint: member, Content: m.Content, Until: m.Until})
-			delete(l.others, member)
+			l.storeClearance(now, m)
 		}
 	}
 	return true
--- a/internal/request/quarantine/ledger.go
+++ b/internal/request/quarantine/ledger.go
@@ -331,11 +331,16 @@
 	if !ok && !until.After(cleared) {
 		return false
 	}
-	l.store(now, Suspect{Fingerprint: f, Content: content, Until: until})
-	delete(l.others, f)
+	l.storeClearance(now, Suspect{Fingerprint: f, Content: content, Until: until})
 	return true
 }
 
+// storeClearance reports that the request of s is cleared until s.Until.
+func (l *ledger) storeClearance(now time.Time, s Suspect) {
+	l.store(now, Suspect{Fingerprint: s.Fingerprint, Content: s.Content, Until: s.Until})
+	delete(l.others, s.Fingerprint)
+}
+
 func (l *ledger) store(now time.Time, s Suspect) {
 	l.expire(now)
 	l.byContent = nil
