Replays: one event queue in place of six

The replays of admission, domain room, called services and server speed, and two older tests of balancing, had the same heap of events, each its own. Package eventqueue holds it, and admission's three replays share the loop that plays it. The replay of load news keeps its own: it breaks ties at random.

--- a/internal/request/admit/alone_test.go
+++ b/internal/request/admit/alone_test.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -47,11 +46,7 @@
 	for range aloneSuspects {
 		r.after(time.Second+time.Duration(r.rand.Int64N(int64(time.Second))), func() { r.sendSuspect(aloneSends, func() { served++ }) })
 	}
-	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(replayEvent)
-		r.now = e.at
-		e.do()
-	}
+	r.play()
 	return inTime / offered, served / aloneSuspects
 }
 
--- a/internal/request/admit/calls_test.go
+++ b/internal/request/admit/calls_test.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/daisygate/daisygate/internal/request/eventqueue"
 	"github.com/daisygate/daisygate/internal/result"
 )
 
@@ -33,23 +33,6 @@
 	replayAttempts = 5
 )
 
-type replayEvent struct {
-	at time.Time
-	do func()
-}
-
-type replayEvents []replayEvent
-
-func (e replayEvents) Len() int           { return len(e) }
-func (e replayEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e replayEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *replayEvents) Push(x any)        { *e = append(*e, x.(replayEvent)) }
-func (e *replayEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // replayServer is a backend server; done holds what follows the decision on each ticket.
 type replayServer struct {
 	core *Core
@@ -60,7 +43,7 @@
 type replay struct {
 	now             time.Time
 	rand            *rand.Rand
-	events          replayEvents
+	events          eventqueue.Queue
 	called, calling []*replayServer
 	nextID          uint64
 	// marked is set if calls are marked as such.
@@ -71,7 +54,16 @@
 }
 
 func (r *replay) after(d time.Duration, do func()) {
-	heap.Push(&r.events, replayEvent{r.now.Add(d), do})
+	r.events.Push(r.now.Add(d), do)
+}
+
+// play runs all events.
+func (r *replay) play() {
+	for r.events.Len() > 0 {
+		at, do := r.events.Pop()
+		r.now = at
+		do()
+	}
 }
 
 // offer starts requests at a rate that depends on the time.
@@ -212,11 +204,7 @@
 		}
 		return rate
 	}, func() { r.startCaller(counted()) })
-	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(replayEvent)
-		r.now = e.at
-		e.do()
-	}
+	r.play()
 	return r.runs.inTime / r.runs.offered, r.callers.inTime / r.callers.offered
 }
 
--- a/internal/request/admit/cold_test.go
+++ b/internal/request/admit/cold_test.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -60,11 +59,7 @@
 		r.after(time.Duration(r.rand.Float64()*float64(50*time.Millisecond)), request)
 	}
 	r.offer(rand.New(rand.NewPCG(seed, 5)), start.Add(coldEnd), func() float64 { return rate }, request)
-	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(replayEvent)
-		r.now = e.at
-		e.do()
-	}
+	r.play()
 	for i := range sent {
 		inTime[i] /= sent[i]
 	}
--- a/internal/request/balance/balance_test.go
+++ b/internal/request/balance/balance_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -12,27 +11,10 @@
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/process/view"
 	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/eventqueue"
 	"github.com/daisygate/daisygate/internal/version/directory"
 )
 
-// event is a function to run at a point in simulated time.
-type event struct {
-	at  time.Duration
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // simulation runs calls of many daemons to the servers of one service in simulated
 // time. Its run method returns the fractions of calls that waited and were refused.
 type simulation struct {
@@ -52,10 +34,10 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	exponential := func(mean time.Duration) time.Duration { return time.Duration(random.ExpFloat64() * float64(mean)) }
 	start := time.Unix(1000, 0)
-	var queue events
+	var queue eventqueue.Queue
 	var now time.Duration
 	clock := func() time.Time { return start.Add(now) }
-	after := func(d time.Duration, do func()) { heap.Push(&queue, event{now + d, do}) }
+	after := func(d time.Duration, do func()) { queue.Push(clock().Add(d), do) }
 	var candidates []*directory.Candidate
 	cores, onDecision := map[string]*admit.Core{}, map[uint64]func(bool){}
 	for i := range p.servers {
@@ -104,12 +86,12 @@
 	for id := range uint64(simulatedCalls) {
 		at += exponential(gap)
 		t := tables[random.IntN(p.daemons)]
-		heap.Push(&queue, event{at, func() { call(id, t) }})
+		queue.Push(start.Add(at), func() { call(id, t) })
 	}
-	for len(queue) > 0 {
-		e := heap.Pop(&queue).(event)
-		now = e.at
-		e.run()
+	for queue.Len() > 0 {
+		at, run := queue.Pop()
+		now = at.Sub(start)
+		run()
 	}
 	return float64(waits) / simulatedCalls, float64(refusals) / simulatedCalls
 }
--- a/internal/request/balance/limited_test.go
+++ b/internal/request/balance/limited_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +9,7 @@
 	"github.com/daisygate/daisygate/internal/process/presence"
 	"github.com/daisygate/daisygate/internal/process/view"
 	"github.com/daisygate/daisygate/internal/request/admit"
+	"github.com/daisygate/daisygate/internal/request/eventqueue"
 	"github.com/daisygate/daisygate/internal/request/ratelimit"
 	"github.com/daisygate/daisygate/internal/version/directory"
 )
@@ -26,7 +26,7 @@
 	length time.Duration
 
 	random  *rand.Rand
-	queue   events
+	queue   eventqueue.Queue
 	now     time.Duration
 	tables  []*Table
 	cores   map[string]*admit.Core
@@ -36,9 +36,11 @@
 	refused  int
 }
 
-func (f *limitedFleet) clock() time.Time { return time.Unix(1000, 0).Add(f.now) }
+var limitedStart = time.Unix(1000, 0)
 
-func (f *limitedFleet) after(d time.Duration, run func()) { heap.Push(&f.queue, event{f.now + d, run}) }
+func (f *limitedFleet) clock() time.Time { return limitedStart.Add(f.now) }
+
+func (f *limitedFleet) after(d time.Duration, run func()) { f.queue.Push(f.clock().Add(d), run) }
 
 // LocalLoad implements Local.
 func (f *limitedFleet) LocalLoad(addr string) (Load, bool) {
@@ -73,12 +75,12 @@
 	for i := range f.callers {
 		f.after(time.Duration(i)*time.Millisecond, func() { f.call(f.tables[i%f.daemons], nil) })
 	}
-	for len(f.queue) > 0 {
-		e := heap.Pop(&f.queue).(event)
-		if f.now = e.at; f.now >= f.length {
+	for f.queue.Len() > 0 {
+		at, run := f.queue.Pop()
+		if f.now = at.Sub(limitedStart); f.now >= f.length {
 			return
 		}
-		e.run()
+		run()
 	}
 }
 
--- a/internal/request/domainroom/replay_test.go
+++ b/internal/request/domainroom/replay_test.go
@@ -1,7 +1,6 @@
 package domainroom_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/request/domainroom"
+	"github.com/daisygate/daisygate/internal/request/eventqueue"
 	"github.com/daisygate/daisygate/internal/request/flow"
 	"github.com/daisygate/daisygate/internal/result"
 	"github.com/daisygate/daisygate/internal/version/directory"
@@ -65,23 +65,6 @@
 	return fmt.Sprintf("%.3f in time, %.4f of %d attempts crossed, %.2f attempts a request", o.goodput(), float64(o.crossed)/float64(o.attempts), o.attempts, float64(o.attempts)/float64(o.requests))
 }
 
-type replayEvent struct {
-	at  time.Time
-	run func(now time.Time)
-}
-
-type replayEvents []replayEvent
-
-func (e replayEvents) Len() int           { return len(e) }
-func (e replayEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e replayEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *replayEvents) Push(x any)        { *e = append(*e, x.(replayEvent)) }
-func (e *replayEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // replayDaemon is a daemon and the backend server beside it.
 type replayDaemon struct {
 	candidate *directory.Candidate
@@ -120,7 +103,7 @@
 	scenario
 	rand    *rand.Rand
 	now     time.Time
-	events  replayEvents
+	events  eventqueue.Queue
 	daemons []*replayDaemon
 	byName  map[string]*replayDaemon
 	nextID  uint64
@@ -156,15 +139,15 @@
 		r.at(replayStart.Add(replayTime/3), r.lose)
 	}
 	for r.events.Len() > 0 {
-		e := heap.Pop(&r.events).(replayEvent)
-		r.now = e.at
-		e.run(e.at)
+		at, do := r.events.Pop()
+		r.now = at
+		do()
 	}
 	return r.outcome
 }
 
 func (r *replay) at(at time.Time, run func(now time.Time)) {
-	heap.Push(&r.events, replayEvent{at, run})
+	r.events.Push(at, func() { run(at) })
 }
 
 func (r *replay) lose(time.Time) {
--- a/internal/request/downstream/replay_test.go
+++ b/internal/request/downstream/replay_test.go
@@ -1,7 +1,6 @@
 package downstream
 
 import (
-	"container/heap"
 	"flag"
 	"math/rand/v2"
 	"testing"
@@ -13,6 +12,7 @@
 	"github.com/daisygate/daisygate/internal/process/view"
 	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/request/eventqueue"
 	"github.com/daisygate/daisygate/internal/version/directory"
 )
 
@@ -45,7 +45,7 @@
 	scheme   scheme
 	random   *rand.Rand
 	now      time.Time
-	events   events
+	events   eventqueue.Queue
 	s, t     []*station
 	table    *balance.Table // of S, with reports every reportInterval
 	list     []*directory.Candidate
@@ -64,26 +64,9 @@
 	waiting map[uint64]func(started bool)
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 var epoch = time.Unix(1000, 0)
 
-func (r *replay) after(d time.Duration, do func()) { heap.Push(&r.events, event{r.now.Add(d), do}) }
+func (r *replay) after(d time.Duration, do func()) { r.events.Push(r.now.Add(d), do) }
 
 func stations(n int) (list []*station) {
 	for range n {
@@ -272,10 +255,10 @@
 		r.after(shortFrom, func() { r.setSlots(slots / 3) })
 		r.after(shortUntil, func() { r.setSlots(slots) })
 	}
-	for len(r.events) > 0 && r.events[0].at.Sub(epoch) < replayLength {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.do()
+	for r.events.Len() > 0 && r.events.Next().Sub(epoch) < replayLength {
+		at, do := r.events.Pop()
+		r.now = at
+		do()
 	}
 	f := figures{urgent: r.urgent, vain: r.vain, attempts: r.attempts}
 	f.before = r.mean(time.Second, shortFrom)
--- a/internal/request/speed/replay_test.go
+++ b/internal/request/speed/replay_test.go
@@ -1,7 +1,6 @@
 package speed_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -13,6 +12,7 @@
 	"github.com/daisygate/daisygate/internal/process/view"
 	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/balance"
+	"github.com/daisygate/daisygate/internal/request/eventqueue"
 	"github.com/daisygate/daisygate/internal/request/speed"
 	"github.com/daisygate/daisygate/internal/version/directory"
 )
@@ -72,7 +72,7 @@
 	// arrivals is separate from random, so that all ways get the same requests.
 	random, arrivals *rand.Rand
 	now              time.Duration
-	queue            events
+	queue            eventqueue.Queue
 	bursts           [][]float64
 	tables           []*balance.Table
 	nodes            []*directory.Candidate
@@ -83,26 +83,11 @@
 	offered, inTime [3]int
 }
 
-type event struct {
-	at  time.Duration
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
+var replayStart = time.Unix(1000, 0)
 
-func (r *replay) clock() time.Time { return time.Unix(1000, 0).Add(r.now) }
+func (r *replay) clock() time.Time { return replayStart.Add(r.now) }
 
-func (r *replay) after(d time.Duration, run func()) { heap.Push(&r.queue, event{r.now + d, run}) }
+func (r *replay) after(d time.Duration, run func()) { r.queue.Push(r.clock().Add(d), run) }
 
 // run returns the share of each kind that was answered within its target, and that of all.
 func (r *replay) run(seed uint64) (byKind [3]float64, all float64) {
@@ -142,10 +127,10 @@
 		meanTime += k.time.Seconds() / float64(len(kinds))
 	}
 	r.arrive(r.utilisation * capacity / meanTime)
-	for len(r.queue) > 0 {
-		e := heap.Pop(&r.queue).(event)
-		r.now = e.at
-		e.run()
+	for r.queue.Len() > 0 {
+		at, run := r.queue.Pop()
+		r.now = at.Sub(replayStart)
+		run()
 	}
 	offered, inTime := 0, 0
 	for i := range kinds {
