--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,10 +5,13 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"time"
 )
 
 func main() {
+	// The processes end with the thread that started them.
+	runtime.LockOSThread()
 	if len(os.Args) != 3 {
 		fmt.Println("usage: standin CASE RECORD")
 		os.Exit(2)
@@ -22,6 +25,8 @@
 	switch os.Args[1] {
 	case "stray-writer":
 		code = strayWriter(m, os.Getenv("TROUBLE") != "0")
+	case "extra-bytes":
+		code = extraBytes(m, os.Getenv("TROUBLE") != "0")
 	}
 	m.close()
 	os.Exit(code)
@@ -29,6 +34,11 @@
 
 // begin starts the processes and servers and waits until requests are served.
 func (m *mesh) begin(cores int, services []string, slots int, work time.Duration, routes []route) bool {
+	return m.beginWith(cores, services, routes, func(n *machine, id string) error { return n.startServer(id, slots, work) })
+}
+
+// beginWith is begin with servers that startServer starts.
+func (m *mesh) beginWith(cores int, services []string, routes []route, startServer func(n *machine, id string) error) bool {
 	zones := []string{"a", "b", "c"}
 	for i := range cores {
 		m.add(true, zones[i%3], "")
@@ -43,7 +53,7 @@
 		}
 	}
 	for i, n := range m.sides() {
-		if _, err := n.startServer(fmt.Sprintf("i-%08x", i+1), slots, work); err != nil {
+		if err := startServer(n, fmt.Sprintf("i-%08x", i+1)); err != nil {
 			m.note("%s: %v", n.name, err)
 			return false
 		}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -37,10 +37,10 @@
 	slot     chan struct{}
 }
 
-func (n *machine) startServer(id string, slots int, work time.Duration) (*server, error) {
+func (n *machine) startServer(id string, slots int, work time.Duration) error {
 	l, err := net.Listen("tcp", n.addr(portServer))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &server{n: n, id: id, born: time.Now().UnixMilli(), slots: slots, work: work, cancel: cancel, slot: make(chan struct{}, slots)}
@@ -48,16 +48,19 @@
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	n.server = s
-	go func() {
-		for ctx.Err() == nil {
-			s.report()
-			select {
-			case <-ctx.Done():
-			case <-time.After(1500 * time.Millisecond):
-			}
+	go s.reports(ctx)
+	return nil
+}
+
+// reports sends status reports until ctx ends.
+func (s *server) reports(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.report()
+		select {
+		case <-ctx.Done():
+		case <-time.After(1500 * time.Millisecond):
 		}
-	}()
-	return s, nil
+	}
 }
 
 func (s *server) stop() { s.cancel(); _ = s.http.Close() }
