--- a/review/3/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/daisygate ] && [ -x target/standin ] || exit 2
-exec timeout -k 5 100 target/standin stray-writer review/3/record.txt
+exec timeout -k 5 110 target/standin new-seeds review/2/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,8 @@
 	switch os.Args[1] {
 	case "stray-writer":
 		code = strayWriter(m, os.Getenv("TROUBLE") != "0")
+	case "new-seeds":
+		code = newSeeds(m, os.Getenv("TROUBLE") != "0")
 	case "extra-bytes":
 		code = extraBytes(m, os.Getenv("TROUBLE") != "0")
 	}
--- a/review/standin/mesh.go
+++ b/review/standin/mesh.go
@@ -157,10 +157,16 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
+func (n *machine) settingsPath() string { return filepath.Join(n.m.dir, n.name+".conf") }
+
+func (n *machine) writeSettings() error {
+	return os.WriteFile(n.settingsPath(), []byte(n.settings()), 0o600)
+}
+
 // start starts the machine's process.
 func (n *machine) start() error {
-	path := filepath.Join(n.m.dir, n.name+".conf")
-	if err := os.WriteFile(path, []byte(n.settings()), 0o600); err != nil {
+	path := n.settingsPath()
+	if err := n.writeSettings(); err != nil {
 		return err
 	}
 	if n.core {
--- a/review/standin/writer.go
+++ b/review/standin/writer.go
@@ -19,7 +19,7 @@
 // seconds.
 const servesOn = 7 * time.Second
 
-// strayWriter is case 3: a server says that it drains, and goes on saying so. Beside it another
+// strayWriter is described in REPORT.md, not one of the three cases: a server says that it drains, and goes on saying so. Beside it another
 // writer sends status reports about that server in which a field is missing. The rule DRAIN is
 // checked on what reaches the server.
 func strayWriter(m *mesh, trouble bool) int {
