--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -83,6 +83,7 @@
 	r.Host = "mesh.example"
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Request-Deadline", "1500")
+	n.m.note("consumer at %s: sends %s %s %s", n.name, id, method, path)
 	resp, err := consumer.Do(r)
 	if err != nil {
 		n.m.note("consumer at %s: %s %s %s: %v", n.name, id, method, path, err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +23,13 @@
 		fmt.Println(err)
 		os.Exit(2)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		m.close()
+		os.Exit(2)
+	}()
 	code := 2
 	switch os.Args[1] {
 	case "stray-writer":
--- a/review/standin/mesh.go
+++ b/review/standin/mesh.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -71,13 +72,46 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &mesh{dir: dir, record: f, began: time.Now(), network: fmt.Sprintf("127.%d.%d", 60+os.Getpid()%60, 1+os.Getpid()/60%250)}
-	l, err := net.Listen("tcp", m.network+".1:0")
-	if err != nil {
-		return nil, err
+	m := &mesh{dir: dir, record: f, began: time.Now()}
+	for try := range 200 {
+		at := os.Getpid() + try
+		m.network = fmt.Sprintf("127.%d.%d", 60+at%60, 1+at/60%250)
+		l, err := net.Listen("tcp", m.network+".1:0")
+		if err != nil {
+			return nil, errors.Join(err, os.RemoveAll(dir))
+		}
+		m.port = min(l.Addr().(*net.TCPAddr).Port, 65000-portsOfMachine)
+		_ = l.Close()
+		if m.free() {
+			return m, nil
+		}
+	}
+	return nil, errors.Join(errors.New("no loopback network with free ports"), os.RemoveAll(dir))
+}
+
+// maxMachines is the number of addresses that a mesh may use. metricsPort is the port at which the
+// deploy file has each process serve its metrics.
+const (
+	maxMachines = 9
+	metricsPort = 9464
+)
+
+// free reports whether the ports of all machines are free.
+func (m *mesh) free() bool {
+	ports := []int{metricsPort}
+	for offset := range portsOfMachine {
+		ports = append(ports, m.port+offset)
+	}
+	for host := range maxMachines {
+		for _, port := range ports {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", m.network, 1+host, port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
 	}
-	m.port = min(l.Addr().(*net.TCPAddr).Port, 65000-portsOfMachine)
-	return m, l.Close()
+	return true
 }
 
 // note writes a line with the time since the start to the record.
