Sources: log the group that a source belongs to and what it drops because of it

A source dropped messages of another group without a trace, and neither log nor status said which group a source belongs to, or whether that is on its disk.

Added: group and group_stored in status and in "group state changed", a line for each sender whose messages are dropped, daisygate_source_messages_rejected_total. The check is a function of its own now (replica/group.go); what it lets pass is unchanged.

--- a/internal/process/daemon/observe.go
+++ b/internal/process/daemon/observe.go
@@ -127,7 +127,7 @@
 	if d.source != nil {
 		s := d.source.Status()
 		state.Source = &telemetry.SourceState{
-			Role: s.Role, Term: s.Term, Commit: s.Commit, Syncs: s.Syncs, LogBytes: s.LogBytes, Failed: s.Failure != "",
+			Role: s.Role, Term: s.Term, Commit: s.Commit, Syncs: s.Syncs, LogBytes: s.LogBytes, Rejected: s.Rejected, Failed: s.Failure != "",
 			Entries: s.Applied.Entries, EntryBytes: s.Applied.Bytes, ApplyTime: s.Applied.Time,
 			Snapshots: s.Applied.Snapshots, SnapshotBytes: s.Applied.SnapshotBytes,
 		}
--- a/internal/process/quorum/group.go
+++ b/internal/process/quorum/group.go
@@ -176,7 +176,8 @@
 	status.Applied.Time = g.applyTime
 	if before := g.status.Swap(&status); before != nil && status.differs(before) {
 		g.log.Info("group state changed", "leader", status.Lead, "role", status.Role, "term", status.Term, "voters", status.Members,
-			"own_vote", status.Repair.State, "commit", status.Commit, "last", status.Last, "failure", status.Failure)
+			"own_vote", status.Repair.State, "commit", status.Commit, "last", status.Last, "failure", status.Failure,
+			"group", status.Group, "group_stored", status.GroupStored, "rejected", status.Rejected)
 	}
 }
 
--- a/internal/process/quorum/node.go
+++ b/internal/process/quorum/node.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -30,6 +32,10 @@
 	compactMinBytes   = 4 << 20
 )
 
+// maxRejectedGroups limits the senders of which a Node remembers that messages were
+// dropped because of their group.
+const maxRejectedGroups = 64
+
 // Node is a member of a group that is driven synchronously. It is not safe for
 // concurrent use.
 type Node[R any] struct {
@@ -42,6 +48,8 @@
 	waiters map[uint64]waiter[R]
 	// failed is set at most once. Then nothing is written, sent or accepted any more.
 	failed error
+	// rejectedGroups holds, by member, the other group that was last logged for it.
+	rejectedGroups map[string]uint64
 	// observedTerm and observedLead are the term and the leader that a failed member
 	// learns from messages.
 	observedTerm uint64
@@ -64,7 +72,7 @@
 	}
 	return &Node[R]{
 		compactAfter: compactMinEntries, core: replica.New(cfg, restored), disk: disk, machine: machine, send: send, log: log,
-		waiters: map[uint64]waiter[R]{}, stats: Applied{SnapshotBytes: len(restored.Snapshot.Data)},
+		waiters: map[uint64]waiter[R]{}, rejectedGroups: map[string]uint64{}, stats: Applied{SnapshotBytes: len(restored.Snapshot.Data)},
 	}, nil
 }
 
@@ -86,8 +94,32 @@
 			n.observeLeader(m)
 			continue
 		}
+		rejected := n.core.GroupInfo().Rejected
 		n.core.Step(m)
+		if info := n.core.GroupInfo(); info.Rejected != rejected {
+			n.logRejected(info)
+		}
+	}
+}
+
+// logRejected logs that messages are dropped because their sender belongs to another
+// group, once per sender and group.
+func (n *Node[R]) logRejected(info replica.GroupInfo) {
+	logged, known := n.rejectedGroups[info.RejectedFrom]
+	if known && logged == info.RejectedID || !known && len(n.rejectedGroups) >= maxRejectedGroups {
+		return
+	}
+	n.rejectedGroups[info.RejectedFrom] = info.RejectedID
+	n.log.Info("messages from another group are dropped", "from", info.RejectedFrom, "their_group", groupName(info.RejectedID),
+		"group", groupName(info.ID), "group_stored", info.Stored)
+}
+
+// groupName returns the name of a group in logs and status, "" if it is not known.
+func groupName(id uint64) string {
+	if id == 0 {
+		return ""
 	}
+	return fmt.Sprintf("%016x", id)
 }
 
 // observeLeader lets a failed member still report who is the leader.
@@ -277,6 +309,8 @@
 		Role: n.core.Role().String(), Term: n.core.Term(), Lead: n.core.Lead(), Commit: n.core.Commit(), Last: n.core.Last(), Settled: n.failed == nil && n.core.LeaderCaughtUp(),
 		Repair: n.core.Repair(), Syncs: n.disk.Syncs(), LogBytes: n.disk.Size(), Applied: n.stats,
 	}
+	group := n.core.GroupInfo()
+	s.Group, s.GroupStored, s.Rejected = groupName(group.ID), group.Stored, group.Rejected
 	for _, v := range n.core.Membership().Voters {
 		s.Members = append(s.Members, v.Member)
 	}
--- a/internal/process/quorum/quorum.go
+++ b/internal/process/quorum/quorum.go
@@ -91,6 +91,14 @@
 	Syncs uint64 `json:"syncs"`
 	// Repair is the progress of a member with a new disk toward getting a vote.
 	Repair replica.Repair `json:"repair"`
+	// Group is the group of this member in hexadecimal; "" if it is not known yet.
+	// GroupStored is set if the group is on disk, so that it outlasts a change of the
+	// settings.
+	Group       string `json:"group,omitempty"`
+	GroupStored bool   `json:"group_stored"`
+	// Rejected is the number of messages dropped because the sender belongs to another
+	// group.
+	Rejected uint64 `json:"rejected"`
 	// LogBytes is the size of the log on disk.
 	LogBytes int64 `json:"log_bytes"`
 	// Applied counts the work of applying the log since the process started.
@@ -115,11 +123,11 @@
 	SnapshotBytes int    `json:"snapshot_bytes"`
 }
 
-// differs reports whether the leader, the term, the voters, the repair state of this
-// member or its failure changed since before.
+// differs reports whether the leader, the term, the voters, the repair state or the group
+// of this member, or its failure, changed since before.
 func (s *Status) differs(before *Status) bool {
 	return s.Lead != before.Lead || s.Term != before.Term || s.Repair.State != before.Repair.State || s.Failure != before.Failure ||
-		!slices.Equal(s.Members, before.Members)
+		s.Group != before.Group || s.GroupStored != before.GroupStored || !slices.Equal(s.Members, before.Members)
 }
 
 // errLeadershipLost is returned for proposals that another leader may have
--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -46,7 +45,9 @@
 	// group is a hash of the names of the members that bootstrapped the group; 0 if it
 	// is not known yet.
 	group uint64
-	rand  *rand.Rand
+	// rejected counts the messages from other groups; see GroupInfo.
+	rejected GroupInfo
+	rand     *rand.Rand
 
 	role Role
 	term uint64
@@ -115,15 +116,6 @@
 	return c
 }
 
-// groupHash hashes a set of member names; the order does not matter.
-func groupHash(members []string) uint64 {
-	var sum uint64
-	for _, id := range members {
-		sum += xxhash.Sum64String(id)
-	}
-	return sum
-}
-
 // Role returns the current role of this member.
 func (c *Core) Role() Role { return c.role }
 
@@ -222,9 +214,7 @@
 	c.messages = append(c.messages, m)
 }
 
-// Step processes a message from another member. Two groups have no common quorum, so
-// messages from another group are dropped, except for probes of members that do not
-// belong to a group yet and the replies to them.
+// Step processes a message from another member of the group.
 func (c *Core) Step(m Message) {
 	probe := m.Type == MsgProbe || m.Type == MsgProbeReply
 	if c.group == 0 && m.Group != 0 && !probe {
@@ -232,7 +222,11 @@
 		// lost their disks at the same time may otherwise know only each other.
 		c.setLeaderHint(m.From)
 	}
-	if m.From == c.cfg.ID || !probe && m.Group != c.group || probe && m.Group != 0 && c.group != 0 && m.Group != c.group {
+	if m.From == c.cfg.ID {
+		return
+	}
+	if !c.sameGroup(m) {
+		c.countRejected(m)
 		return
 	}
 	switch m.Type {
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -91,6 +91,9 @@
 	Snapshots           uint64
 	// SnapshotBytes is the size of the newest snapshot.
 	SnapshotBytes int
+	// Rejected is the number of messages of other sources that were dropped because their
+	// sender belongs to another group.
+	Rejected uint64
 	// Failed is true while the source cannot write to its disk.
 	Failed bool
 }
@@ -233,6 +236,7 @@
 	metrics.WriteCounterFloat64(w, "daisygate_source_apply_seconds_total", s.ApplyTime.Seconds())
 	metrics.WriteCounterUint64(w, "daisygate_source_snapshots_total", s.Snapshots)
 	metrics.WriteGaugeUint64(w, "daisygate_source_snapshot_bytes", uint64(s.SnapshotBytes))
+	metrics.WriteCounterUint64(w, "daisygate_source_messages_rejected_total", s.Rejected)
 	writeBool(w, "daisygate_source_failed", s.Failed)
 }
 
