Sources: a member stores its group when it first hears from it, however it gets its vote

No source answers a read or an order again.

Cause: members of different groups drop each other's messages. The group, a hash of the names of the members that bootstrapped it, was stored in bootstrap only, and only where members can be replaced. A member that got its vote in setVoters kept none, worked it out anew from the settings of the next start, and was alone from then on: one of three was lost, unnoticed, and the lost disk made it two.

Evidence: with the line of the commit before, the member runs with group_stored false from its first start, and after the restart drops the messages of the replacement as they drop its own. Ruled out: a lost vote (own_vote stays, the voter list is right), a damaged log (its commit index is that of before), addresses (the messages arrive, and are counted as rejected).

Fix: the group is stored at the first message from another member of it, before anything that follows from that message is sent. From then on others may count the disk as a voter. It no longer matters how the vote comes, or whether the set of members is fixed. Not stored at the start: a member whose settings name a wrong member would keep a group that does not exist.

Each test now also holds that a voter has its group on disk.

--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -93,7 +93,6 @@
 	c := &Core{
 		cfg:                 cfg,
 		peers:               slices.DeleteFunc(slices.Clone(cfg.Members), func(id string) bool { return id == cfg.ID }),
-		group:               groupHash(cfg.Members),
 		rand:                rand.New(rand.NewPCG(cfg.Seed, 1)),
 		term:                restored.HardState.Term,
 		vote:                restored.HardState.Vote,
@@ -103,6 +102,7 @@
 		awaitingFirstLeader: cfg.FirstElectionTicks > 0,
 	}
 	c.initMembership()
+	c.initGroup()
 	c.log.restore(restored.Snapshot)
 	c.log.entries = slices.Clone(restored.Entries)
 	c.log.stable = c.log.last()
@@ -225,6 +225,7 @@
 	if m.From == c.cfg.ID {
 		return
 	}
+	c.learnGroup(m)
 	if !c.sameGroup(m) {
 		c.countRejected(m)
 		return
--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -79,27 +79,18 @@
 		c.membership.Voters = c.initialVoters()
 		c.membership.Voting = true
 		c.membershipChanged = true
-		if c.cfg.ReplaceTicks > 0 {
-			// The configured members may differ at the next start.
-			c.membership.Group = c.group
-		}
+		c.setGroup(c.group)
 		c.updatePeers()
 	}
 }
 
-// initMembership sets up the group of this member at startup. MayBootstrap is
-// persisted, because the member may be restarted before the group is bootstrapped.
+// initMembership records that a new member may bootstrap the group. That is persisted,
+// because the member may be restarted before the group is bootstrapped.
 func (c *Core) initMembership() {
 	fresh := !c.membership.Voting && !c.membership.Learning
 	if fresh && !c.cfg.JoinExisting && c.cfg.ReplaceTicks > 0 && !c.membership.MayBootstrap {
 		c.membership.MayBootstrap, c.membershipChanged = true, true
 	}
-	switch {
-	case c.membership.Group != 0:
-		c.group = c.membership.Group
-	case fresh && c.cfg.JoinExisting && !c.membership.MayBootstrap:
-		c.group = 0
-	}
 }
 
 func (c *Core) initialVoters() []Voter {
@@ -162,9 +153,6 @@
 	if c.membership.Learning {
 		return
 	}
-	if c.group == 0 {
-		c.group, c.membership.Group = m.Group, m.Group
-	}
 	if m.Newcomer {
 		// The sender is a newcomer and cannot take part in bootstrapping a group. Its
 		// voter list may also be too old to tell whether another disk of this member
--- a/internal/process/replica/types.go
+++ b/internal/process/replica/types.go
@@ -58,8 +58,9 @@
 	Learning bool `cbor:"3,keyasint,omitempty"`
 	// Voters holds one disk per voting member.
 	Voters []Voter `cbor:"4,keyasint,omitempty"`
-	// Group is a hash of the names of the members that bootstrapped the group; 0 means
-	// the group of the configured members.
+	// Group is a hash of the names of the members that bootstrapped the group. It is 0
+	// before another member of the group was heard, and in data written by older
+	// releases, which stored it on some ways to a vote only.
 	Group uint64 `cbor:"5,keyasint,omitempty"`
 	// MayBootstrap is set on a new member that may take part in bootstrapping the
 	// group.
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -32,6 +32,9 @@
 	// violation describes the first violated invariant; empty if there is none.
 	violation string
 	seed      uint64
+	// olderDisks is set if disks were written by a release that did not always store the
+	// group.
+	olderDisks bool
 	// compactAfter and historyLimit are the settings of each node.
 	compactAfter uint64
 	historyLimit int
@@ -43,6 +46,8 @@
 	voters int
 	// seeds are the configured seed members of each new member.
 	seeds map[string][]string
+	// drawSeeds, if set, returns the seeds of a member that starts again.
+	drawSeeds func() []string
 	// fixedSeeds keeps the seeds of a member unchanged when it restarts.
 	fixedSeeds bool
 }
@@ -79,7 +84,10 @@
 
 func (c *testCluster) start(id string) error {
 	m := c.members[id]
-	if c.seeds != nil && !c.fixedSeeds {
+	switch {
+	case c.drawSeeds != nil:
+		c.seeds[id] = c.drawSeeds()
+	case c.seeds != nil && !c.fixedSeeds:
 		// A restarted member is configured with the current members.
 		c.seeds[id] = slices.Clone(c.ids)
 	}
@@ -183,6 +191,9 @@
 func (c *testCluster) finishWork(m *testMember) {
 	m.node.ProcessReady()
 	status := m.node.Status()
+	if c.isVoting(m.id) && !status.GroupStored && !c.olderDisks {
+		c.reportViolation("%s votes without its group on disk", m.id)
+	}
 	if status.Repair.State == replica.RepairDone || status.Repair.State == replica.RepairNone {
 		m.repairing = false
 	}
--- a/internal/process/source/folder_test.go
+++ b/internal/process/source/folder_test.go
@@ -21,6 +21,7 @@
 	raw, err := os.ReadFile("testdata/folder/log-of-manifests")
 	c.Assert(err, qt.IsNil)
 	cl := newTestCluster(1, 8)
+	cl.olderDisks = true
 	m := cl.members["a"]
 	m.node, m.dir = nil, newMemDir()
 	m.dir.names["log"] = &memFile{dir: m.dir, data: raw, synced: len(raw)}
--- a/internal/process/source/founding_test.go
+++ b/internal/process/source/founding_test.go
@@ -14,16 +14,7 @@
 func TestFoundingWithoutAnAnswer(t *testing.T) {
 	c := qt.New(t)
 	cluster := newTestCluster(3, 0)
-	for cluster.leader() == nil {
-		cluster.forEachRunning(func(m *testMember) { cluster.tick(m, 1) })
-		for len(cluster.net) > 0 {
-			if m := cluster.net[0]; m.To == "c" && m.Type == replica.MsgProbeReply {
-				cluster.net = cluster.net[1:]
-				continue
-			}
-			cluster.deliver(0, false)
-		}
-	}
+	cluster.bootstrapDropping(probeRepliesTo("c"))
 	c.Assert(cluster.leader().id, qt.Not(qt.Equals), "c")
 	cluster.run(200)
 	c.Check(cluster.members["c"].node.Status().Repair.State, qt.Equals, replica.RepairDone)
--- a/internal/process/source/replace_test.go
+++ b/internal/process/source/replace_test.go
@@ -25,10 +25,15 @@
 
 // newGrownCluster returns a cluster of three founders that has grown to five voters, with
 // one more member that is not a voter.
-func newGrownCluster() *testCluster {
+func newGrownCluster() *testCluster { return growCluster("") }
+
+// growCluster returns the same cluster. The member late, if not empty, gets its vote from the
+// log.
+func growCluster(late string) *testCluster {
 	cl := newTestCluster(3, fuzzCompactAfter)
 	cl.voters, cl.fixedSeeds = 5, true
 	cl.allowJoins(replaceAfter)
+	cl.bootstrapDropping(probeRepliesTo(late))
 	for _, id := range []string{"d", "e", "f"} {
 		cl.addMember(id)
 		cl.seeds[id] = []string{"a", "b", "c"}
@@ -164,7 +169,10 @@
 }
 
 func testReplacements(t *rapid.T, n int) {
-	f := &faultTest{testCluster: newFoundedCluster(n), t: t, versions: map[string]uint64{}}
+	f := &faultTest{testCluster: newTestCluster(n, fuzzCompactAfter), t: t, versions: map[string]uint64{}}
+	f.allowJoins(replaceAfter)
+	f.bootstrapDropping(probeRepliesTo(rapid.SampledFrom(append([]string{""}, f.ids...)).Draw(t, "late")))
+	f.run(60)
 	newMembers := 0
 	addNewMember := func() {
 		if len(f.ids) <= n {
--- a/internal/process/source/series_test.go
+++ b/internal/process/source/series_test.go
@@ -9,11 +9,14 @@
 // TestLossesInSeries combines successive and simultaneous faults: members stopped for longer
 // than it takes to be replaced, replacements, elections, loss of all power, and the loss of
 // two disks at any of these moments, preferably those that hold the newest entry. Disks are
-// lost again only after the group has recovered from the last loss.
+// lost again only after the group has recovered from the last loss. Each start is configured
+// with other seeds.
 func TestLossesInSeries(t *testing.T) { rapid.Check(t, lossesInSeries) }
 
 func lossesInSeries(t *rapid.T) {
-	f := &faultTest{testCluster: newGrownCluster(), t: t, versions: map[string]uint64{}}
+	late := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "late")
+	f := &faultTest{testCluster: growCluster(late), t: t, versions: map[string]uint64{}}
+	f.drawSeeds = func() []string { return rapid.Permutation(f.ids).Draw(t, "seeds")[:3] }
 	actions := []func(){
 		f.submitSome, f.submitSome, f.submitSome, f.deliverSome, f.deliverSome, f.deliverTo, f.runSome, f.runSome,
 		f.tickOne, f.dropSome, f.delaySome, f.deliverDelayed, f.crashOne, f.startAll, f.stopOne, f.stopOne, f.isolateSome,
