Sources: a vote without a stored group finds its group by the disks, not by the settings

What an earlier build wrote is not mended by writing better from now on.

Cause: a member with a vote and no stored group still took its group from the settings of that start.

Fix: it does not know its group, says so, and learns it from a proof: a message from a disk in its own voter list, or a reply to its probe that names its own disk. Disk ids are random and belong to one group, so neither can come from another one. Where no member was replaced (a fixed set, or a voter list from the bootstrap), the names in the voter list give the group. A vote is revoked only by a member of the same group, as before.

Weighed: to accept every message from a known disk, whatever its group. Members would go on with different groups, and newcomers, which are in no list yet, would take one or the other.

--- a/internal/process/replica/group.go
+++ b/internal/process/replica/group.go
@@ -8,6 +8,10 @@
 // to a probe. Either stores it when it first hears from another member of the group:
 // from then on the others may count its disk as a voter, and the settings may name other
 // members at the next start.
+//
+// Data written by older releases may lack the group of a member that has a vote. Such a
+// member does not take it from the settings either. It recognizes its group by a disk: by a
+// message from a disk in its own voter list, or by a reply that names its own disk.
 
 // groupHash hashes a set of member names; the order does not matter.
 func groupHash(members []string) uint64 {
@@ -42,32 +46,60 @@
 
 // initGroup sets the group at startup.
 func (c *Core) initGroup() {
-	fresh := !c.membership.Voting && !c.membership.Learning
 	switch {
 	case c.membership.Group != 0:
 		c.group = c.membership.Group
-	case fresh && c.cfg.JoinExisting && !c.membership.MayBootstrap:
-		c.group = 0
-	default:
+	case c.fresh() && c.mayBootstrap():
 		c.group = groupHash(c.cfg.Members)
+	case !c.fresh() && (c.cfg.ReplaceTicks == 0 || c.membership.Voting && c.membership.VotersAt == 0):
+		// No member was replaced since the group was bootstrapped.
+		c.group = groupHash(c.originalMembers())
 	}
 }
 
-// learnGroup takes the group from a message if this member does not know it yet, and
-// stores it.
+// originalMembers returns the members that bootstrapped a group of which no member was
+// replaced.
+func (c *Core) originalMembers() []string {
+	if len(c.membership.Voters) == 0 {
+		return c.cfg.Members
+	}
+	var names []string
+	for _, v := range c.membership.Voters {
+		names = append(names, v.Member)
+	}
+	return names
+}
+
+// learnGroup stores the group at the first message from another member of it, and learns
+// it from that message if it was not known.
 func (c *Core) learnGroup(m Message) {
-	learns := c.group == 0 && !c.membership.Voting && m.Type == MsgProbeReply && m.Hint == c.membership.Disk
-	if m.Group != 0 && (m.Group == c.group || learns) {
+	if m.Group == 0 || c.membership.Group != 0 {
+		return
+	}
+	if m.Group == c.group || c.provesGroup(m) {
 		c.setGroup(m.Group)
 	}
 }
 
+// provesGroup reports whether m comes from the group of this member, although its group is
+// not the one assumed here.
+func (c *Core) provesGroup(m Message) bool {
+	replied := m.Type == MsgProbeReply && m.Hint == c.membership.Disk
+	if !c.membership.Voting {
+		return replied && c.group == 0
+	}
+	return c.listsDisk(m.From, m.Disk) || replied && m.Known == c.membership.Disk
+}
+
+// listsDisk reports whether a disk is in a voter list of this member, committed or pending.
+func (c *Core) listsDisk(id string, disk uint64) bool {
+	return disk != 0 && (diskIn(c.membership.Voters, id) == disk || diskIn(c.log.pendingVoters(), id) == disk)
+}
+
 // setGroup sets and stores the group of this member.
 func (c *Core) setGroup(group uint64) {
-	c.group = group
-	if c.membership.Group != group {
-		c.membership.Group, c.membershipChanged = group, true
-	}
+	c.group, c.membership.Group = group, group
+	c.membershipChanged = true
 }
 
 // sameGroup reports whether a message may be processed. Two groups have no common
--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -71,11 +71,17 @@
 	return r
 }
 
+// fresh reports whether this member is new: it has no vote and has not been made a
+// learner.
+func (c *Core) fresh() bool { return !c.membership.Voting && !c.membership.Learning }
+
+// mayBootstrap reports whether this member, as long as it is new, may bootstrap the group.
+func (c *Core) mayBootstrap() bool { return !c.cfg.JoinExisting || c.membership.MayBootstrap }
+
 // bootstrap gives a new member its vote once all peers have confirmed its disk; at
 // once if it has no peers.
 func (c *Core) bootstrap() {
-	mayBootstrap := !c.cfg.JoinExisting || c.membership.MayBootstrap || c.knownToVoter
-	if mayBootstrap && !c.membership.Voting && !c.membership.Learning && len(c.confirmedDisks) == len(c.peers) {
+	if (c.mayBootstrap() || c.knownToVoter) && c.fresh() && len(c.confirmedDisks) == len(c.peers) {
 		c.membership.Voters = c.initialVoters()
 		c.membership.Voting = true
 		c.membershipChanged = true
@@ -87,8 +93,7 @@
 // initMembership records that a new member may bootstrap the group. That is persisted,
 // because the member may be restarted before the group is bootstrapped.
 func (c *Core) initMembership() {
-	fresh := !c.membership.Voting && !c.membership.Learning
-	if fresh && !c.cfg.JoinExisting && c.cfg.ReplaceTicks > 0 && !c.membership.MayBootstrap {
+	if c.fresh() && !c.cfg.JoinExisting && c.cfg.ReplaceTicks > 0 && !c.membership.MayBootstrap {
 		c.membership.MayBootstrap, c.membershipChanged = true, true
 	}
 }
@@ -147,7 +152,9 @@
 		c.setLeaderHint(m.Lead)
 	}
 	if c.membership.Voting {
-		c.checkRemoved(m)
+		if m.Group == c.group {
+			c.checkRemoved(m)
+		}
 		return
 	}
 	if c.membership.Learning {
--- a/internal/process/replica/types.go
+++ b/internal/process/replica/types.go
@@ -60,7 +60,8 @@
 	Voters []Voter `cbor:"4,keyasint,omitempty"`
 	// Group is a hash of the names of the members that bootstrapped the group. It is 0
 	// before another member of the group was heard, and in data written by older
-	// releases, which stored it on some ways to a vote only.
+	// releases, which stored it only when the member took part in bootstrapping or was replacing
+	// another one.
 	Group uint64 `cbor:"5,keyasint,omitempty"`
 	// MayBootstrap is set on a new member that may take part in bootstrapping the
 	// group.
--- a/internal/process/source/replace_test.go
+++ b/internal/process/source/replace_test.go
@@ -234,7 +234,7 @@
 }
 
 // checkRecoveryAfterRestart stops the faults and restarts all members, configured with the
-// current members. It checks that the group accepts a manifest and that every member has
+// current members. The disk of one of them may be as an older release wrote it. It checks that the group accepts a manifest and that every member has
 // applied all accepted manifests.
 func (f *faultTest) checkRecoveryAfterRestart() {
 	clear(f.blockedLinks)
@@ -243,6 +243,12 @@
 			f.crash(id, 0, false)
 		}
 	}
+	if older := rapid.SampledFrom(append([]string{""}, f.ids...)).Draw(f.t, "older"); older != "" {
+		f.olderDisks = true
+		if err := f.rewriteGroup(older, 0); err != nil {
+			f.t.Fatalf("rewrite the disk of %s: %v", older, err)
+		}
+	}
 	f.startAll()
 	f.run(400)
 	if f.leader() == nil {
