Sources: a member without a vote and without entries follows the voter that answers it

The emptied source asked the source that had lost its group first, was told that wrong group, stored it, and the replacement dropped its probes from then on. After an upgrade the other two find each other, but the emptied one stays out: one of three is lost for good, and no line says so.

Cause: the first reply decided the group for good, before the member had anything of it.

Fix: a member that has neither a vote nor an entry of the log, and does not bootstrap a group, probes without naming a group, and takes the group of the voter that answers while it hears no leader. With a vote or an entry it keeps its group, as before; a founder too, whose probes keep groups with other members apart.

--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -211,13 +211,16 @@
 	m.Voting = c.membership.Voting
 	m.Newcomer = c.membership.Newcomer
 	m.Group = c.group
+	if m.Type == MsgProbe {
+		m.Group = c.probedGroup()
+	}
 	c.messages = append(c.messages, m)
 }
 
 // Step processes a message from another member of the group.
 func (c *Core) Step(m Message) {
 	probe := m.Type == MsgProbe || m.Type == MsgProbeReply
-	if c.group == 0 && m.Group != 0 && !probe {
+	if c.probedGroup() == 0 && m.Group != c.group && !probe {
 		// The sender is a leader that has this member in its voter list. Members that
 		// lost their disks at the same time may otherwise know only each other.
 		c.setLeaderHint(m.From)
--- a/internal/process/replica/group.go
+++ b/internal/process/replica/group.go
@@ -12,6 +12,10 @@
 // Data written by older releases may lack the group of a member that has a vote. Such a
 // member does not take it from the settings either. It recognizes its group by a disk: by a
 // message from a disk in its own voter list, or by a reply that names its own disk.
+//
+// A member that has neither a vote nor entries of the log owes its group nothing. Its probes
+// name no group, and it follows the voter that answers: the member that it asked before
+// may have known the group wrongly.
 
 // groupHash hashes a set of member names; the order does not matter.
 func groupHash(members []string) uint64 {
@@ -73,7 +77,7 @@
 // learnGroup stores the group at the first message from another member of it, and learns
 // it from that message if it was not known.
 func (c *Core) learnGroup(m Message) {
-	if m.Group == 0 || c.membership.Group != 0 {
+	if m.Group == 0 || m.Group == c.membership.Group {
 		return
 	}
 	if m.Group == c.group || c.provesGroup(m) {
@@ -81,14 +85,33 @@
 	}
 }
 
-// provesGroup reports whether m comes from the group of this member, although its group is
-// not the one assumed here.
+// provesGroup reports whether m shows that this member belongs to the sender's group and
+// not to the one assumed here.
 func (c *Core) provesGroup(m Message) bool {
 	replied := m.Type == MsgProbeReply && m.Hint == c.membership.Disk
-	if !c.membership.Voting {
-		return replied && c.group == 0
+	switch {
+	case c.membership.Voting:
+		return c.membership.Group == 0 && (c.listsDisk(m.From, m.Disk) || replied && m.Known == c.membership.Disk)
+	case c.group == 0:
+		return replied
+	default:
+		return replied && !c.bound() && c.lead == "" && !m.Fresh
+	}
+}
+
+// bound reports whether this member must not change its group: it has a vote, it holds
+// entries of the group's log, or it takes part in bootstrapping the group.
+func (c *Core) bound() bool {
+	return c.membership.Voting || c.log.last() > 0 || c.fresh() && c.mayBootstrap()
+}
+
+// probedGroup returns the group that a probe of this member names; members of other groups
+// do not answer it. 0 is answered by all.
+func (c *Core) probedGroup() uint64 {
+	if c.bound() {
+		return c.group
 	}
-	return c.listsDisk(m.From, m.Disk) || replied && m.Known == c.membership.Disk
+	return 0
 }
 
 // listsDisk reports whether a disk is in a voter list of this member, committed or pending.
@@ -110,7 +133,7 @@
 		return true
 	}
 	probe := m.Type == MsgProbe || m.Type == MsgProbeReply
-	return probe && (m.Group == 0 || c.group == 0)
+	return probe && (m.Group == 0 || c.probedGroup() == 0)
 }
 
 // countRejected records a message from another group.
--- a/internal/process/source/group_older_test.go
+++ b/internal/process/source/group_older_test.go
@@ -63,3 +63,30 @@
 	c.Check(cl.acceptsVersion(2), qt.IsTrue)
 	c.Check(cl.violation, qt.Equals, "")
 }
+
+// TestEmptiedMemberKeepsWrongGroup guards against a member with an empty disk that was told
+// a wrong group by a member of an older release, stored it before any leader reached it, and
+// is not heard by its group any more.
+func TestEmptiedMemberKeepsWrongGroup(t *testing.T) {
+	c := qt.New(t)
+	cl := newLateVoteCluster()
+	cl.olderDisks = true
+	cl.replaceMember("b", "n")
+	c.Assert(cl.acceptsVersion(1), qt.IsTrue)
+	for _, id := range cl.ids {
+		cl.crash(id, 0, false)
+	}
+	cl.loseDisk("a")
+	log, restored, err := storage.Open(cl.members["a"].dir)
+	c.Assert(err, qt.IsNil)
+	restored.Membership.Learning, restored.Membership.Group = true, 1
+	c.Assert(log.Rewrite(restored), qt.IsNil)
+	c.Assert(cl.rewriteGroup("c", 0), qt.IsNil)
+	for _, id := range cl.ids {
+		c.Assert(cl.start(id), qt.IsNil)
+	}
+	cl.run(200)
+	c.Check(cl.isVoting("a"), qt.IsTrue)
+	c.Check(cl.members["a"].machine.state.Version, qt.Equals, uint64(1))
+	c.Check(cl.violation, qt.Equals, "")
+}
