--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,12 +34,17 @@
 
 // process is one process of the program under test.
 type process struct {
-	name, ip, zone, service string
-	isSource                bool
-	dir                     string
-	mu                      sync.Mutex
-	cmd                     *exec.Cmd
-	started                 bool
+	name, zone, service string
+	// network and host are the address of the process before it was replaced.
+	network string
+	host    int
+	// replacements is the number of times that the process was replaced by another one.
+	replacements atomic.Int32
+	isSource     bool
+	dir          string
+	mu           sync.Mutex
+	cmd          *exec.Cmd
+	started      bool
 	// exited is closed when the current process has exited. shouldRun is set while it is
 	// expected to run.
 	exited    chan struct{}
@@ -72,15 +78,15 @@
 		history: &History{Services: map[string]string{}},
 	}
 	// Each run uses its own loopback network.
-	net1, net2 := 16+os.Getpid()/200%100, os.Getpid()%200
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", net1, net2))
+	network := fmt.Sprintf("127.%d.%d", 16+os.Getpid()/200%100, os.Getpid()%200)
+	l, err := net.Listen("tcp", network+".1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "choose ports")
 	}
 	cl.port = min(l.Addr().(*net.TCPAddr).Port, 65535-portLast)
 	_ = l.Close()
 	for i := range sourceCount {
-		cl.sources = append(cl.sources, &process{name: fmt.Sprintf("source%d", i+1), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, 1+i), zone: fmt.Sprint("zone", i), isSource: true})
+		cl.sources = append(cl.sources, &process{name: fmt.Sprintf("source%d", i+1), network: network, host: 1 + i, zone: fmt.Sprint("zone", i), isSource: true})
 		cl.history.Sources = append(cl.history.Sources, cl.sources[i].name)
 	}
 	for i := range o.Daemons {
@@ -92,7 +98,7 @@
 		if o.sharesLoad() {
 			zones = 2 // each with servers of both services
 		}
-		p := &process{name: fmt.Sprintf("daemon%d", i+1), ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, 101+i), zone: fmt.Sprint("zone", i%zones), service: service}
+		p := &process{name: fmt.Sprintf("daemon%d", i+1), network: network, host: 101 + i, zone: fmt.Sprint("zone", i%zones), service: service}
 		cl.daemons = append(cl.daemons, p)
 		cl.history.Services[p.name] = service
 	}
@@ -102,7 +108,9 @@
 // processes returns the processes under test, the sources first.
 func (cl *cluster) processes() []*process { return slices.Concat(cl.sources, cl.daemons) }
 
-func (cl *cluster) addr(p *process, port int) string { return fmt.Sprintf("%s:%d", p.ip, cl.port+port) }
+func (cl *cluster) addr(p *process, port int) string {
+	return fmt.Sprintf("%s:%d", p.ip(), cl.port+port)
+}
 
 // settings returns the settings file that the platform would write.
 func (cl *cluster) settings(p *process) string {
@@ -111,7 +119,7 @@
 		seeds = append(seeds, cl.addr(s, portControl))
 	}
 	lines := []string{
-		"node_name=" + p.name, "ip_address=" + p.ip, "zone=" + p.zone, "region=loopback",
+		"node_name=" + p.name, "ip_address=" + p.ip(), "zone=" + p.zone, "region=loopback",
 		"listen_addresses.control_address=" + cl.addr(p, portControl),
 		fmt.Sprintf("internal_port_range=%d,%d", cl.port+portInternal, cl.port+portLast),
 		"seed_addresses=" + strings.Join(seeds, ","), fmt.Sprint("first_start=", !p.started),
@@ -128,6 +136,19 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
+// settingsPath returns the path of the settings file of a process.
+func (p *process) settingsPath() string { return filepath.Join(p.dir, "boot.conf") }
+
+// writeSettings replaces the settings file at once, so that a process that is starting reads
+// either the old or the new one.
+func (cl *cluster) writeSettings(p *process) error {
+	path := p.settingsPath()
+	if err := os.WriteFile(path+".new", []byte(cl.settings(p)), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
 // startProcess starts a process that is not running.
 func (cl *cluster) startProcess(p *process) error {
 	p.mu.Lock()
@@ -142,8 +163,7 @@
 	if err := os.MkdirAll(filepath.Join(p.dir, "data"), 0o700); err != nil {
 		return err
 	}
-	path := filepath.Join(p.dir, "boot.conf")
-	if err := os.WriteFile(path, []byte(cl.settings(p)), 0o600); err != nil {
+	if err := cl.writeSettings(p); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -152,7 +172,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	p.cmd = exec.Command(cl.o.Binary, "serve", "--platform")
-	p.cmd.Env = append(os.Environ(), "DAISYGATE_SETTINGS="+path)
+	p.cmd.Env = append(os.Environ(), "DAISYGATE_SETTINGS="+p.settingsPath())
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
@@ -196,7 +216,10 @@
 	cl.history.Begin = time.Now()
 	reports, stopReports := context.WithCancel(ctx)
 	cl.stopReports = stopReports
-	for _, p := range cl.processes() {
+	for i, p := range cl.processes() {
+		if cl.o.replacesSources() && i == len(cl.sources)-1 {
+			cl.sleep(ctx, lateStart)
+		}
 		if err := cl.startProcess(p); err != nil {
 			return errors.Wrapf(err, "start %s", p.name)
 		}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -14,6 +14,8 @@
 	minPause, maxPause                 = 200 * time.Millisecond, 1500 * time.Millisecond
 	minFaultDuration, maxFaultDuration = 300 * time.Millisecond, 3 * time.Second
 	stopTimeout                        = 6 * time.Second
+	// diskLossDuration is how long a source is down whose data folder is deleted.
+	diskLossDuration = time.Second
 	// catchUpTime is how long a source counts as unavailable after its disk was wiped.
 	catchUpTime = 4 * time.Second
 )
@@ -111,25 +113,37 @@
 
 // wipeDisk kills a source and deletes its data folder, unless another source has a fault.
 func (cl *cluster) wipeDisk(p *process) {
-	cl.mu.Lock()
-	free := time.Now().After(cl.wipeBlockedUntil)
-	for _, s := range cl.sources {
-		free = free && !cl.activeFaults[s.name]
-	}
-	if free {
-		cl.wipeBlockedUntil = time.Now().Add(catchUpTime)
-	}
-	cl.mu.Unlock()
-	if !free {
-		return
+	if cl.reserveDiskLoss(catchUpTime) {
+		cl.loseDisk(p)
 	}
-	cl.runFault("disk lost", p.name, time.Second, false, func() {
+}
+
+// loseDisk kills a source, deletes its data folder, and starts it again.
+func (cl *cluster) loseDisk(p *process) {
+	cl.runFault("disk lost", p.name, diskLossDuration, false, func() {
 		p.signal(syscall.SIGKILL, false)
 		<-p.exited
 		cl.must(os.RemoveAll(filepath.Join(p.dir, "data")))
 	}, func() { cl.must(cl.startProcess(p)) })
 }
 
+// reserveDiskLoss reports whether a source may lose its disk now, and then blocks other such
+// losses until this one is repaired. No other source may have a fault.
+func (cl *cluster) reserveDiskLoss(repair time.Duration) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if time.Now().Before(cl.wipeBlockedUntil) {
+		return false
+	}
+	for _, s := range cl.sources {
+		if cl.activeFaults[s.name] {
+			return false
+		}
+	}
+	cl.wipeBlockedUntil = time.Now().Add(repair)
+	return true
+}
+
 // impairments are the kinds of the faults that impair the connection to a server, by mode.
 var impairments = [...]string{modeDelay: "delayed", modeSilence: "silenced", modeOneWay: "cut one way"}
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -74,6 +74,10 @@
 // statesStart reports whether the servers state their start times.
 func (o Options) statesStart() bool { return o.Seed%2 == 0 }
 
+// replacesSources reports whether sources are replaced, and all of them lose power at the end,
+// one with its disk.
+func (o Options) replacesSources() bool { return o.Seed%5 == 2 }
+
 const (
 	sourceCount = 3
 	// startupTimeout bounds the start of the cluster. recoveryTime is the time that the cluster
@@ -126,9 +130,15 @@
 	}
 	cl.startLimits(disturbance)
 	cl.startDepartures(disturbance)
+	if o.replacesSources() {
+		cl.startReplacements(disturbance)
+	}
 	cl.injectFaults(ctx, o.Duration)
 	stopDisturbance()
 	cl.awaitFaultEnds()
+	if o.replacesSources() {
+		cl.losePowerAndDisk(ctx)
+	}
 	cl.sleep(ctx, burstRecoveryTime)
 	stopBursts()
 	cl.sleep(ctx, recoveryTime-burstRecoveryTime)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -10,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestShortSoak runs one seed with the real programs. It checks only the promises: the speed
+// TestShortSoak runs two seeds with the real programs. It checks only the promises: the speed
 // of the machine determines how many requests are sent, but not whether a promise is kept.
 func TestShortSoak(t *testing.T) {
 	c := qt.New(t)
@@ -18,9 +19,15 @@
 	binary := filepath.Join(dir, "daisygate")
 	out, err := exec.Command("go", "build", "-o", binary, "../cmd/daisygate").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
-	report, err := Run(context.Background(), Options{Seed: 1, Duration: 5 * time.Second, Daemons: 3, Binary: binary, Dir: dir})
-	c.Assert(err, qt.IsNil)
-	c.Log(report.Text())
-	c.Check(report.Violations, qt.HasLen, 0)
-	c.Check(len(report.history.Sent) > 0, qt.IsTrue)
+	// Seed 2 replaces sources and ends with a loss of power and of a disk.
+	for seed, duration := range map[uint64]time.Duration{1: 5 * time.Second, 2: 8 * time.Second} {
+		c.Run(fmt.Sprint("seed ", seed), func(c *qt.C) {
+			o := Options{Seed: seed, Duration: duration, Daemons: 3, Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(seed))}
+			report, err := Run(context.Background(), o)
+			c.Assert(err, qt.IsNil)
+			c.Log(report.Text())
+			c.Check(report.Violations, qt.HasLen, 0)
+			c.Check(len(report.history.Sent) > 0, qt.IsTrue)
+		})
+	}
 }
