Sources: a voter answers the probes of an emptied member that its list names, whatever its group

What callers saw: nothing on the platform, where an emptied source may not bootstrap (first_start is false). With settings of our own (source.found true, the default) a source that lost its disk after the members in its settings had changed stayed at own_vote asking: one of three was missing for good. Found by asking where else the group is worked out from settings that may change.

Cause: such a member may bootstrap, so its probes name the group of its settings, and members of another group drop them. Since the others store their group, restarting them with the new settings does not help either, as it did for a fixed set before.

Fix: a voter answers a member without a vote whose name is in its voter list; the member follows a voter that knows its name. A group to which it belonged was bootstrapped before, so it is not the one to bootstrap another. Names that are in no list get no answer, as before: the settings of another fleet that name one of our sources by mistake must not join it to ours.

Failed before, and on: TestEmptiedFounderIsNotAnsweredWhenSettingsChange, a fixed set and one whose members can be replaced.

--- a/internal/process/replica/group.go
+++ b/internal/process/replica/group.go
@@ -15,7 +15,9 @@
 //
 // A member that has neither a vote nor entries of the log owes its group nothing. Its probes
 // name no group, and it follows the voter that answers: the member that it asked before
-// may have known the group wrongly.
+// may have known the group wrongly. Only a member that may bootstrap a group names the one of
+// its settings, so that two groups with a common member in their settings do not mix; it
+// follows a voter that knows it by name, because its group was bootstrapped before.
 
 // groupHash hashes a set of member names; the order does not matter.
 func groupHash(members []string) uint64 {
@@ -95,7 +97,8 @@
 	case c.group == 0:
 		return replied
 	default:
-		return replied && !c.bound() && c.lead == "" && !m.Fresh
+		free := !c.bound() || c.fresh() && m.Known != 0
+		return replied && free && c.lead == "" && !m.Fresh
 	}
 }
 
@@ -127,13 +130,16 @@
 
 // sameGroup reports whether a message may be processed. Two groups have no common
 // quorum, so messages from another group are dropped, except for probes of members that
-// do not belong to a group yet and the replies to them.
+// do not belong to a group yet or have lost their disk, and the replies to them.
 func (c *Core) sameGroup(m Message) bool {
-	if m.Group == c.group {
+	switch {
+	case m.Group == c.group:
 		return true
+	case m.Type == MsgProbe:
+		return m.Group == 0 || c.probedGroup() == 0 || !m.Voting && c.diskOf(m.From) != 0
+	default:
+		return m.Type == MsgProbeReply && (m.Group == 0 || c.probedGroup() == 0)
 	}
-	probe := m.Type == MsgProbe || m.Type == MsgProbeReply
-	return probe && (m.Group == 0 || c.probedGroup() == 0)
 }
 
 // countRejected records a message from another group.
--- a/internal/process/source/cluster_test.go
+++ b/internal/process/source/cluster_test.go
@@ -233,7 +233,7 @@
 		c.net = slices.Delete(c.net, i, i+1)
 	}
 	m := c.members[msg.To]
-	if m.node == nil || c.blockedLinks[[2]string{msg.From, msg.To}] {
+	if m == nil || m.node == nil || c.blockedLinks[[2]string{msg.From, msg.To}] {
 		return
 	}
 	m.node.Step([]replica.Message{msg})
--- a/internal/process/source/group_test.go
+++ b/internal/process/source/group_test.go
@@ -120,3 +120,33 @@
 	c.Check(cl.acceptsVersion(2), qt.IsTrue)
 	c.Check(cl.violation, qt.Equals, "")
 }
+
+// TestEmptiedFounderIsNotAnsweredWhenSettingsChange guards against a member that lost its
+// disk and may bootstrap a group according to its settings: if these name other members than
+// at the first start, the group that knows it must still answer its probes.
+func TestEmptiedFounderIsNotAnsweredWhenSettingsChange(t *testing.T) {
+	clusters := map[string]func() *testCluster{
+		"fixed": func() *testCluster { return newTestCluster(3, fuzzCompactAfter) },
+		"replaceable": func() *testCluster {
+			cl := newTestCluster(3, fuzzCompactAfter)
+			cl.allowJoins(replaceAfter)
+			return cl
+		},
+	}
+	for name, start := range clusters {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			cl := start()
+			cl.run(60)
+			c.Assert(cl.acceptsVersion(1), qt.IsTrue)
+			cl.loseDisk("a")
+			cl.members["a"].diskReplaced = false // the settings still allow it to bootstrap
+			cl.seeds, cl.fixedSeeds = map[string][]string{"a": {"a", "b", "d"}}, true
+			c.Assert(cl.start("a"), qt.IsNil)
+			cl.run(100)
+			c.Check(cl.isVoting("a"), qt.IsTrue)
+			c.Check(cl.members["a"].machine.state.Version, qt.Equals, uint64(1))
+			c.Check(cl.violation, qt.Equals, "")
+		})
+	}
+}
