--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -42,8 +42,8 @@
 type Core struct {
 	cfg   Config
 	peers []string
-	// group is a hash of the names of the members that bootstrapped the group; 0 if it
-	// is not known yet.
+	// group identifies the group, see group.go; 0 if it is not known yet. It equals
+	// membership.Group once another member of the group was heard.
 	group uint64
 	// rejected counts the messages from other groups; see GroupInfo.
 	rejected GroupInfo
--- a/internal/process/replica/group.go
+++ b/internal/process/replica/group.go
@@ -13,11 +13,12 @@
 // member does not take it from the settings either. It recognizes its group by a disk: by a
 // message from a disk in its own voter list, or by a reply that names its own disk.
 //
-// A member that has neither a vote nor entries of the log owes its group nothing. Its probes
-// name no group, and it follows the voter that answers: the member that it asked before
-// may have known the group wrongly. Only a member that may bootstrap a group names the one of
-// its settings, so that two groups with a common member in their settings do not mix; it
-// follows a voter that knows it by name, because its group was bootstrapped before.
+// A member that has neither a vote nor entries of the log is not bound to a group. Its
+// probes name no group, and it joins the group of the voter that replies, because a member
+// that replied earlier may have been wrong. A new member that may bootstrap a group names
+// the one of its settings, so that two groups do not mix if their settings have a member in
+// common. It joins the group of a voter that knows it by name: that group was bootstrapped
+// before it lost its disk.
 
 // groupHash hashes a set of member names; the order does not matter.
 func groupHash(members []string) uint64 {
@@ -108,8 +109,8 @@
 	return c.membership.Voting || c.log.last() > 0 || c.fresh() && c.mayBootstrap()
 }
 
-// probedGroup returns the group that a probe of this member names; members of other groups
-// do not answer it. 0 is answered by all.
+// probedGroup returns the group that the probes of this member name. A probe that names 0
+// is answered by members of any group.
 func (c *Core) probedGroup() uint64 {
 	if c.bound() {
 		return c.group
