Sources: a founder of a fixed set remembers that it may bootstrap the group

What callers saw: nothing on the platform, whose sources can be replaced. With settings of our own: three sources of a fixed set are started with source.found, stop before the group has formed, and start with source.found false, as a new machine is told. No group ever forms; all stay at asking.

Cause: that a new member may bootstrap was stored only where members can be replaced. Elsewhere it was worked out anew from the settings of each start: the same as with the group, one more of its ways.

Fix: it is stored in each kind of group. It counts only until the member has a vote or is a learner.

--- a/internal/process/replica/membership.go
+++ b/internal/process/replica/membership.go
@@ -93,7 +93,7 @@
 // initMembership records that a new member may bootstrap the group. That is persisted,
 // because the member may be restarted before the group is bootstrapped.
 func (c *Core) initMembership() {
-	if c.fresh() && !c.cfg.JoinExisting && c.cfg.ReplaceTicks > 0 && !c.membership.MayBootstrap {
+	if c.fresh() && !c.cfg.JoinExisting && !c.membership.MayBootstrap {
 		c.membership.MayBootstrap, c.membershipChanged = true, true
 	}
 }
--- a/internal/process/source/founding_test.go
+++ b/internal/process/source/founding_test.go
@@ -20,3 +20,23 @@
 	c.Check(cluster.members["c"].node.Status().Repair.State, qt.Equals, replica.RepairDone)
 	c.Check(cluster.violation, qt.Equals, "")
 }
+
+// TestFixedFoundersWaitForEachOtherAfterInterruptedStart guards against members of a group
+// without replacement that are restarted before the group is bootstrapped, with settings that no
+// longer allow it, and that then wait for a group that nobody bootstraps.
+func TestFixedFoundersWaitForEachOtherAfterInterruptedStart(t *testing.T) {
+	c := qt.New(t)
+	cl := newTestCluster(3, fuzzCompactAfter)
+	cl.run(1)
+	c.Assert(cl.isVoting("a"), qt.IsFalse)
+	cl.founders = cl.ids
+	for _, id := range cl.ids {
+		cl.crash(id, 0, false)
+		cl.members[id].diskReplaced = true // the settings do not allow it to bootstrap
+		c.Assert(cl.start(id), qt.IsNil)
+	}
+	cl.run(100)
+	c.Assert(cl.leader(), qt.IsNotNil)
+	c.Check(cl.acceptsVersion(1), qt.IsTrue)
+	c.Check(cl.violation, qt.Equals, "")
+}
