--- a/internal/process/source/group_older_test.go
+++ b/internal/process/source/group_older_test.go
@@ -5,20 +5,24 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/daisygate/daisygate/internal/process/replica"
 	"github.com/daisygate/daisygate/internal/process/storage"
 )
 
-// rewriteGroup rewrites the disk of a stopped member as older releases wrote it, with the
-// given group in place of its own.
-func (c *testCluster) rewriteGroup(id string, group uint64) error {
+// rewriteMembership changes what the disk of a stopped member says about its group.
+func (c *testCluster) rewriteMembership(id string, change func(*replica.Membership)) error {
 	log, restored, err := storage.Open(c.members[id].dir)
 	if err != nil {
 		return err
 	}
-	restored.Membership.Group = group
+	change(&restored.Membership)
 	return log.Rewrite(restored)
 }
 
+// withoutGroup is a change for rewriteMembership: older releases stored no group with some
+// votes.
+func withoutGroup(m *replica.Membership) { m.Group = 0 }
+
 // TestVoterWithoutStoredGroupStaysOut guards against a disk written by a release that did
 // not store the group with every vote: its member must find its group again although the
 // settings name other members than at the first start.
@@ -26,19 +30,12 @@
 	for _, lost := range []string{"a", "n"} {
 		t.Run("lost "+lost, func(t *testing.T) {
 			c := qt.New(t)
-			cl := newLateVoteCluster()
+			cl := newReplacedCluster(c)
+			cl.stopAll()
 			cl.olderDisks = true
-			cl.replaceMember("b", "n")
-			c.Assert(cl.acceptsVersion(1), qt.IsTrue)
-			for _, id := range cl.ids {
-				cl.crash(id, 0, false)
-			}
-			c.Assert(cl.rewriteGroup("c", 0), qt.IsNil)
-			cl.restartWithoutDisk(c, lost)
-			c.Assert(cl.leader(), qt.IsNotNil)
-			c.Check(cl.acceptsVersion(2), qt.IsTrue)
-			c.Check(cl.isVoting(lost), qt.IsTrue)
-			c.Check(cl.violation, qt.Equals, "")
+			c.Assert(cl.rewriteMembership("c", withoutGroup), qt.IsNil)
+			cl.loseDisk(lost)
+			cl.checkRestart(c, lost)
 		})
 	}
 }
@@ -54,7 +51,7 @@
 	cl.seeds, cl.fixedSeeds = map[string][]string{"a": {"a", "b", "c", "d", "e"}}, true
 	for _, id := range cl.ids {
 		cl.crash(id, 0, false)
-		c.Assert(cl.rewriteGroup(id, 0), qt.IsNil)
+		c.Assert(cl.rewriteMembership(id, withoutGroup), qt.IsNil)
 		c.Assert(cl.start(id), qt.IsNil)
 	}
 	cl.crash("b", 0, false)
@@ -69,24 +66,11 @@
 // is not heard by its group any more.
 func TestEmptiedMemberKeepsWrongGroup(t *testing.T) {
 	c := qt.New(t)
-	cl := newLateVoteCluster()
+	cl := newReplacedCluster(c)
+	cl.stopAll()
 	cl.olderDisks = true
-	cl.replaceMember("b", "n")
-	c.Assert(cl.acceptsVersion(1), qt.IsTrue)
-	for _, id := range cl.ids {
-		cl.crash(id, 0, false)
-	}
+	c.Assert(cl.rewriteMembership("c", withoutGroup), qt.IsNil)
 	cl.loseDisk("a")
-	log, restored, err := storage.Open(cl.members["a"].dir)
-	c.Assert(err, qt.IsNil)
-	restored.Membership.Learning, restored.Membership.Group = true, 1
-	c.Assert(log.Rewrite(restored), qt.IsNil)
-	c.Assert(cl.rewriteGroup("c", 0), qt.IsNil)
-	for _, id := range cl.ids {
-		c.Assert(cl.start(id), qt.IsNil)
-	}
-	cl.run(200)
-	c.Check(cl.isVoting("a"), qt.IsTrue)
-	c.Check(cl.members["a"].machine.state.Version, qt.Equals, uint64(1))
-	c.Check(cl.violation, qt.Equals, "")
+	c.Assert(cl.rewriteMembership("a", func(m *replica.Membership) { m.Learning, m.Group = true, 1 }), qt.IsNil)
+	cl.checkRestart(c, "a")
 }
--- a/internal/process/source/group_test.go
+++ b/internal/process/source/group_test.go
@@ -39,25 +39,39 @@
 	return cl
 }
 
-// replaceMember removes a member permanently and waits until a new one has its vote.
-func (c *testCluster) replaceMember(id, by string) {
-	c.remove(id)
-	c.addMember(by)
-	c.run(200)
+// newReplacedCluster returns the same cluster after the permanent loss of b, which n has
+// replaced, and with one accepted manifest.
+func newReplacedCluster(c *qt.C) *testCluster {
+	cl := newLateVoteCluster()
+	c.Assert(cl.members["c"].node.Status().Repair.State, qt.Equals, replica.RepairDone)
+	cl.remove("b")
+	cl.addMember("n")
+	cl.run(200)
+	c.Assert(cl.isVoting("n"), qt.IsTrue)
+	c.Assert(cl.acceptsVersion(1), qt.IsTrue)
+	return cl
 }
 
-// restartWithoutDisk stops all members, loses one disk, and starts all members again,
-// configured with the current members.
-func (c *testCluster) restartWithoutDisk(t *qt.C, lost string) {
+// stopAll stops all members at the same time.
+func (c *testCluster) stopAll() {
 	for _, id := range c.ids {
 		c.crash(id, 0, false)
 	}
-	c.loseDisk(lost)
 	c.net = nil
+}
+
+// checkRestart starts all members, configured with the current members, and checks that the
+// group still has its manifest, accepts another one, and gives the member id a vote.
+func (c *testCluster) checkRestart(t *qt.C, id string) {
 	for _, id := range c.ids {
 		t.Assert(c.start(id), qt.IsNil)
 	}
 	c.run(400)
+	t.Assert(c.leader(), qt.IsNotNil)
+	t.Check(c.leader().machine.state.Version, qt.Equals, uint64(1))
+	t.Check(c.acceptsVersion(2), qt.IsTrue)
+	t.Check(c.isVoting(id), qt.IsTrue)
+	t.Check(c.violation, qt.Equals, "")
 }
 
 // TestVoterFromLogLeavesItsGroupWhenSeedsChange guards against a member that got its vote
@@ -67,17 +81,10 @@
 	for _, lost := range []string{"a", "n"} {
 		t.Run("lost "+lost, func(t *testing.T) {
 			c := qt.New(t)
-			cl := newLateVoteCluster()
-			c.Assert(cl.members["c"].node.Status().Repair.State, qt.Equals, replica.RepairDone)
-			cl.replaceMember("b", "n")
-			c.Assert(cl.isVoting("n"), qt.IsTrue)
-			c.Assert(cl.acceptsVersion(1), qt.IsTrue)
-			cl.restartWithoutDisk(c, lost)
-			c.Assert(cl.leader(), qt.IsNotNil)
-			c.Check(cl.leader().machine.state.Version, qt.Equals, uint64(1))
-			c.Check(cl.acceptsVersion(2), qt.IsTrue)
-			c.Check(cl.isVoting(lost), qt.IsTrue)
-			c.Check(cl.violation, qt.Equals, "")
+			cl := newReplacedCluster(c)
+			cl.stopAll()
+			cl.loseDisk(lost)
+			cl.checkRestart(c, lost)
 		})
 	}
 }
--- a/internal/process/source/replace_test.go
+++ b/internal/process/source/replace_test.go
@@ -245,7 +245,7 @@
 	}
 	if older := rapid.SampledFrom(append([]string{""}, f.ids...)).Draw(f.t, "older"); older != "" {
 		f.olderDisks = true
-		if err := f.rewriteGroup(older, 0); err != nil {
+		if err := f.rewriteMembership(older, withoutGroup); err != nil {
 			f.t.Fatalf("rewrite the disk of %s: %v", older, err)
 		}
 	}
