--- a/soak/replacement.go
+++ b/soak/replacement.go
@@ -21,6 +21,8 @@
 	// replacedHosts is the difference of the host parts of a source's address and that of
 	// its replacement.
 	replacedHosts = 10
+	// maxReplacements keeps the addresses of replacements below those of the daemons.
+	maxReplacements = 9
 )
 
 // startReplacements replaces sources at random times until ctx ends.
@@ -38,7 +40,7 @@
 // empty disk and at a new address, unless another source has a fault. The settings files of
 // all processes then name the new address.
 func (cl *cluster) replaceSource(p *process) {
-	if !cl.reserveDiskLoss(replacementTime) {
+	if p.replacements.Load() == maxReplacements || !cl.reserveDiskLoss(replacementTime) {
 		return
 	}
 	cl.runFault("replaced", p.name, 0, false, func() {
