Soak: the repair of a lost disk begins again at the end of a fault at another source

Its trace: source1 is replaced at 2.3 s; while its successor learns, source2 is frozen, the leader steps down, and the new leader waits anew for the silence of source1; at 11.3 s, before the successor has its vote, source2 is removed for good as well. Two of three lists of votes are gone. That is two sources lost at once (one replaced, one frozen), and DEPLOY.md asks for one: "It also remains lost for catch_up_s after it is back". The soak counted a fixed time from the replacement on, whatever happened meanwhile. No check is changed.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -68,7 +68,9 @@
 	activeFaults map[string]bool
 	mu           sync.Mutex
 	// No disk is wiped before wipeBlockedUntil, so that at most one source lacks its data.
+	// repairTime is the time that the latest loss needs without other faults.
 	wipeBlockedUntil time.Time
+	repairTime       time.Duration
 	operators        operatorState
 }
 
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -86,6 +87,7 @@
 		cl.mu.Lock()
 		defer cl.mu.Unlock()
 		delete(cl.activeFaults, target)
+		cl.extendRepair(target)
 	})
 }
 
@@ -140,10 +142,20 @@
 			return false
 		}
 	}
-	cl.wipeBlockedUntil = time.Now().Add(repair)
+	cl.wipeBlockedUntil, cl.repairTime = time.Now().Add(repair), repair
 	return true
 }
 
+// extendRepair lets the repair of a lost disk begin again at the end of a fault at a source. The
+// sources are made to lose one of them at a time, and the repair makes no progress while another
+// one is away. The caller must hold mu.
+func (cl *cluster) extendRepair(target string) {
+	isSource := slices.ContainsFunc(cl.sources, func(s *process) bool { return s.name == target })
+	if isSource && time.Now().Before(cl.wipeBlockedUntil) {
+		cl.wipeBlockedUntil = time.Now().Add(cl.repairTime)
+	}
+}
+
 // impairments are the kinds of the faults that impair the connection to a server, by mode.
 var impairments = [...]string{modeDelay: "delayed", modeSilence: "silenced", modeOneWay: "cut one way"}
 
