Tests of the sources: recorded random runs keep what they replay

The three tests and the grown cluster are as before; the new draws are in TestReplacementsAfterLateVote and TestLossesInSeriesWithOtherSeeds.

--- a/internal/process/source/replace_test.go
+++ b/internal/process/source/replace_test.go
@@ -33,7 +33,9 @@
 	cl := newTestCluster(3, fuzzCompactAfter)
 	cl.voters, cl.fixedSeeds = 5, true
 	cl.allowJoins(replaceAfter)
-	cl.bootstrapDropping(probeRepliesTo(late))
+	if late != "" {
+		cl.bootstrapDropping(probeRepliesTo(late))
+	}
 	for _, id := range []string{"d", "e", "f"} {
 		cl.addMember(id)
 		cl.seeds[id] = []string{"a", "b", "c"}
@@ -163,16 +165,51 @@
 func TestReplacementsUnderFaults(t *testing.T) {
 	for _, n := range []int{3, 5} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			rapid.Check(t, func(t *rapid.T) { testReplacements(t, n) })
+			rapid.Check(t, func(t *rapid.T) {
+				f := &faultTest{testCluster: newFoundedCluster(n), t: t, versions: map[string]uint64{}}
+				f.runReplacements(n)
+				f.checkRecoveryAfterRestart()
+			})
 		})
 	}
 }
 
-func testReplacements(t *rapid.T, n int) {
-	f := &faultTest{testCluster: newTestCluster(n, fuzzCompactAfter), t: t, versions: map[string]uint64{}}
-	f.allowJoins(replaceAfter)
-	f.bootstrapDropping(probeRepliesTo(rapid.SampledFrom(append([]string{""}, f.ids...)).Draw(t, "late")))
-	f.run(60)
+// TestReplacementsAfterLateVote injects the same faults into a group in which a random member
+// got its vote from the log. At the end, the disk of a random member is as an older release
+// wrote it.
+func TestReplacementsAfterLateVote(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &faultTest{testCluster: newTestCluster(3, fuzzCompactAfter), t: t, versions: map[string]uint64{}}
+		f.allowJoins(replaceAfter)
+		f.bootstrapDropping(probeRepliesTo(f.drawMember("late")))
+		f.run(60)
+		f.runReplacements(3)
+		f.stopFaults()
+		f.removeStoredGroup()
+		f.checkRestartedMembers()
+	})
+}
+
+// drawMember draws a member, or none ("").
+func (f *faultTest) drawMember(label string) string {
+	return rapid.SampledFrom(append([]string{""}, f.ids...)).Draw(f.t, label)
+}
+
+// removeStoredGroup makes the disk of one stopped member, or of none, as an older release
+// wrote it.
+func (f *faultTest) removeStoredGroup() {
+	id := f.drawMember("older")
+	if id == "" {
+		return
+	}
+	f.olderDisks = true
+	if err := f.rewriteMembership(id, withoutGroup); err != nil {
+		f.t.Fatalf("rewrite the disk of %s: %v", id, err)
+	}
+}
+
+// runReplacements runs random faults and replacements in a group of n voters.
+func (f *faultTest) runReplacements(n int) {
 	newMembers := 0
 	addNewMember := func() {
 		if len(f.ids) <= n {
@@ -192,7 +229,6 @@
 		f.dropSome, f.partition, f.healLinks, f.crashOne, f.startAll, f.startAll, f.delaySome, f.deliverDelayed, addNewMember, removeOne,
 	}
 	f.runActions(20, 100, actions)
-	f.checkRecoveryAfterRestart()
 }
 
 // TestGrownGroupUnderFaults injects random faults into a group of five voters and one more
@@ -234,21 +270,24 @@
 }
 
 // checkRecoveryAfterRestart stops the faults and restarts all members, configured with the
-// current members. The disk of one of them may be as an older release wrote it. It checks that the group accepts a manifest and that every member has
+// current members. It checks that the group accepts a manifest and that every member has
 // applied all accepted manifests.
 func (f *faultTest) checkRecoveryAfterRestart() {
+	f.stopFaults()
+	f.checkRestartedMembers()
+}
+
+// stopFaults heals the network and stops all members.
+func (f *faultTest) stopFaults() {
 	clear(f.blockedLinks)
 	for _, id := range f.ids {
 		if f.members[id].node != nil {
 			f.crash(id, 0, false)
 		}
 	}
-	if older := rapid.SampledFrom(append([]string{""}, f.ids...)).Draw(f.t, "older"); older != "" {
-		f.olderDisks = true
-		if err := f.rewriteMembership(older, withoutGroup); err != nil {
-			f.t.Fatalf("rewrite the disk of %s: %v", older, err)
-		}
-	}
+}
+
+func (f *faultTest) checkRestartedMembers() {
 	f.startAll()
 	f.run(400)
 	if f.leader() == nil {
--- a/internal/process/source/series_test.go
+++ b/internal/process/source/series_test.go
@@ -9,21 +9,38 @@
 // TestLossesInSeries combines successive and simultaneous faults: members stopped for longer
 // than it takes to be replaced, replacements, elections, loss of all power, and the loss of
 // two disks at any of these moments, preferably those that hold the newest entry. Disks are
-// lost again only after the group has recovered from the last loss. Each start is configured
-// with other seeds.
-func TestLossesInSeries(t *testing.T) { rapid.Check(t, lossesInSeries) }
+// lost again only after the group has recovered from the last loss.
+func TestLossesInSeries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &faultTest{testCluster: newGrownCluster(), t: t, versions: map[string]uint64{}}
+		f.runLosses()
+		f.checkRecoveryAfterRestart()
+	})
+}
+
+// TestLossesInSeriesWithOtherSeeds combines the same faults in a group in which a random
+// member got its vote from the log, and whose members are configured with random seeds at
+// each start. At the end, the disk of a random member is as an older release wrote it.
+func TestLossesInSeriesWithOtherSeeds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		late := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "late")
+		f := &faultTest{testCluster: growCluster(late), t: t, versions: map[string]uint64{}}
+		f.drawSeeds = func() []string { return rapid.Permutation(f.ids).Draw(t, "seeds")[:3] }
+		f.runLosses()
+		f.stopFaults()
+		f.removeStoredGroup()
+		f.checkRestartedMembers()
+	})
+}
 
-func lossesInSeries(t *rapid.T) {
-	late := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "late")
-	f := &faultTest{testCluster: growCluster(late), t: t, versions: map[string]uint64{}}
-	f.drawSeeds = func() []string { return rapid.Permutation(f.ids).Draw(t, "seeds")[:3] }
+// runLosses runs random faults and losses of disks.
+func (f *faultTest) runLosses() {
 	actions := []func(){
 		f.submitSome, f.submitSome, f.submitSome, f.deliverSome, f.deliverSome, f.deliverTo, f.runSome, f.runSome,
 		f.tickOne, f.dropSome, f.delaySome, f.deliverDelayed, f.crashOne, f.startAll, f.stopOne, f.stopOne, f.isolateSome,
 		f.powerLoss, f.loseNewestHolders, f.powerLossWithDisks, f.powerLossWithDisks,
 	}
 	f.runActions(10, 80, actions)
-	f.checkRecoveryAfterRestart()
 }
 
 // stopOne stops a member for about as long as it takes to be replaced.
