Queue: expected wait and overtaking requests in the log, a metric of late starts

Callers saw answers far beyond the target of their route. The log told how long a request had waited in the queue of a server, but neither what wait the admission control had expected nor whether others had gone before: a wrong estimate, slow servers and the order of the queue looked the same.

The line "request served late" now has expected_wait, overtaken and priority, and daisygate_backend_late_starts_total counts the callers' requests that got a slot after their target. No decision was changed.

--- a/internal/connection/gateway/calls_test.go
+++ b/internal/connection/gateway/calls_test.go
@@ -129,7 +129,7 @@
 	local, remote := httptest.NewRequest("GET", "/inner", nil), httptest.NewRequest("GET", "/inner", nil)
 	local.RemoteAddr, remote.RemoteAddr = "127.0.0.1:7", "192.0.2.1:7"
 	c.Check(g.mayBeFromRun(local), qt.IsFalse, qt.Commentf("no run is in progress"))
-	c.Assert(g.backends[addr].gate.Acquire(t.Context(), admit.Ticket{Deadline: time.Now().Add(time.Minute)}), qt.IsNil)
+	c.Assert(acquire(t.Context(), g.backends[addr].gate, admit.Ticket{Deadline: time.Now().Add(time.Minute)}), qt.IsNil)
 	c.Check(g.mayBeFromRun(local), qt.IsTrue)
 	c.Check(g.mayBeFromRun(remote), qt.IsFalse)
 }
@@ -179,10 +179,10 @@
 	c := qt.New(t)
 	g := newGate(admit.Config{Slots: 1, QueueMax: 8})
 	call := admit.Ticket{Call: true, Deadline: time.Now().Add(time.Hour)}
-	c.Assert(g.Acquire(t.Context(), call), qt.IsNil)
+	c.Assert(acquire(t.Context(), g, call), qt.IsNil)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	c.Assert(g.Acquire(ctx, call).Code, qt.Equals, result.CallerLeft)
+	c.Assert(acquire(ctx, g, call).Code, qt.Equals, result.CallerLeft)
 	started := make(chan admit.Decision, 1) // the slot was given to the call when its caller left
 	started <- admit.Decision{Verdict: admit.Start}
 	c.Assert(g.cancel(&call, started, result.CallerLeft).Code, qt.Equals, result.CallerLeft)
@@ -198,7 +198,7 @@
 	const took = 300 * time.Millisecond
 	gate := g.backends[addr].gate
 	for range 4 { // all slots
-		c.Assert(gate.Acquire(t.Context(), admit.Ticket{Deadline: time.Now().Add(time.Minute)}), qt.IsNil)
+		c.Assert(acquire(t.Context(), gate, admit.Ticket{Deadline: time.Now().Add(time.Minute)}), qt.IsNil)
 	}
 	r := httptest.NewRequest("GET", "/inner", nil)
 	for name, value := range map[string]string{
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -42,21 +42,21 @@
 	return &gate{core: admit.New(cfg), waiting: map[uint64]chan admit.Decision{}}
 }
 
-// Acquire waits for a slot. If it returns nil, the caller must call Release.
-func (g *gate) Acquire(ctx context.Context, t admit.Ticket) *refusal {
+// Acquire waits for a slot. If it returns no refusal, the caller must call Release.
+func (g *gate) Acquire(ctx context.Context, t admit.Ticket) (admit.Queueing, *refusal) {
 	reply, decided := g.submit(&t)
 	if reply == nil {
-		return refusalOf(decided)
+		return decided.Queueing, refusalOf(decided)
 	}
 	timer := time.NewTimer(time.Until(t.Deadline))
 	defer timer.Stop()
 	select {
 	case d := <-reply:
-		return refusalOf(d)
+		return d.Queueing, refusalOf(d)
 	case <-ctx.Done():
-		return g.cancel(&t, reply, contextEndCode(ctx))
+		return admit.Queueing{}, g.cancel(&t, reply, contextEndCode(ctx))
 	case <-timer.C:
-		return g.cancel(&t, reply, result.DeadlineTooShort)
+		return admit.Queueing{}, g.cancel(&t, reply, result.DeadlineTooShort)
 	}
 }
 
--- a/internal/connection/gateway/gate_test.go
+++ b/internal/connection/gateway/gate_test.go
@@ -20,14 +20,14 @@
 	c := qt.New(t)
 	g := newGate(admit.Config{Slots: 1, QueueMax: 8})
 	later := time.Now().Add(time.Hour)
-	c.Assert(g.Acquire(context.Background(), admit.Ticket{Deadline: later}), qt.IsNil)
+	c.Assert(acquire(context.Background(), g, admit.Ticket{Deadline: later}), qt.IsNil)
 	expired, _, cancel := withInactivityTimeout(context.Background(), 0)
 	defer cancel()
 	<-expired.Done()
-	c.Assert(g.Acquire(expired, admit.Ticket{Deadline: later}).Code, qt.Equals, result.DeadlineTooShort)
+	c.Assert(acquire(expired, g, admit.Ticket{Deadline: later}).Code, qt.Equals, result.DeadlineTooShort)
 	disconnected, disconnect := context.WithCancel(context.Background())
 	disconnect()
-	c.Assert(g.Acquire(disconnected, admit.Ticket{Deadline: later}).Code, qt.Equals, result.CallerLeft)
+	c.Assert(acquire(disconnected, g, admit.Ticket{Deadline: later}).Code, qt.Equals, result.CallerLeft)
 	c.Assert(g.Running(), qt.Equals, 1)
 }
 
@@ -42,10 +42,16 @@
 	var waiting sync.WaitGroup
 	for range requests {
 		waiting.Go(func() {
-			c.Check(g.Acquire(context.Background(), admit.Ticket{Deadline: begin.Add(time.Minute)}), qt.IsNil)
+			c.Check(acquire(context.Background(), g, admit.Ticket{Deadline: begin.Add(time.Minute)}), qt.IsNil)
 		})
 	}
 	waiting.Wait()
 	c.Assert(g.Running(), qt.Equals, requests)
 	c.Assert(time.Since(begin) >= requests*time.Second/perSecond, qt.IsTrue, qt.Commentf("%s", time.Since(begin)))
 }
+
+// acquire returns the refusal of a ticket, or nil once it has a slot.
+func acquire(ctx context.Context, g *gate, t admit.Ticket) *refusal {
+	_, refused := g.Acquire(ctx, t)
+	return refused
+}
--- a/internal/connection/gateway/observe.go
+++ b/internal/connection/gateway/observe.go
@@ -120,6 +120,8 @@
 	// Requests counts the requests sent to the server since this daemon started; Retries
 	// counts those that had been sent to a server before.
 	Requests, Retries uint64
+	// LateStarts counts callers' requests that got a slot after their useful time.
+	LateStarts uint64
 	// CallSlots is the mean number of slots that calls of backend servers have used recently,
 	// Reserved the number kept free of callers' requests for them, and Calls the number of them that
 	// were sent to the server since this daemon started.
@@ -219,6 +221,7 @@
 	o := Occupancy{
 		Server: server, Load: g.core.Load(now), Running: g.core.Running(), CallSlots: g.core.CallSlots(now), Reserved: g.core.Room(now),
 		Queued: g.core.Queued(), Slots: g.core.Slots(), RateLimit: g.core.RateLimit(),
+		LateStarts: g.core.LateStarts(),
 	}
 	g.observeSpeed(&o)
 	return o
--- a/internal/connection/gateway/requestlog.go
+++ b/internal/connection/gateway/requestlog.go
@@ -136,7 +136,8 @@
 		values = append(values, "running", o.Running, "queued", o.Queued, "slots", o.Slots, "usual", b.gate.Load().Service.String())
 	}
 	if r == nil {
-		log.Info(LogServed, append(values, "status", resp.StatusCode)...)
+		log.Info(LogServed, append(values, "expected_wait", req.queueing.Expected.String(), "overtaken", req.queueing.Overtaken,
+			"priority", req.priority, "status", resp.StatusCode)...)
 		return
 	}
 	log.Info(LogRejectedAtServer, append(values, "result", r.Code.String(), "detail", r.Detail, "caller_left", ctx.Err() != nil)...)
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -60,6 +60,8 @@
 	// releaseResponse tells the link that the response starts to be sent or will not be
 	// sent. It may be called more than once.
 	releaseResponse func()
+	// queueing tells how the request waited in the queue, once it has a slot.
+	queueing admit.Queueing
 	// queueTime is the time spent in the queue. serverTime is the time the server took
 	// until the response header arrived or was lost.
 	queueTime, serverTime time.Duration
@@ -109,7 +111,7 @@
 	req.releaseResponse = releaseResponse
 	entered := time.Now()
 	ticket := req.ticket(entered, b.gate.typicalTime)
-	refused = b.gate.Acquire(ctx, ticket)
+	req.queueing, refused = b.gate.Acquire(ctx, ticket)
 	req.queueTime = time.Since(entered)
 	if refused != nil {
 		req.body.finish()
--- a/internal/process/telemetry/state.go
+++ b/internal/process/telemetry/state.go
@@ -190,6 +190,7 @@
 	metrics.WriteGaugeFloat64(w, "daisygate_backend_load_per_slot"+labels, b.Load)
 	metrics.WriteCounterUint64(w, "daisygate_backend_requests_total"+labels, b.Requests)
 	metrics.WriteCounterUint64(w, "daisygate_backend_repeats_total"+labels, b.Retries)
+	metrics.WriteCounterUint64(w, "daisygate_backend_late_starts_total"+labels, b.LateStarts)
 	metrics.WriteGaugeFloat64(w, "daisygate_backend_rate_limit"+labels, b.RateLimit)
 	metrics.WriteGaugeFloat64(w, "daisygate_backend_slowness"+labels, b.Slowness)
 	metrics.WriteGaugeFloat64(w, "daisygate_backend_contention"+labels, b.Contention)
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -59,6 +59,15 @@
 	Call bool
 
 	arrived time.Time
+	queued  Queueing
+}
+
+// Queueing tells how a ticket waited for its slot.
+type Queueing struct {
+	// Expected is the wait that was expected when the ticket arrived.
+	Expected time.Duration
+	// Overtaken counts the tickets that arrived later and started before it.
+	Overtaken int
 }
 
 // effectivePriority returns the priority improved by the time spent waiting.
@@ -105,6 +114,8 @@
 	// failureRate is the smoothed fraction of requests that fail, measured last at endedAt.
 	failureRate float64
 	endedAt     time.Time
+	// lateStarts counts the tickets that started after their useful time.
+	lateStarts uint64
 	// lastSlotChange is when a slot was last released, or taken on an idle server.
 	lastSlotChange time.Time
 	// times, if not nil, provides the expected times by kind. started then has an entry for each
@@ -206,6 +217,7 @@
 		return c.refuse(now, *t, result.Overloaded, Stalled), true
 	}
 	slotWait, rateWait := c.expectedWait(now, t)
+	t.queued = Queueing{Expected: max(slotWait, rateWait)}
 	if rateWait > slotWait && c.tooLate(now, t, rateWait) {
 		return c.refuse(now, *t, result.Overloaded, RateLimited), true
 	}
@@ -277,7 +289,20 @@
 	c.rate.Take(now)
 	c.usages.record(now, t)
 	c.recordStart(now, t)
-	return Decision{ID: t.ID, Verdict: Start}
+	c.overtake(t)
+	if !t.Call && !t.Useful.IsZero() && now.After(t.Useful) {
+		c.lateStarts++
+	}
+	return Decision{ID: t.ID, Verdict: Start, Queueing: t.queued}
+}
+
+// overtake counts the start of t at the waiting tickets that arrived before it.
+func (c *Core) overtake(t *Ticket) {
+	for i := range c.queue {
+		if w := &c.queue[i]; w.arrived.Before(t.arrived) {
+			w.queued.Overtaken++
+		}
+	}
 }
 
 func (c *Core) refuse(now time.Time, t Ticket, code result.Code, why Reason) Decision {
--- a/internal/request/admit/decision.go
+++ b/internal/request/admit/decision.go
@@ -28,6 +28,8 @@
 	Reason Reason
 	// RetryAfter is set on refusal: when a slot may be free again.
 	RetryAfter time.Duration
+	// Queueing is set on start.
+	Queueing Queueing
 }
 
 // Reason distinguishes refusals with the same code.
--- a/internal/request/admit/occupancy.go
+++ b/internal/request/admit/occupancy.go
@@ -5,6 +5,9 @@
 // Queued returns the number of waiting tickets.
 func (c *Core) Queued() int { return len(c.queue) }
 
+// LateStarts returns the number of callers' requests that started after their useful time.
+func (c *Core) LateStarts() uint64 { return c.lateStarts }
+
 // Service returns the smoothed time from the start of a request to its answer, or
 // 0 if none was measured.
 func (c *Core) Service() time.Duration { return c.limit.serviceTime }
