Admission levels: refuse only for the sake of a request of another kind

Cause: a level refused requests whose runs depend on failing calls whenever any request waited for a slot. If only others of that kind wait, or more urgent ones, which go first anyway, the slot goes to a run that fails as often: the level then falls to what the called service has room for, and gains nothing.

Change: a level refuses only while a request waits that is no more urgent and does not depend on calls.

Evidence: TestLevelsNeedAnotherKindThatWaits (the first two cases were refused before); TestRunsInVain passes with its bounds, its servers tell waiting requests by kind now.

--- a/internal/connection/gateway/downstream.go
+++ b/internal/connection/gateway/downstream.go
@@ -106,11 +106,12 @@
 	if req.isCall || !g.cfg.Directory().Snapshot.SharesLoad(req.request.Mesh) {
 		return nil
 	}
-	load, now := b.gate.Load(), time.Now()
+	now := time.Now()
 	b.runs.mu.Lock()
 	core := b.runs.of(boot)
 	retryAfter, admitted := core.Admit(now, downstream.Arrival{
-		Kind: req.route, Priority: req.priority, Draw: req.draw, Waiting: load.Queued > 0,
+		Kind: req.route, Priority: req.priority, Draw: req.draw,
+		Waiting: b.gate.anyWaiting(req.priority, func(kind string) bool { return !core.Dependent(kind) }),
 	})
 	level := core.Level(req.priority)
 	levels, age := core.Levels(now, req.route)
--- a/internal/connection/gateway/downstream_test.go
+++ b/internal/connection/gateway/downstream_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/daisygate/daisygate/internal/process/presence"
+	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/balance"
 	"github.com/daisygate/daisygate/internal/request/downstream"
 	"github.com/daisygate/daisygate/internal/result"
@@ -169,6 +170,30 @@
 	}
 }
 
+// TestLevelsNeedAnotherKindThatWaits checks that no level refuses a request while only requests of its own kind
+// wait, whose calls fail as often, or more urgent ones, which go first anyway.
+func TestLevelsNeedAnotherKindThatWaits(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		waiting  string
+		priority int
+		refused  bool
+	}{{"/", 5, false}, {"/other", 4, false}, {"/other", 5, true}} {
+		f := newFleet(c, 1)
+		addr := okServer(c)
+		f.addServers(1, map[int]string{0: addr})
+		f.shareLoad(manifest.LoadSharingOn)
+		b := f.gateways[0].backends[addr]
+		for range 8 {
+			ticket := admit.Ticket{Kind: test.waiting, Priority: test.priority, Deadline: time.Now().Add(time.Hour)}
+			b.gate.submit(&ticket)
+		}
+		limitRuns(b)
+		req := &backendRequest{addr: addr, route: "/", priority: 5, draw: 0.99, request: &Request{Mesh: "m", Service: "s"}}
+		c.Check(f.gateways[0].admitRun(b, req, "") != nil, qt.Equals, test.refused, qt.Commentf("%+v", test))
+	}
+}
+
 // TestRunsOfAnEarlierBootAreIgnored checks that a run that ends after its server was restarted does not reset
 // what is known of the new start.
 func TestRunsOfAnEarlierBootAreIgnored(t *testing.T) {
@@ -318,7 +343,7 @@
 // holdFull takes the only slot of a backend and fills its queue.
 func holdFull(b *backend, calls bool) {
 	for range 64 {
-		t := (&backendRequest{request: &Request{}, isCall: calls, deadline: time.Now().Add(time.Hour)}).ticket(time.Now(), nil)
+		t := (&backendRequest{request: &Request{}, isCall: calls, priority: manifest.LowestPriority, deadline: time.Now().Add(time.Hour)}).ticket(time.Now(), nil)
 		b.gate.submit(&t)
 	}
 }
--- a/internal/connection/gateway/gate.go
+++ b/internal/connection/gateway/gate.go
@@ -240,6 +240,13 @@
 	return g.core.Running()
 }
 
+// anyWaiting is admit.Core.AnyWaiting.
+func (g *gate) anyWaiting(priority int, match func(kind string) bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.AnyWaiting(priority, match)
+}
+
 // Configure sets the limits and whether the server is draining.
 func (g *gate) Configure(cfg admit.Config, draining bool) {
 	g.mu.Lock()
--- a/internal/request/admit/occupancy.go
+++ b/internal/request/admit/occupancy.go
@@ -1,10 +1,19 @@
 package admit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Queued returns the number of waiting tickets.
 func (c *Core) Queued() int { return len(c.queue) }
 
+// AnyWaiting reports whether a callers' request that is at most as urgent as priority, and of a kind for
+// which match is true, waits.
+func (c *Core) AnyWaiting(priority int, match func(kind string) bool) bool {
+	return slices.ContainsFunc(c.queue, func(t Ticket) bool { return !t.Call && t.Priority >= priority && match(t.Kind) })
+}
+
 // LateStarts returns the number of callers' requests that started after their useful time.
 func (c *Core) LateStarts() uint64 { return c.lateStarts }
 
--- a/internal/request/downstream/downstream.go
+++ b/internal/request/downstream/downstream.go
@@ -5,9 +5,10 @@
 // the run ends with an error and has held the slot in vain. Server is the state at the daemon beside
 // the server: it compares how runs of each kind end with how calls end, to tell the kinds that
 // depend on the calls from the others, and sets an admission level for each priority, the fraction
-// of the dependent requests that may begin. A level is lowered while dependent runs fail and requests
-// wait for slots, by multiplication, and raised by addition. No request is refused unless others wait
-// for a slot, which would otherwise stay unused.
+// of the dependent requests that may begin. A level is lowered while dependent runs fail and requests of
+// other kinds wait for slots, by multiplication, and raised by addition. No request is refused unless one of
+// another kind would get the slot later because of it: without one, the slot would stay unused, or be
+// used by a run that fails as often.
 //
 // News is the state at the daemons where requests enter: the levels of the servers they heard of.
 //
@@ -70,7 +71,8 @@
 	Priority int
 	// Draw is the request's random number in [0, 1), the same at every daemon.
 	Draw float64
-	// Waiting is set if other requests wait for a slot of the server.
+	// Waiting is set if a request waits for a slot of the server that is no more urgent and does not
+	// depend on calls: it would use the slot better.
 	Waiting bool
 }
 
@@ -110,7 +112,7 @@
 	if a.Waiting {
 		s.round.waiting++
 	}
-	if !s.dependent(a.Kind) {
+	if !s.Dependent(a.Kind) {
 		return 0, true
 	}
 	s.seen[min(max(a.Priority, 0), Priorities-1)] = now
@@ -241,7 +243,7 @@
 // does not depend on calls, and unless nearly all requests find others waiting.
 func (s *Server) Levels(now time.Time, kindName string) (l Levels, age time.Duration) {
 	s.endRound(now)
-	if !s.dependent(kindName) || s.waitingShare < alwaysWaiting {
+	if !s.Dependent(kindName) || s.waitingShare < alwaysWaiting {
 		return All(), 0
 	}
 	return s.levels, max(0, now.Sub(s.round.begun))
--- a/internal/request/downstream/downstream_test.go
+++ b/internal/request/downstream/downstream_test.go
@@ -28,7 +28,7 @@
 					Draw: rapid.Float64Range(0, 0.999).Draw(t, "draw"), Waiting: rapid.IntRange(0, 9).Draw(t, "full") > 0,
 				}
 				retryAfter, admitted := s.Admit(now, a)
-				if !admitted && (retryAfter <= 0 || !a.Waiting || a.Draw < Floor || !s.dependent(a.Kind)) {
+				if !admitted && (retryAfter <= 0 || !a.Waiting || a.Draw < Floor || !s.Dependent(a.Kind)) {
 					t.Fatalf("refused %+v, retry after %s", a, retryAfter)
 				}
 			case 1:
@@ -82,8 +82,8 @@
 	now := feed(s, epoch, 2*time.Second, false)
 	c.Check(s.Lowest(), qt.Equals, 1.0)
 	now = feed(s, now, 2*time.Second, true)
-	c.Check(s.dependent("calls"), qt.IsTrue)
-	c.Check(s.dependent("other"), qt.IsFalse)
+	c.Check(s.Dependent("calls"), qt.IsTrue)
+	c.Check(s.Dependent("other"), qt.IsFalse)
 	_, admitted := s.Admit(now, Arrival{Kind: "calls", Priority: 5, Draw: 0.9, Waiting: true})
 	c.Check(admitted, qt.IsFalse)
 	_, admitted = s.Admit(now, Arrival{Kind: "calls", Priority: 5, Draw: 0.9})
--- a/internal/request/downstream/kind.go
+++ b/internal/request/downstream/kind.go
@@ -79,8 +79,8 @@
 	return k
 }
 
-// dependent reports whether the levels apply to a kind.
-func (s *Server) dependent(name string) bool {
+// Dependent reports whether the levels apply to a kind, because its runs depend on calls.
+func (s *Server) Dependent(name string) bool {
 	k := s.kinds[name]
 	return k != nil && k.dependent()
 }
--- a/internal/request/downstream/replay_test.go
+++ b/internal/request/downstream/replay_test.go
@@ -184,7 +184,7 @@
 	begun := r.now
 	t := admit.Ticket{Priority: a.Priority, Kind: a.Kind, Deadline: begun.Add(timeout), Useful: begun.Add(target)}
 	first := func(i int) bool {
-		a.Waiting = r.s[i].core.Queued() > 0
+		a.Waiting = r.s[i].core.AnyWaiting(a.Priority, func(kind string) bool { return kind != "calls" })
 		return r.scheme.admit == nil || r.scheme.admit(r.now, i, a)
 	}
 	r.try(r.s, t, first, func(i int, started bool) {
