Queue: by the latest useful start, so that long requests are not overtaken until late

Cause: ordered by useful time, a request of 72 ms with a target of 300 ms goes behind every one of 24 ms and 100 ms that arrives in the next 200 ms, although it needs more of its time for itself.

Change: the order is that of the latest start with which the answer is useful, the useful time less the usual time of the kind.

TestQueuedRequestsAreNotOvertakenUntilLate and the other tests of the package pass.

--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -5,7 +5,7 @@
 //
 // Waiting requests are ordered by effective priority, which improves by one for
 // every agingStep of waiting so that no priority starves, then by the recent use of
-// the server by their organisations, and then by useful time. Calls of other backend servers go
+// the server by their organisations, and then by their latest useful start. Calls of other backend servers go
 // before the callers' requests of their priority and find some slots free. A full queue refuses a new
 // request, unless the last one in the queue has a worse effective priority or an
 // organisation with more recent use, and is refused instead. A request that cannot
--- a/internal/request/admit/order.go
+++ b/internal/request/admit/order.go
@@ -30,23 +30,24 @@
 // runsBefore reports whether a runs before b if both wait.
 func (c *Core) runsBefore(now time.Time, a, b *Ticket) bool { return c.compareOrder(now, a, b) < 0 }
 
-// compareOrder returns a negative number if a runs before b if both wait. By useful time, later
-// tickets of a kind don't overtake those whose answers were expected in time when they were queued;
-// by deadline they would under overload, until all are late.
+// compareOrder returns a negative number if a runs before b if both wait. By the latest useful start,
+// later tickets of a kind don't overtake those whose answers were expected in time when they were
+// queued; by deadline they would under overload, until all are late.
 func (c *Core) compareOrder(now time.Time, a, b *Ticket) int {
-	return cmp.Or(c.compareRank(now, a, b), a.due().Compare(b.due()), a.Deadline.Compare(b.Deadline))
+	return cmp.Or(c.compareRank(now, a, b), c.due(now, a).Compare(c.due(now, b)), a.Deadline.Compare(b.Deadline))
 }
 
-// due returns the time by which the answer should be there. A ticket with Alone is due in half of
-// its time, because the server has to become idle first.
-func (t *Ticket) due() time.Time {
+// due returns the latest start with which the answer comes within the useful time of a ticket; without
+// one its deadline. A ticket with Alone is due in half of its time, because the server has to become
+// idle first.
+func (c *Core) due(now time.Time, t *Ticket) time.Time {
 	switch {
 	case t.Alone:
 		return t.arrived.Add(t.Deadline.Sub(t.arrived) / 2)
 	case t.Useful.IsZero() || t.Deadline.Before(t.Useful):
 		return t.Deadline
 	}
-	return t.Useful
+	return t.Useful.Add(-c.expectedTime(now, t.Kind))
 }
 
 // compareRank returns a negative number if a ranks before b, and 0 if only their times decide.
