Calls: the runs in progress are tracked once, in the retry tracker

A second tracker with a lock and an end function of its own had been put beside the one that wraps package lineage already, so that each run took two locks and two closures. The retry tracker holds the parents of calls too. No behaviour changes.

TestDaemonIsCutOffInAnAnswer now fails if for some byte no answer was cut, instead of going on after its time limit.

Run: vet, staticcheck, and under the race detector the tests of the gateway and of lineage.

--- a/internal/connection/gateway/calls.go
+++ b/internal/connection/gateway/calls.go
@@ -11,7 +11,6 @@
 
 	"github.com/daisygate/daisygate/internal/request/admit"
 	"github.com/daisygate/daisygate/internal/request/callgraph"
-	"github.com/daisygate/daisygate/internal/request/lineage"
 	"github.com/daisygate/daisygate/internal/version/directory"
 	"github.com/daisygate/daisygate/internal/version/snapshot"
 )
@@ -144,39 +143,13 @@
 	return false
 }
 
-// runParents is a lineage.Parents with a lock.
-type runParents struct {
-	mu   sync.Mutex
-	core lineage.Parents
-}
-
-// begin records the start of a run; the returned function records its end.
-func (p *runParents) begin(req *backendRequest) (end func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kind, useful := req.route, req.usefulUntil
-	p.core.Begin(kind, req.priority, useful)
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.core.End(time.Now(), kind, useful)
-	}
-}
-
-// called records a call and returns the run that most likely made it.
-func (p *runParents) called() (parent lineage.Parent, known bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.core.Called(time.Now())
-}
-
 // findParent finds the run that made the request, if it is a call. A call has the priority of that run,
 // so that it does not displace callers who are more urgent than the run's own.
 func (x *exchange) findParent() {
 	if !x.sender.isCall() {
 		return
 	}
-	if parent, known := x.g.parents.called(); known {
+	if parent, known := x.g.retryTracker.parentOfCall(); known {
 		x.parent = &parent
 	}
 }
--- a/internal/connection/gateway/cut_answer_test.go
+++ b/internal/connection/gateway/cut_answer_test.go
@@ -169,6 +169,7 @@
 							c.Assert(r.body, qt.Equals, framing.body, qt.Commentf("cut at byte %d", n))
 						}
 					}
+					c.Assert(whole || p.cuts.Load() > before, qt.IsTrue, qt.Commentf("no answer was cut at byte %d", n))
 				}
 				if whole {
 					c.Check(n > int64(len(framing.raw)), qt.IsTrue, qt.Commentf("the answer was whole after %d bytes", n))
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -117,13 +117,11 @@
 	uploads        *uploadRoom
 	peerPools      *peerPools
 	retryTracker   *retryTracker
-	// parents knows the runs in progress on the backend servers of this instance.
-	parents      runParents
-	calls        callTracker
-	rooms        *domainRooms
-	news         newsCounters
-	started      time.Time
-	shuttingDown atomic.Bool
+	calls          callTracker
+	rooms          *domainRooms
+	news           newsCounters
+	started        time.Time
+	shuttingDown   atomic.Bool
 	// startupWaiters counts the requests that wait for this daemon's startup to finish.
 	startupWaiters atomic.Int64
 	// entryRefusals and shortRefusals are the counts of EndToEnd.
--- a/internal/connection/gateway/retry_tracker.go
+++ b/internal/connection/gateway/retry_tracker.go
@@ -23,9 +23,10 @@
 )
 
 // retryTracker estimates which requests that originate at this instance were made by
-// retried runs. It is package lineage with a lock.
+// which runs, and by retried ones. It is package lineage with a lock.
 type retryTracker struct {
 	mu      sync.Mutex
+	parents lineage.Parents
 	runs    lineage.Runs
 	calls   lineage.Calls
 	origins lineage.Origins
@@ -59,19 +60,31 @@
 	if req.request.Origin != "" {
 		t.origins.Note(time.Now(), req.lineageRoute(), req.request.Origin)
 	}
-	if req.nonRepeatable {
-		return func() {}
+	kind, useful := req.route, req.usefulUntil
+	t.parents.Begin(kind, req.priority, useful)
+	if !req.nonRepeatable {
+		t.runs.Begin(req.retryProbability)
+		t.calls.Begin(time.Now(), req.retryProbability)
 	}
-	t.runs.Begin(req.retryProbability)
-	t.calls.Begin(time.Now(), req.retryProbability)
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.runs.End(req.retryProbability)
-		t.calls.End(time.Now(), req.retryProbability)
+		now := time.Now()
+		t.parents.End(now, kind, useful)
+		if !req.nonRepeatable {
+			t.runs.End(req.retryProbability)
+			t.calls.End(now, req.retryProbability)
+		}
 	}
 }
 
+// parentOfCall records a call and returns the run on this instance that most likely made it.
+func (t *retryTracker) parentOfCall() (parent lineage.Parent, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parents.Called(time.Now())
+}
+
 // fromAllServices reports whether callers on the instances of all services use a route,
 // as seen by the servers of this instance.
 func (t *retryTracker) fromAllServices(route lineage.Route, dir *directory.Directory) bool {
--- a/internal/connection/gateway/serve.go
+++ b/internal/connection/gateway/serve.go
@@ -166,10 +166,9 @@
 		req.body.onSmall = run.RecordBody
 	}
 	var took time.Duration
-	endRun, endParent := g.retryTracker.beginRun(req), g.parents.begin(req)
+	endRun := g.retryTracker.beginRun(req)
 	slot := &heldSlot{release: func() {
 		endRun()
-		endParent()
 		b.gate.release(ticket, req.route, took)
 	}}
 	out.Done = slot.finished
