--- /dev/null
+++ b/review/stand-ins-2/oversize.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The case "oversize": uploads in chunks, far over the limit, at a server that answers before it has read
+// the whole body.
+
+func envInt(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+func oversize(rec *record, trouble bool) int {
+	limit := envInt("LIMIT", 1<<20)
+	clients := envInt("CLIENTS", 8)
+	playing := time.Duration(envInt("SECONDS", 75)) * time.Second
+	m := newMesh(rec, options{services: []string{"alpha"}})
+	defer m.end()
+	m.startAll()
+	side := m.sides[0]
+	var early atomic.Int64
+	// atLimit holds, by Request-Id, what is closed when the server has read as much of an upload as the limit
+	// allows: the client goes on sending then. So it often does at the moment of the server's answer.
+	var atLimit sync.Map
+	startServer(m, side, "alpha", "i-alpha1", 18, func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		if r.Method == http.MethodPost {
+			// The server decides on what it has read so far, and reads on afterwards.
+			if _, err := io.CopyN(io.Discard, r.Body, int64(limit)); err != nil {
+				return false
+			}
+			early.Add(1)
+			if reached, ok := atLimit.Load(r.Header.Get("Request-Id")); ok {
+				close(reached.(chan struct{}))
+			}
+		}
+		s := "i-alpha1." + r.Header.Get("Request-Id")
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nServer-Load: 1,0,18\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"), s)
+		_, err := io.Copy(io.Discard, r.Body)
+		return err == nil
+	})
+	m.configure("0", configuration("r1", limit, []string{"alpha"}, []route{
+		{"r-up", "/up/", "upload", 2000, 800, 1, "alpha", 1},
+		{"r-get", "/get/", "safe", 1500, 600, 2, "alpha", 2},
+	}))
+	m.awaitReady()
+	time.Sleep(time.Second)
+
+	var sent, whole, refused, cut, ordinary, lost atomic.Int64
+	var linesMu sync.Mutex
+	var lines []string
+	end := time.Now().Add(playing)
+	over := func() bool { return time.Now().After(end) || side.ends.Load() > 0 }
+	var wait sync.WaitGroup
+	for n := range clients {
+		wait.Go(func() {
+			random := rand.New(rand.NewSource(int64(n) + 1))
+			pause := 50 * time.Microsecond
+			for i := 0; !over(); i++ {
+				sent.Add(1)
+				wait := max(0, pause+time.Duration(random.Intn(40)-20)*time.Microsecond)
+				id, began := fmt.Sprintf("%08x%08x", n, i), time.Since(rec.start)
+				reached := make(chan struct{})
+				atLimit.Store(id, reached)
+				status := upload(m.outbound(side), id, limit, trouble, reached, wait)
+				atLimit.Delete(id)
+				linesMu.Lock()
+				lines = append(lines, fmt.Sprintf("upload %s sent at %.4f s, ended at %.4f s: %d", id, began.Seconds(), time.Since(rec.start).Seconds(), status))
+				linesMu.Unlock()
+				switch status {
+				case 0:
+					cut.Add(1)
+				case http.StatusOK:
+					whole.Add(1)
+					pause = max(0, pause-2*time.Microsecond)
+				default:
+					refused.Add(1)
+					pause = min(5*time.Millisecond, pause+2*time.Microsecond)
+				}
+			}
+		})
+	}
+	wait.Go(func() {
+		for i := 0; !over(); i++ {
+			r, _ := http.NewRequest(http.MethodGet, "http://"+m.outbound(side)+"/get/x", nil)
+			r.Host = "review.example"
+			r.Header.Set("Request-Id", fmt.Sprintf("0dd%013x", i))
+			r.Header.Set("Request-Deadline", "1500")
+			resp, err := http.DefaultClient.Do(r)
+			ordinary.Add(1)
+			if err != nil {
+				lost.Add(1)
+				rec.line("ordinary request %s: no answer: %v", r.Header.Get("Request-Id"), err)
+			} else {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	wait.Wait()
+	time.Sleep(300 * time.Millisecond)
+	for _, line := range lines {
+		rec.line("%s", line)
+	}
+	rec.line("uploads: %d sent, %d answered early by the server; the clients got %d successes, %d refusals, %d closed connections", sent.Load(), early.Load(), whole.Load(), refused.Load(), cut.Load())
+	rec.line("ordinary requests: %d sent, %d without an answer", ordinary.Load(), lost.Load())
+	rec.line("the process of %s ended by itself %d times", side.name, side.ends.Load())
+	switch {
+	case side.ends.Load() > 0:
+		return exitBroken
+	case early.Load() == 0:
+		return exitCannotRun
+	}
+	return exitHeld
+}
+
+// upload sends one upload in chunks. With over, its body is twice as long as the limit. The
+// client stops at the limit until the server has read so far, and for the pause. It returns the status of the answer, 0 if there is none.
+func upload(addr, id string, limit int, over bool, reached chan struct{}, pause time.Duration) int {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
+	answered := make(chan int, 1)
+	go func() {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			answered <- 0
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		answered <- resp.StatusCode
+	}()
+	fmt.Fprintf(c, "POST /up/%s HTTP/1.1\r\nHost: review.example\r\nRequest-Id: %s\r\nRequest-Deadline: 2000\r\nContent-Type: image/png\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+	const part = 64 << 10
+	chunk := append([]byte(fmt.Sprintf("%x\r\n", part)), make([]byte, part+2)...)
+	copy(chunk[len(chunk)-2:], "\r\n")
+	for n := 0; n < limit; n += part {
+		if _, err := c.Write(chunk); err != nil {
+			return <-answered
+		}
+	}
+	if over {
+		select {
+		case <-reached:
+		case <-time.After(2 * time.Second):
+		}
+		for stop := time.Now().Add(pause); time.Now().Before(stop); {
+		}
+		for n := 0; n < limit; n += part {
+			if _, err := c.Write(chunk); err != nil {
+				return <-answered
+			}
+		}
+	}
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+	return <-answered
+}
