--- a/review/stand-ins-2/oversize.go
+++ b/review/stand-ins-2/oversize.go
@@ -9,13 +9,23 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 // The case "oversize": uploads in chunks, far over the limit, at a server that answers before it has read
-// the whole body.
+// the whole body. Beside them ordinary consumers send unsafe requests on kept connections.
+
+const (
+	oversizeWork      = 150 * time.Millisecond // of an unsafe request
+	oversizeOrdinary  = 12                     // ordinary consumers
+	oversizeEnds      = 3                      // after so many ends of the process the case is over
+	oversizeRestart   = 300 * time.Millisecond // until the platform starts a process again
+	oversizeLost      = 3                      // LOST: more than three times
+	oversizeReadiness = 2 * time.Second        // after a start
+)
 
 func envInt(name string, otherwise int) int {
 	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
@@ -24,11 +34,16 @@
 	return otherwise
 }
 
+// keptRequest is an unsafe request of an ordinary consumer.
+type keptRequest struct {
+	ran, kept, closed bool
+}
+
 func oversize(rec *record, trouble bool) int {
 	limit := envInt("LIMIT", 1<<20)
 	clients := envInt("CLIENTS", 8)
 	playing := time.Duration(envInt("SECONDS", 75)) * time.Second
-	m := newMesh(rec, options{services: []string{"alpha"}})
+	m := newMesh(rec, options{services: []string{"alpha", "alpha"}})
 	defer m.end()
 	m.startAll()
 	side := m.sides[0]
@@ -36,35 +51,59 @@
 	// atLimit holds, by Request-Id, what is closed when the server has read as much of an upload as the limit
 	// allows: the client goes on sending then. So it often does at the moment of the server's answer.
 	var atLimit sync.Map
-	startServer(m, side, "alpha", "i-alpha1", 18, func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
-		if r.Method == http.MethodPost {
-			// The server decides on what it has read so far, and reads on afterwards.
-			if _, err := io.CopyN(io.Discard, r.Body, int64(limit)); err != nil {
-				return false
-			}
-			early.Add(1)
-			if reached, ok := atLimit.Load(r.Header.Get("Request-Id")); ok {
-				close(reached.(chan struct{}))
+	var mu sync.Mutex
+	ordinary := map[string]*keptRequest{}
+	for i, c := range m.sides {
+		boot := fmt.Sprintf("i-alpha%d", i)
+		startServer(m, c, "alpha", boot, 18, func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+			id := r.Header.Get("Request-Id")
+			if strings.HasPrefix(r.URL.Path, "/up/") {
+				// The server decides on what it has read so far, and reads on afterwards.
+				if _, err := io.CopyN(io.Discard, r.Body, int64(limit)); err != nil {
+					return false
+				}
+				early.Add(1)
+				if reached, ok := atLimit.Load(id); ok {
+					close(reached.(chan struct{}))
+				}
+			} else {
+				mu.Lock()
+				if o := ordinary[id]; o != nil {
+					o.ran = true
+				}
+				mu.Unlock()
+				time.Sleep(oversizeWork)
 			}
-		}
-		s := "i-alpha1." + r.Header.Get("Request-Id")
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nServer-Load: 1,0,18\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"), s)
-		_, err := io.Copy(io.Discard, r.Body)
-		return err == nil
-	})
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: 1,0,18\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok", id, boot, id)
+			_, err := io.Copy(io.Discard, r.Body)
+			return err == nil
+		})
+	}
 	m.configure("0", configuration("r1", limit, []string{"alpha"}, []route{
 		{"r-up", "/up/", "upload", 2000, 800, 1, "alpha", 1},
-		{"r-get", "/get/", "safe", 1500, 600, 2, "alpha", 2},
+		{"r-unsafe", "/unsafe/", "unsafe", 2000, 800, 1, "alpha", 1},
 	}))
 	m.awaitReady()
-	time.Sleep(time.Second)
+	time.Sleep(4 * time.Second) // the machines are in touch
 
-	var sent, whole, refused, cut, ordinary, lost atomic.Int64
+	var sent, whole, refused, cut atomic.Int64
 	var linesMu sync.Mutex
 	var lines []string
 	end := time.Now().Add(playing)
-	over := func() bool { return time.Now().After(end) || side.ends.Load() > 0 }
+	over := func() bool { return time.Now().After(end) || side.ends.Load() >= oversizeEnds }
 	var wait sync.WaitGroup
+	wait.Go(func() { // the platform starts the process again
+		for seen := int32(0); !over(); time.Sleep(10 * time.Millisecond) {
+			if ends := side.ends.Load(); ends > seen {
+				seen = ends
+				time.Sleep(oversizeRestart)
+				if !over() {
+					side.start()
+					time.Sleep(oversizeReadiness)
+				}
+			}
+		}
+	})
 	for n := range clients {
 		wait.Go(func() {
 			random := rand.New(rand.NewSource(int64(n) + 1))
@@ -83,6 +122,7 @@
 				switch status {
 				case 0:
 					cut.Add(1)
+					time.Sleep(50 * time.Millisecond)
 				case http.StatusOK:
 					whole.Add(1)
 					pause = max(0, pause-2*time.Microsecond)
@@ -93,34 +133,66 @@
 			}
 		})
 	}
-	wait.Go(func() {
-		for i := 0; !over(); i++ {
-			r, _ := http.NewRequest(http.MethodGet, "http://"+m.outbound(side)+"/get/x", nil)
-			r.Host = "review.example"
-			r.Header.Set("Request-Id", fmt.Sprintf("0dd%013x", i))
-			r.Header.Set("Request-Deadline", "1500")
-			resp, err := http.DefaultClient.Do(r)
-			ordinary.Add(1)
-			if err != nil {
-				lost.Add(1)
-				rec.line("ordinary request %s: no answer: %v", r.Header.Get("Request-Id"), err)
-			} else {
-				_, _ = io.Copy(io.Discard, resp.Body)
-				_ = resp.Body.Close()
+	for n := range oversizeOrdinary {
+		wait.Go(func() {
+			for i := 0; !over(); {
+				c, err := net.DialTimeout("tcp", m.outbound(side), time.Second)
+				if err != nil {
+					time.Sleep(50 * time.Millisecond)
+					continue
+				}
+				br := bufio.NewReader(c)
+				for kept := false; !over(); kept = true {
+					i++
+					id := fmt.Sprintf("0dd%05x%08x", n, i)
+					o := &keptRequest{kept: kept}
+					mu.Lock()
+					ordinary[id] = o
+					mu.Unlock()
+					_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+					began := time.Since(rec.start)
+					_, err := fmt.Fprintf(c, "POST /unsafe/%s HTTP/1.1\r\nHost: review.example\r\nRequest-Id: %s\r\nRequest-Deadline: 2000\r\nContent-Length: 10\r\n\r\na transfer", id, id)
+					var resp *http.Response
+					if err == nil {
+						resp, err = http.ReadResponse(br, nil)
+					}
+					status := 0
+					if err == nil {
+						status = resp.StatusCode
+						_, err = io.Copy(io.Discard, resp.Body)
+					}
+					mu.Lock()
+					o.closed = err != nil
+					ran := o.ran
+					mu.Unlock()
+					linesMu.Lock()
+					lines = append(lines, fmt.Sprintf("unsafe request %s sent at %.4f s, kept connection %t, ran %t, ended at %.4f s: %d %v", id, began.Seconds(), kept, ran, time.Since(rec.start).Seconds(), status, err))
+					linesMu.Unlock()
+					if err != nil || resp.Close {
+						break
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				_ = c.Close()
 			}
-			time.Sleep(20 * time.Millisecond)
-		}
-	})
+		})
+	}
 	wait.Wait()
 	time.Sleep(300 * time.Millisecond)
 	for _, line := range lines {
 		rec.line("%s", line)
 	}
+	lost := 0
+	for _, o := range ordinary {
+		if o.ran && o.kept && o.closed {
+			lost++
+		}
+	}
 	rec.line("uploads: %d sent, %d answered early by the server; the clients got %d successes, %d refusals, %d closed connections", sent.Load(), early.Load(), whole.Load(), refused.Load(), cut.Load())
-	rec.line("ordinary requests: %d sent, %d without an answer", ordinary.Load(), lost.Load())
 	rec.line("the process of %s ended by itself %d times", side.name, side.ends.Load())
+	rec.line("%d unsafe requests; %d were passed on from a kept connection, which then closed without an answer", len(ordinary), lost)
 	switch {
-	case side.ends.Load() > 0:
+	case side.ends.Load() > 0 && lost > oversizeLost:
 		return exitBroken
 	case early.Load() == 0:
 		return exitCannotRun
