--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -12,6 +12,7 @@
 		"oversize": oversize,
 		"stall":    stall,
 		"stray":    stray,
+		"slow":     slow,
 		"unknown":  unknown,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
