--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -12,8 +12,8 @@
 		"oversize": oversize,
 		"stall":    stall,
 		"stray":    stray,
+		"slots":    slots,
 		"slow":     slow,
-		"unknown":  unknown,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-ins-2 CASE RECORD")
--- a/review/stand-ins-2/slow.go
+++ b/review/stand-ins-2/slow.go
@@ -62,7 +62,7 @@
 					id := fmt.Sprintf("510%05x%08x", n, i)
 					rec.line("slow client: begins %s at %s", id, side.name)
 					slowGoing.Add(1)
-					answer := sendSlowly(m.outbound(side), id, end)
+					answer := sendSlowly(m.outbound(side), id, slowBody, slowStart, end)
 					slowGoing.Add(-1)
 					rec.line("slow client: %s ends: %s", id, answer)
 					slowRefused.Add(1)
@@ -117,7 +117,7 @@
 }
 
 // sendSlowly sends an upload very slowly, until it is answered or the end.
-func sendSlowly(addr, id string, end time.Time) string {
+func sendSlowly(addr, id string, length, start int, end time.Time) string {
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return err.Error()
@@ -132,8 +132,8 @@
 		}
 		answered <- resp.Status
 	}()
-	fmt.Fprintf(c, "POST /up/%s HTTP/1.1\r\nHost: review.example\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n", id, id, slowBody)
-	part := make([]byte, slowStart)
+	fmt.Fprintf(c, "POST /up/%s HTTP/1.1\r\nHost: review.example\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n", id, id, length)
+	part := make([]byte, start)
 	for time.Now().Before(end) {
 		if _, err := c.Write(part); err != nil {
 			return err.Error()
