--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -11,7 +11,7 @@
 	cases := map[string]func(rec *record, trouble bool) int{
 		"oversize": oversize,
 		"stall":    stall,
-		"stray":    stray,
+		"drain":    drain,
 		"slots":    slots,
 		"slow":     slow,
 	}
