--- a/review/stand-ins-2/oversize.go
+++ b/review/stand-ins-2/oversize.go
@@ -19,12 +19,12 @@
 // the whole body. Beside them ordinary consumers send unsafe requests on kept connections.
 
 const (
-	oversizeWork      = 150 * time.Millisecond // of an unsafe request
-	oversizeOrdinary  = 12                     // ordinary consumers
-	oversizeEnds      = 3                      // after so many ends of the process the case is over
-	oversizeRestart   = 300 * time.Millisecond // until the platform starts a process again
-	oversizeLost      = 3                      // LOST: more than three times
-	oversizeReadiness = 2 * time.Second        // after a start
+	oversizeWork     = 150 * time.Millisecond  // of an unsafe request
+	oversizeOrdinary = 12                      // ordinary consumers
+	oversizeEnds     = 3                       // after so many ends of the process the case is over
+	oversizeRestart  = 300 * time.Millisecond  // until the platform starts a process again
+	oversizeLost     = 3                       // LOST: more than three times
+	oversizeCalm     = 2500 * time.Millisecond // ordinary requests alone, at first and after a start
 )
 
 func envInt(name string, otherwise int) int {
@@ -90,16 +90,19 @@
 	var linesMu sync.Mutex
 	var lines []string
 	end := time.Now().Add(playing)
+	var calmUntil atomic.Int64
+	calmUntil.Store(time.Now().Add(oversizeCalm).UnixNano())
 	over := func() bool { return time.Now().After(end) || side.ends.Load() >= oversizeEnds }
 	var wait sync.WaitGroup
 	wait.Go(func() { // the platform starts the process again
 		for seen := int32(0); !over(); time.Sleep(10 * time.Millisecond) {
 			if ends := side.ends.Load(); ends > seen {
 				seen = ends
+				calmUntil.Store(time.Now().Add(time.Minute).UnixNano())
 				time.Sleep(oversizeRestart)
 				if !over() {
 					side.start()
-					time.Sleep(oversizeReadiness)
+					calmUntil.Store(time.Now().Add(oversizeCalm).UnixNano())
 				}
 			}
 		}
@@ -109,6 +112,10 @@
 			random := rand.New(rand.NewSource(int64(n) + 1))
 			pause := 50 * time.Microsecond
 			for i := 0; !over(); i++ {
+				if time.Now().UnixNano() < calmUntil.Load() {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
 				sent.Add(1)
 				wait := max(0, pause+time.Duration(random.Intn(40)-20)*time.Microsecond)
 				id, began := fmt.Sprintf("%08x%08x", n, i), time.Since(rec.start)
