--- a/review/stand-ins-2/drain.go
+++ b/review/stand-ins-2/drain.go
@@ -19,7 +19,7 @@
 
 const (
 	drainFor   = 2 * time.Second // drain_ms
-	drainStays = 8 * time.Second // the server goes on serving for so long after the acknowledgement
+	drainStays = 5 * time.Second // the server goes on serving for so long after the acknowledgement
 	drainStray = 500 * time.Millisecond
 )
 
@@ -125,7 +125,8 @@
 		rec.line("another writer: a report without born, %s, gets %d", body, status)
 	}
 	time.Sleep(drainStays - drainStray)
-	rec.line("server %s: ends", first.id)
+	status, _ := call(m.control(first.on), "instances.deregister", first.id, "", fmt.Appendf(nil, `{"born":%d}`, first.born), time.Second)
+	rec.line("server %s: its deregistration gets %d; it ends", first.id, status)
 	gone.Store(time.Now().UnixMilli())
 	first.end()
 	time.Sleep(time.Second)
