--- a/review/stand-ins-2/drain.go
+++ b/review/stand-ins-2/drain.go
@@ -38,6 +38,7 @@
 		var mu sync.Mutex
 		s := startServer(m, c, drainServices[i], boot, 18, func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
 			id := r.Header.Get("Request-Id")
+			rec.line("server %s: runs %s", boot, id)
 			if i == 0 {
 				since := time.Now().UnixMilli() - acked.Load()
 				switch {
@@ -82,6 +83,7 @@
 				r.Header.Set("Request-Id", id)
 				r.Header.Set("Request-Deadline", "2000")
 				sent.Add(1)
+				rec.line("consumer: sends %s to %s", id, side.name)
 				resp, err := client.Do(r)
 				if err != nil {
 					failed.Add(1)
@@ -90,11 +92,11 @@
 				}
 				_, _ = io.Copy(io.Discard, resp.Body)
 				_ = resp.Body.Close()
+				rec.line("consumer: %s sent at %s gets %d", id, side.name, resp.StatusCode)
 				if resp.StatusCode == http.StatusOK {
 					served.Add(1)
 				} else {
 					failed.Add(1)
-					rec.line("consumer: %s sent at %s gets %d", id, side.name, resp.StatusCode)
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -123,6 +125,11 @@
 		})
 		status, _ := call(m.control(first.on), "instances.heartbeat", first.id, "", body, time.Second)
 		rec.line("another writer: a report without born, %s, gets %d", body, status)
+		if status == 0 {
+			done.Store(true)
+			wait.Wait()
+			return exitCannotRun
+		}
 	}
 	time.Sleep(drainStays - drainStray)
 	status, _ := call(m.control(first.on), "instances.deregister", first.id, "", fmt.Appendf(nil, `{"born":%d}`, first.born), time.Second)
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -20,5 +22,11 @@
 		os.Exit(exitCannotRun)
 	}
 	rec := newRecord(os.Args[2])
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		abandon()
+	}()
 	os.Exit(cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0"))
 }
--- a/review/stand-ins-2/mesh.go
+++ b/review/stand-ins-2/mesh.go
@@ -47,9 +47,20 @@
 
 func cannotRun(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
+	abandon()
+}
+
+// tempFolder is the temporary folder of the run, "" before there is one.
+var tempFolder string
+
+// abandon ends all processes and the case, which couldn't run.
+func abandon() {
 	for _, m := range allMachines {
 		m.kill()
 	}
+	if tempFolder != "" {
+		_ = os.RemoveAll(tempFolder)
+	}
 	os.Exit(exitCannotRun)
 }
 
@@ -106,10 +117,25 @@
 	}
 	m := &mesh{rec: rec, dir: dir, firstStart: true, options: o}
 	zones := []string{"zone-a", "zone-b", "zone-c"}
-	// An own part of 127.0.0.0/8 for each run, so that runs do not meet.
-	net2 := 1 + os.Getpid()%250
-	address := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 77, net2, n) }
-	m.ports = freePorts(address(1))
+	tempFolder = dir
+	// An own part of 127.0.0.0/8 for each run, in which the ports are free on each address.
+	address := func(n int) string { return "" }
+	found := false
+	for try := 0; try < 250 && !found; try++ {
+		part := 1 + (os.Getpid()+try)%250
+		address = func(n int) string { return fmt.Sprintf("127.77.%d.%d", part, n) }
+		var ips []string
+		for i := range 3 {
+			ips = append(ips, address(10+i))
+		}
+		for i := range o.services {
+			ips = append(ips, address(30+i))
+		}
+		m.ports, found = freePorts(ips)
+	}
+	if !found {
+		cannotRun("no free ports")
+	}
 	for i := range 3 {
 		m.cores = append(m.cores, &machine{name: "core-" + zones[i] + "-1", class: "core", ip: address(10 + i), rec: rec})
 	}
@@ -128,33 +154,47 @@
 	return m
 }
 
-// freePorts returns ports that nobody uses on any address.
-func freePorts(ip string) ports {
-	var list []int
-	var held []net.Listener
-	for len(list) < 5 {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+// metricsPort is the port of the metrics, as the deploy file says.
+const metricsPort = 9464
+
+// portFree reports whether a port is free on all addresses.
+func portFree(ips []string, port int) bool {
+	for _, ip := range ips {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
-			cannotRun("no free port: %v", err)
+			return false
 		}
-		held = append(held, l)
-		list = append(list, l.Addr().(*net.TCPAddr).Port)
-	}
-	for _, l := range held {
 		_ = l.Close()
 	}
-	for first := 21000 + os.Getpid()%2000*16; ; first = 21000 + (first+16)%32000 {
+	return true
+}
+
+// freePorts returns ports that are free on all addresses, and reports whether there are enough.
+func freePorts(ips []string) (p ports, found bool) {
+	if !portFree(ips, metricsPort) {
+		return p, false
+	}
+	var list []int
+	for port := 20000 + os.Getpid()%1000*10; port < 32000 && len(list) < 5; port++ {
+		if portFree(ips, port) {
+			list = append(list, port)
+		}
+	}
+	if len(list) < 5 {
+		return p, false
+	}
+	p = ports{inbound: list[0], outbound: list[1], ready: list[2], control: list[3], app: list[4]}
+	for first := 13000; first < 19000; first += 16 {
 		free := true
-		for p := first; p < first+16 && free; p++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
-			if free = err == nil; free {
-				_ = l.Close()
-			}
+		for port := first; port < first+16 && free; port++ {
+			free = portFree(ips, port)
 		}
 		if free {
-			return ports{internal: first, inbound: list[0], outbound: list[1], ready: list[2], control: list[3], app: list[4]}
+			p.internal = first
+			return p, true
 		}
 	}
+	return p, false
 }
 
 func (m *mesh) writeSettings(c *machine, side int) {
--- a/review/stand-ins-2/oversize.go
+++ b/review/stand-ins-2/oversize.go
@@ -51,6 +51,8 @@
 	// atLimit holds, by Request-Id, what is closed when the server has read as much of an upload as the limit
 	// allows: the client goes on sending then. So it often does at the moment of the server's answer.
 	var atLimit sync.Map
+	var linesMu sync.Mutex
+	var lines []string
 	var mu sync.Mutex
 	ordinary := map[string]*keptRequest{}
 	for i, c := range m.sides {
@@ -63,6 +65,9 @@
 					return false
 				}
 				early.Add(1)
+				linesMu.Lock()
+				lines = append(lines, fmt.Sprintf("server %s: runs upload %s at %.4f s", boot, id, time.Since(rec.start).Seconds()))
+				linesMu.Unlock()
 				if reached, ok := atLimit.Load(id); ok {
 					close(reached.(chan struct{}))
 				}
@@ -87,8 +92,6 @@
 	time.Sleep(4 * time.Second) // the machines are in touch
 
 	var sent, whole, refused, cut atomic.Int64
-	var linesMu sync.Mutex
-	var lines []string
 	end := time.Now().Add(playing)
 	var calmUntil atomic.Int64
 	calmUntil.Store(time.Now().Add(oversizeCalm).UnixNano())
--- a/review/stand-ins-2/slots.go
+++ b/review/stand-ins-2/slots.go
@@ -39,6 +39,7 @@
 				return false
 			}
 			runs.Add(1)
+			rec.line("server %s: runs %s", boot, id)
 			time.Sleep(50 * time.Millisecond)
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: 1,0,18\r\nContent-Length: 2\r\n\r\nok", id, boot, id)
 			return true
@@ -87,13 +88,14 @@
 				r.Header.Set("Request-Id", id)
 				r.Header.Set("Request-Deadline", "2000")
 				began := time.Now()
+				rec.line("ordinary %s request %s is sent to %s", kind, id, side.name)
 				status, answer := 0, ""
 				if resp, err := client.Do(r); err != nil {
 					answer = err.Error()
 				} else {
 					raw, _ := io.ReadAll(resp.Body)
 					_ = resp.Body.Close()
-					status, answer = resp.StatusCode, fmt.Sprintf("%d %.100s", resp.StatusCode, raw)
+					status, answer = resp.StatusCode, fmt.Sprintf("%d %.100q", resp.StatusCode, raw)
 				}
 				rec.line("ordinary %s request %s at %s: %s after %d ms", kind, id, side.name, answer, time.Since(began).Milliseconds())
 				mu.Lock()
--- a/review/stand-ins-2/slow.go
+++ b/review/stand-ins-2/slow.go
@@ -39,6 +39,7 @@
 				return false
 			}
 			runs.Add(1)
+			rec.line("server %s: runs %s", boot, id)
 			time.Sleep(50 * time.Millisecond)
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: 1,0,18\r\nContent-Length: 2\r\n\r\nok", id, boot, id)
 			return true
@@ -80,6 +81,7 @@
 			for i := 0; time.Now().Before(end); i++ {
 				id := fmt.Sprintf("0dd%05x%08x", n, i)
 				began := time.Now()
+				rec.line("ordinary upload %s is sent to %s", id, side.name)
 				status, answer := uploadWhole(m.outbound(side), id, body)
 				sent.Add(1)
 				if status == http.StatusOK {
@@ -166,5 +168,5 @@
 	if err != nil {
 		return 0, err.Error()
 	}
-	return resp.StatusCode, fmt.Sprintf("%d %.120s", resp.StatusCode, raw)
+	return resp.StatusCode, fmt.Sprintf("%d %.120q", resp.StatusCode, raw)
 }
